--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,191 @@
+// Package claim is the one mechanism behind every duty of a controller: a key
+// that names its holder's incarnation and a term, taken by conditional write.
+//
+// Book is the decision: plain code on what the replica told. Keeper does the
+// I/O: it keeps the incarnation registered under a hold and takes free claims.
+package claim
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Record is the value of a claim's key.
+type Record struct {
+	Holder      string `json:"holder"`
+	Incarnation string `json:"incarnation"`
+	Term        uint64 `json:"term"`
+}
+
+// Registration is the value of a controller's key, attached to its hold.
+type Registration struct {
+	Incarnation string `json:"incarnation"`
+}
+
+// Held is a claim as the replica last showed it.
+type Held struct {
+	Record
+	Stamp uint64
+}
+
+type registered struct {
+	Registration
+	stamp uint64
+}
+
+// Book knows who is registered and who holds what.
+type Book struct {
+	host   string
+	hosts  []string // all controllers, sorted
+	duties []string // all claims, in a fixed order
+	nodes  map[string]registered
+	claims map[string]Held
+	freeAt map[string]clock.Micros
+
+	incarnation string
+	hold        uint64
+	until       clock.Micros // this incarnation may act until then
+}
+
+// NewBook makes a book for host; hosts names all controllers, duties all claims.
+func NewBook(host string, hosts, duties []string) *Book {
+	hosts = append([]string(nil), hosts...)
+	sort.Strings(hosts)
+	return &Book{host: host, hosts: hosts, duties: duties, nodes: map[string]registered{},
+		claims: map[string]Held{}, freeAt: map[string]clock.Micros{}}
+}
+
+// Apply takes one event of the replica.
+func (b *Book) Apply(e state.Event) {
+	if name, ok := strings.CutPrefix(e.Key, state.Nodes); ok {
+		var r Registration
+		if e.Value == nil || json.Unmarshal(e.Value, &r) != nil {
+			delete(b.nodes, name)
+			return
+		}
+		b.nodes[name] = registered{r, e.Stamp}
+		return
+	}
+	name, ok := strings.CutPrefix(e.Key, state.Claims)
+	if !ok {
+		return
+	}
+	h := Held{Stamp: e.Stamp}
+	if e.Value != nil && json.Unmarshal(e.Value, &h.Record) != nil {
+		return // not understood: nothing is claimed on it
+	}
+	b.claims[name] = h
+}
+
+// Begin starts a new incarnation: every duty of the former one is given up.
+func (b *Book) Begin(incarnation string, hold uint64, until clock.Micros) {
+	b.incarnation, b.hold, b.until = incarnation, hold, until
+}
+
+// Resign ends the present incarnation for good and gives its name.
+func (b *Book) Resign() string {
+	inc := b.incarnation
+	b.incarnation, b.hold, b.until = "", 0, 0
+	return inc
+}
+
+// Extend notes that the hold of an incarnation is confirmed until a time.
+func (b *Book) Extend(incarnation string, until clock.Micros) {
+	if incarnation == b.incarnation && incarnation != "" {
+		b.until = max(b.until, until)
+	}
+}
+
+// Incarnation is the present incarnation and its hold; empty when there is none.
+func (b *Book) Incarnation() (string, uint64) { return b.incarnation, b.hold }
+
+// Confirmed tells whether this process may act.
+func (b *Book) Confirmed(now clock.Micros) bool { return b.incarnation != "" && now < b.until }
+
+// registeredMe tells whether the replica shows this incarnation as registered.
+func (b *Book) registeredMe() bool {
+	return b.incarnation != "" && b.nodes[b.host].Incarnation == b.incarnation
+}
+
+// Mine gives the term and stamp of a claim that this incarnation holds and may act on.
+func (b *Book) Mine(duty string, now clock.Micros) (Held, bool) {
+	h, ok := b.claims[duty]
+	ok = ok && b.Confirmed(now) && h.Incarnation == b.incarnation && h.Holder == b.host
+	return h, ok
+}
+
+// Holder names the controller whose registered incarnation holds a duty.
+func (b *Book) Holder(duty string) (string, bool) {
+	h, ok := b.claims[duty]
+	if !ok || h.Holder == "" || b.nodes[h.Holder].Incarnation != h.Incarnation {
+		return "", false
+	}
+	return h.Holder, true
+}
+
+// RegisteredOf gives the registered incarnation of a controller and its stamp.
+func (b *Book) RegisteredOf(host string) (string, uint64) {
+	r := b.nodes[host]
+	return r.Incarnation, r.stamp
+}
+
+// Take is a free claim that this controller should take now.
+type Take struct {
+	Duty  string
+	Multi wire.Multi
+}
+
+// Wanted decides which free claims to take: its own preferred ones at once,
+// those of an absent controller after the grace, any claim after twice that.
+func (b *Book) Wanted(now, grace clock.Micros) []Take {
+	if !b.registeredMe() || !b.Confirmed(now) {
+		return nil
+	}
+	var out []Take
+	for i, d := range b.duties {
+		if _, held := b.Holder(d); held {
+			delete(b.freeAt, d)
+			continue
+		}
+		since, ok := b.freeAt[d]
+		if !ok {
+			since = now
+			b.freeAt[d] = now
+		}
+		if !b.turn(i, now-since, grace) {
+			continue
+		}
+		h := b.claims[d]
+		when := []wire.Cond{{Key: state.Claims + d, Stamp: h.Stamp}, {Key: state.Nodes + b.host, Stamp: b.nodes[b.host].stamp}}
+		if h.Stamp == 0 {
+			when[0].Stamp = 0
+		}
+		if h.Holder != "" && h.Holder != b.host {
+			when = append(when, wire.Cond{Key: state.Nodes + h.Holder, Stamp: b.nodes[h.Holder].stamp})
+		}
+		out = append(out, Take{d, wire.Multi{When: when, Then: []wire.Op{
+			{Put: state.Claims + d, Value: Record{b.host, b.incarnation, h.Term + 1}}}}})
+	}
+	return out
+}
+
+// turn tells whether it is this controller's turn for the i-th duty.
+func (b *Book) turn(i int, free, grace clock.Micros) bool {
+	n := len(b.hosts)
+	for k := range n {
+		h := b.hosts[(i+k)%n]
+		if h == b.host {
+			return true
+		}
+		_, there := b.nodes[h]
+		if there && free < 2*grace || !there && free < grace {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/claim/keeper.go
@@ -0,0 +1,244 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Store is the part of the state service that the keeper needs.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Item, bool, error)
+	Commit(ctx context.Context, m wire.Multi) (uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Extend(ctx context.Context, hold uint64, timeout time.Duration) error
+}
+
+// Timing is how long things last.
+type Timing struct{ TTL, Renew, Grace, ResignAfter clock.Micros }
+
+// Keeper keeps this controller registered and takes free claims.
+type Keeper struct {
+	store  Store
+	clock  clock.Clock
+	timing Timing
+	log    *slog.Logger
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	book     *Book
+	lastOK   clock.Micros // when the last confirmed renewal was sent
+	resigned string       // the last incarnation given up for good
+}
+
+// NewKeeper makes a keeper around a book.
+func NewKeeper(book *Book, store Store, c clock.Clock, t Timing, log *slog.Logger) *Keeper {
+	return &Keeper{book: book, store: store, clock: c, timing: t, log: log, wake: make(chan struct{}, 1)}
+}
+
+// Apply takes events of the replica.
+func (k *Keeper) Apply(evs []state.Event) {
+	k.mu.Lock()
+	for _, e := range evs {
+		k.book.Apply(e)
+	}
+	k.mu.Unlock()
+	k.poke()
+}
+
+func (k *Keeper) poke() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Mine tells whether this process holds a duty and may act on it now.
+func (k *Keeper) Mine(duty string) (Held, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Mine(duty, k.clock.Now())
+}
+
+// Holder names the registered holder of a duty.
+func (k *Keeper) Holder(duty string) (string, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Holder(duty)
+}
+
+// Confirmed tells whether this process may act at all.
+func (k *Keeper) Confirmed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Confirmed(k.clock.Now())
+}
+
+// Incarnation is the present incarnation.
+func (k *Keeper) Incarnation() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	inc, _ := k.book.Incarnation()
+	return inc
+}
+
+// Contact tells how long ago the state service last confirmed the hold, and
+// the last incarnation that resigned.
+func (k *Keeper) Contact() (ago clock.Micros, resigned string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.clock.Now() - k.lastOK, k.resigned
+}
+
+// Hear takes what a peer said of its own contact with the state service. When
+// the peer has contact and this process has not, its duties are given up: the
+// promise is that this incarnation never acts again.
+func (k *Keeper) Hear(peerAgo clock.Micros) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if inc, _ := k.book.Incarnation(); inc != "" && k.clock.Now()-k.lastOK > k.timing.ResignAfter && peerAgo < k.timing.ResignAfter/2 {
+		k.resigned = k.book.Resign()
+		k.log.Info("cut off from the state service while a peer is not: duties given up", "incarnation", inc)
+		k.poke()
+	}
+}
+
+// Bury removes the registration of a peer's incarnation that has resigned.
+func (k *Keeper) Bury(ctx context.Context, host, incarnation string) {
+	k.mu.Lock()
+	inc, stamp := k.book.RegisteredOf(host)
+	k.mu.Unlock()
+	if incarnation == "" || inc != incarnation {
+		return
+	}
+	_, err := k.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: state.Nodes + host, Stamp: stamp}},
+		Then: []wire.Op{{Drop: state.Nodes + host}}})
+	k.log.Info("removed the registration of a resigned controller", "host", host, "err", err)
+}
+
+// Run keeps the registration and takes claims until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if inc, _ := k.current(); inc == "" {
+			if err := k.register(ctx); err != nil {
+				k.log.Info("registering", "err", err)
+				k.sleep(ctx, 300*time.Millisecond)
+			}
+			continue
+		}
+		k.step(ctx)
+		k.sleep(ctx, 200*time.Millisecond)
+	}
+	return nil
+}
+
+func (k *Keeper) current() (string, uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Incarnation()
+}
+
+func (k *Keeper) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-k.wake:
+	case <-ctx.Done():
+	}
+}
+
+// register makes a hold and puts a new incarnation under this host's key. The
+// write is conditional on the key as read, so that a late copy of an old
+// process's write can't undo it.
+func (k *Keeper) register(ctx context.Context) error {
+	key := state.Nodes + k.book.host
+	it, _, err := k.store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	sent := k.clock.Now()
+	hold, err := k.store.Grant(ctx, k.timing.TTL.Duration())
+	if err != nil {
+		return err
+	}
+	inc := uuid.NewString()
+	_, err = k.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: key, Stamp: it.Stamp}},
+		Then: []wire.Op{{Put: key, Value: Registration{inc}, Hold: hold}}})
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.book.Begin(inc, hold, k.limit(sent))
+	k.lastOK = sent
+	k.log.Info("registered", "incarnation", inc)
+	return nil
+}
+
+// limit is until when a hold confirmed by a request sent at a time surely lasts.
+func (k *Keeper) limit(sent clock.Micros) clock.Micros {
+	return sent + k.timing.TTL.LessDrift() - 300*clock.Millisecond
+}
+
+func (k *Keeper) step(ctx context.Context) {
+	inc, hold := k.current()
+	now := k.clock.Now()
+	k.mu.Lock()
+	lapsed := inc != "" && !k.book.Confirmed(now)
+	if lapsed {
+		k.resigned = k.book.Resign()
+	}
+	due := now-k.lastOK >= k.timing.Renew
+	wanted := k.book.Wanted(now, k.timing.Grace)
+	k.mu.Unlock()
+	if lapsed {
+		k.log.Info("the hold could not be confirmed in time: duties given up", "incarnation", inc)
+		return
+	}
+	if due {
+		err := k.store.Extend(ctx, hold, time.Second)
+		switch {
+		case err == nil:
+			k.mu.Lock()
+			k.book.Extend(inc, k.limit(now))
+			if k.lastOK < now {
+				k.lastOK = now
+			}
+			k.mu.Unlock()
+		case errors.Is(err, state.ErrNoHold):
+			k.mu.Lock()
+			if cur, _ := k.book.Incarnation(); cur == inc {
+				k.resigned = k.book.Resign()
+			}
+			k.mu.Unlock()
+			k.log.Info("the hold has ended: duties given up", "incarnation", inc)
+			return
+		default:
+			k.log.Debug("renewing the hold", "err", err)
+			k.sleep(ctx, 300*time.Millisecond)
+			return
+		}
+	}
+	var wg sync.WaitGroup
+	for _, w := range wanted {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if _, err := k.store.Commit(ctx, w.Multi); err != nil {
+				k.log.Debug("taking a claim", "duty", w.Duty, "err", err)
+			} else {
+				k.log.Info("took a claim", "duty", w.Duty)
+			}
+		}()
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,162 @@
+// Package config reads and checks the settings file that the platform hands over.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Host string `json:"host_name"`
+	Zone string `json:"location"`
+	Addr string `json:"addr"`
+}
+
+// Team is a team's guarantee and limit; a limit of 0 means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective restates an aim.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+	Most    float64 `json:"most"`
+}
+
+// Settings is the settings file. Unknown fields are ignored.
+type Settings struct {
+	Host       string `json:"host_name"`
+	Zone       string `json:"location"`
+	Listen     string `json:"listen"`
+	PeerListen string `json:"cluster_listen"`
+	Peers      []Peer `json:"others"`
+	Services   struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"services"`
+	Params struct {
+		Count      int         `json:"count"`
+		Zones      []string    `json:"zones"`
+		Teams      []Team      `json:"teams"`
+		Objectives []Objective `json:"objectives"`
+		Workers    struct {
+			ReportS float64 `json:"report_s"`
+			LeaseS  float64 `json:"lease_s"`
+			CancelS float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS      float64 `json:"rps"`
+			ListLagS float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Limits struct {
+			CoreShare float64 `json:"core_share"`
+			MemoryMB  float64 `json:"memory_mb"`
+			Sockets   int     `json:"fd_limit"`
+		} `json:"machine_limits"`
+		SkewMS float64 `json:"skew_ms"`
+	} `json:"params"`
+}
+
+// Lease is the workers' lease.
+func (s *Settings) Lease() clock.Micros { return clock.FromSeconds(s.Params.Workers.LeaseS) }
+
+// Load reads a settings file.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks settings.
+func Parse(b []byte) (*Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(b, &s); err != nil {
+		var typ *json.UnmarshalTypeError
+		if errors.As(err, &typ) {
+			return nil, fmt.Errorf("settings: field %s: a %s is not allowed here", typ.Field, typ.Value)
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	if s.Host == "" {
+		return errors.New("field host_name is missing")
+	}
+	addrs := map[string]string{"listen": s.Listen, "cluster_listen": s.PeerListen,
+		"services.cloud": s.Services.Cloud, "services.state": s.Services.State}
+	hosts := map[string]bool{s.Host: true}
+	for i, p := range s.Peers {
+		addrs[fmt.Sprintf("others[%d].addr", i)] = p.Addr
+		if p.Host == "" || hosts[p.Host] {
+			return fmt.Errorf("field others[%d].host_name is missing or repeated", i)
+		}
+		hosts[p.Host] = true
+	}
+	for field, a := range addrs {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return fmt.Errorf("field %s: %q is not an address with a port", field, a)
+		}
+	}
+	p := &s.Params
+	if p.Count == 0 {
+		p.Count = len(s.Peers) + 1
+	}
+	if p.Limits.Sockets == 0 {
+		p.Limits.Sockets = 1000
+	}
+	if p.Limits.MemoryMB == 0 {
+		p.Limits.MemoryMB = 256
+	}
+	for field, v := range map[string]float64{
+		"params.count": float64(p.Count), "params.workers.report_s": p.Workers.ReportS, "params.workers.lease_s": p.Workers.LeaseS,
+		"params.workers.cancel_s": p.Workers.CancelS, "params.state.rps": p.State.RPS, "params.state.write_rps": p.State.WriteRPS,
+		"params.state.value_kb": p.State.ValueKB, "params.state.txn_ops": float64(p.State.TxnOps), "params.cloud.rps": p.Cloud.RPS,
+	} {
+		if !(v > 0) {
+			return fmt.Errorf("field %s must be more than 0", field)
+		}
+	}
+	if p.State.TxnOps < 4 {
+		return errors.New("field params.state.txn_ops must be at least 4")
+	}
+	seen := map[string]bool{}
+	for i, t := range p.Teams {
+		if t.Name == "" || seen[t.Name] {
+			return fmt.Errorf("field params.teams[%d].name is missing or repeated", i)
+		}
+		seen[t.Name] = true
+		if t.CPUs < 0 || t.GPUs < 0 || t.CPUsMax < 0 || t.GPUsMax < 0 {
+			return fmt.Errorf("field params.teams[%d]: an amount is below 0", i)
+		}
+		if (t.CPUsMax > 0 && t.CPUsMax < t.CPUs) || (t.GPUsMax > 0 && t.GPUsMax < t.GPUs) {
+			return fmt.Errorf("field params.teams[%d]: the limit is below the guarantee", i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,277 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Duty is the fleet's claim.
+const Duty = "fleet"
+
+// Cloud calls the cloud's API within its budget.
+type Cloud struct {
+	http  *httpx.Client
+	limit *rate.Limiter
+}
+
+// NewCloud makes a client for the cloud.
+func NewCloud(addr string, rps float64) *Cloud {
+	return &Cloud{http: httpx.NewClient(addr, 2, 4<<20), limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
+}
+
+// errNoCapacity is the cloud's refusal to rent.
+var errNoCapacity = errors.New("no capacity")
+
+func (c *Cloud) call(ctx context.Context, method, target string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	if err := c.limit.Wait(ctx); err != nil {
+		return err
+	}
+	var b []byte
+	if body != nil {
+		var err error
+		if b, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	r, err := c.http.Do(ctx, method, target, b)
+	if err != nil {
+		return err
+	}
+	if r.Status == 503 {
+		var e wire.Error
+		if json.Unmarshal(r.Body, &e) == nil && e.Error == "no capacity" {
+			return errNoCapacity
+		}
+	}
+	if r.Status != 200 {
+		return fmt.Errorf("the cloud answered %d %.80s", r.Status, r.Body)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(r.Body, into)
+}
+
+// Controllers asks all controllers for what the fleet needs.
+type Controllers interface {
+	Demands(ctx context.Context) []peer.Demand
+	Views() []peer.MachineView
+	Drain(ctx context.Context, ids []string) (ready []string)
+	Gone(ctx context.Context, ids []string)
+}
+
+// Claims tells whether the fleet is held.
+type Claims interface {
+	Mine(duty string) (claim.Held, bool)
+}
+
+// Store takes transactions.
+type Store interface {
+	Commit(ctx context.Context, m wire.Multi) (uint64, error)
+}
+
+// Fleet rents and returns machines while it holds the claim.
+type Fleet struct {
+	cloud   *Cloud
+	claims  Claims
+	store   Store
+	others  Controllers
+	clock   clock.Clock
+	knobs   Knobs
+	backoff clock.Micros
+	lag     clock.Micros
+	kept    func() wire.Catalog
+	log     *slog.Logger
+
+	term     uint64
+	counter  uint64
+	rented   map[string]Rented
+	listedAt map[string]clock.Micros // when a machine was last on the list, or was rented
+	gone     map[string]clock.Micros
+	refused  map[Kind]clock.Micros
+	catalog  wire.Catalog
+	fetched  clock.Micros
+	listed   clock.Micros
+}
+
+// New makes a fleet.
+func New(cloud *Cloud, claims Claims, store Store, others Controllers, c clock.Clock, k Knobs, backoff, lag clock.Micros, kept func() wire.Catalog, log *slog.Logger) *Fleet {
+	return &Fleet{cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, kept: kept, log: log}
+}
+
+// Run does the duty while it is held, until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		h, mine := f.claims.Mine(Duty)
+		if !mine {
+			f.term = 0
+			continue
+		}
+		if h.Term != f.term {
+			f.term, f.counter = h.Term, 0
+			f.rented, f.listedAt = map[string]Rented{}, map[string]clock.Micros{}
+			f.gone, f.refused = map[string]clock.Micros{}, map[Kind]clock.Micros{}
+			f.fetched, f.listed = 0, 0
+			f.log.Info("fleet taken over", "term", h.Term)
+		}
+		f.step(ctx, h)
+	}
+}
+
+func (f *Fleet) step(ctx context.Context, h claim.Held) {
+	now := f.clock.Now()
+	if f.fetched == 0 || now > f.fetched+30*clock.Second {
+		f.fetchCatalog(ctx, h, now)
+	}
+	if len(f.catalog.Types) == 0 {
+		// The cloud is out: the catalog kept in the state service will do.
+		if f.catalog = f.kept(); len(f.catalog.Types) == 0 {
+			return
+		}
+	}
+	if f.listed == 0 || now > f.listed+3*clock.Second {
+		if err := f.list(ctx); err != nil {
+			f.log.Info("listing machines", "err", err)
+			if f.listed == 0 {
+				return // nothing is known of what is rented
+			}
+		}
+	}
+	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.others.Views(), Demands: f.others.Demands(ctx),
+		Refused: f.refused, Knobs: f.knobs, MaxCount: 20}
+	hires, returns := Plan(in)
+	if f.log.Enabled(ctx, slog.LevelDebug) {
+		f.log.Debug("fleet", "rented", len(f.rented), "views", len(in.Views), "demands", in.Demands, "hires", hires, "returns", returns)
+	}
+	for _, hire := range hires {
+		if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
+			return
+		}
+		f.hire(ctx, hire)
+	}
+	if len(returns) > 0 {
+		f.giveBack(ctx, returns)
+	}
+}
+
+// fetchCatalog reads the catalog, and keeps it in the state service so that a
+// controller that starts while the cloud is out can decide.
+func (f *Fleet) fetchCatalog(ctx context.Context, h claim.Held, now clock.Micros) {
+	var c wire.Catalog
+	if err := f.cloud.call(ctx, "GET", wire.PathCatalog, nil, &c); err != nil || len(c.Types) == 0 {
+		f.log.Info("reading the catalog", "err", err)
+		return
+	}
+	f.catalog, f.fetched = c, now
+	if _, err := f.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty, Stamp: h.Stamp}},
+		Then: []wire.Op{{Put: state.Catalog, Value: c}}}); err != nil {
+		f.log.Info("keeping the catalog", "err", err)
+		f.fetched = now - 27*clock.Second
+	}
+}
+
+// list reads the cloud's list. Absence proves nothing at once: the list lags.
+func (f *Fleet) list(ctx context.Context) error {
+	after, began := "", f.clock.Now()
+	for {
+		var page wire.Rentals
+		if err := f.cloud.call(ctx, "GET", fmt.Sprintf("%s?after=%s&most=%d", wire.PathRentals, after, wire.MaxList), nil, &page); err != nil {
+			return err
+		}
+		for _, r := range page.Hosts {
+			after = r.ID
+			if f.gone[r.ID] != 0 {
+				continue
+			}
+			since := began - clock.FromSeconds(r.AgeS)
+			if old, ok := f.rented[r.ID]; ok {
+				since = min(old.Since, since)
+			}
+			f.rented[r.ID] = Rented{Kind: Kind{r.Type, r.Zone, r.Spot}, ID: r.ID, Phase: r.Phase, Since: since}
+			f.listedAt[r.ID] = began
+		}
+		if !page.More || len(page.Hosts) == 0 {
+			break
+		}
+	}
+	f.listed = began
+	for id := range f.rented {
+		if began > f.listedAt[id]+3*f.lag+2*clock.Second {
+			delete(f.rented, id)
+			delete(f.listedAt, id)
+		}
+	}
+	return nil
+}
+
+// hire rents. Its request's name is never used again: the term and a counter.
+func (f *Fleet) hire(ctx context.Context, h Hire) {
+	f.counter++
+	req := wire.Hire{Name: fmt.Sprintf("r-%d-%d", f.term, f.counter), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: h.Count}
+	sent := f.clock.Now()
+	var got wire.Hosts
+	err := f.cloud.call(ctx, "POST", wire.PathRentals, req, &got)
+	f.log.Info("renting", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Count, "got", len(got.Hosts), "err", err)
+	if errors.Is(err, errNoCapacity) || err == nil && len(got.Hosts) < h.Count {
+		f.refused[h.Kind] = sent + f.backoff
+	} else if err != nil {
+		f.refused[h.Kind] = sent + 3*clock.Second // perhaps rented all the same: the list will tell
+	}
+	for _, id := range got.Hosts {
+		f.rented[id] = Rented{Kind: h.Kind, ID: id, Phase: wire.MachineBooting, Since: sent}
+		f.listedAt[id] = sent
+	}
+}
+
+// giveBack returns machines that their owners have set aside.
+func (f *Fleet) giveBack(ctx context.Context, list []Return) {
+	why := map[string]string{}
+	ids := make([]string, 0, len(list))
+	for _, r := range list {
+		if len(ids) < 100 {
+			ids = append(ids, r.ID)
+			why[r.ID] = r.Why
+		}
+	}
+	ready := f.others.Drain(ctx, ids)
+	if len(ready) == 0 {
+		return
+	}
+	if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
+		return
+	}
+	if err := f.cloud.call(ctx, "POST", wire.PathReturn, wire.Hosts{Hosts: ready}, nil); err != nil {
+		f.log.Info("returning machines", "hosts", ready, "err", err)
+		return
+	}
+	now := f.clock.Now()
+	for _, id := range ready {
+		f.log.Info("returned a machine", "machine", id, "why", why[id])
+		f.gone[id] = now
+		delete(f.rented, id)
+		delete(f.listedAt, id)
+	}
+	f.others.Gone(ctx, ready)
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,257 @@
+// Package fleet is the duty of renting and returning machines: one controller
+// holds it, and decides from the demand that the placers report.
+//
+// Plan is the decision, plain code; Fleet does the I/O.
+package fleet
+
+import (
+	"math"
+	"slices"
+	"sort"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Kind is what one rental request can ask for.
+type Kind struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// Rented is a machine that the cloud lists or has just rented to us.
+type Rented struct {
+	Kind
+	ID    string
+	Phase string
+	Since clock.Micros // of the rental request, on our clock
+}
+
+// Knobs of the plan.
+type Knobs struct {
+	Economy      bool
+	SpareShare   float64
+	IdleReturn   clock.Micros
+	BootPatience float64
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Now      clock.Micros
+	Types    []wire.MachineType
+	Rented   map[string]Rented
+	Views    []peer.MachineView
+	Demands  []peer.Demand
+	Refused  map[Kind]clock.Micros // not to be asked for until
+	Knobs    Knobs
+	MaxCount int // machines of a kind asked for at once
+}
+
+// Hire is a decision to rent.
+type Hire struct {
+	Kind
+	Count int
+}
+
+// Return is a decision to give a machine back.
+type Return struct {
+	ID  string
+	Why string
+}
+
+type bin struct {
+	kind Kind
+	free res.Amounts
+	new  bool
+}
+
+func (b *bin) takes(d *peer.Demand) bool {
+	return d.Need.Fits(b.free) && allows(d, b.kind)
+}
+
+func allows(d *peer.Demand, k Kind) bool {
+	return (!k.Spot || d.Spot) && (d.Zone == "" || d.Zone == k.Zone) && (len(d.Types) == 0 || slices.Contains(d.Types, k.Type))
+}
+
+// Plan decides what to rent and what to return.
+func Plan(in Input) (hires []Hire, returns []Return) {
+	types := map[string]wire.MachineType{}
+	for _, t := range in.Types {
+		types[t.Name] = t
+	}
+	var bins []*bin
+	viewed := map[string]bool{}
+	var used, have int64
+	for i := range in.Views {
+		v := &in.Views[i]
+		viewed[v.ID] = true
+		if v.Usable {
+			bins = append(bins, &bin{kind: Kind{v.Type, v.Zone, v.Spot}, free: v.Free})
+			used += v.Cap.CPU - v.Free.CPU
+			have += v.Cap.CPU
+		}
+	}
+	for _, r := range in.Rented {
+		if t, ok := types[r.Type]; ok && !viewed[r.ID] && r.Phase != wire.MachineFailed {
+			bins = append(bins, &bin{kind: r.Kind, free: res.Have(t.CPUs, t.GPUs, t.MemGB)})
+			have += bins[len(bins)-1].free.CPU
+		}
+	}
+	known := len(bins)
+	wants := map[Kind]int{}
+	open := kinds(in)
+	add := func(d *peer.Demand) *bin {
+		for _, k := range open {
+			t := types[k.Type]
+			full := res.Have(t.CPUs, t.GPUs, t.MemGB)
+			if allows(d, k) && d.Need.Fits(full) && wants[k] < in.MaxCount {
+				wants[k]++
+				b := &bin{kind: k, free: full, new: true}
+				bins = append(bins, b)
+				return b
+			}
+		}
+		return nil
+	}
+	demands := append([]peer.Demand(nil), in.Demands...)
+	sort.SliceStable(demands, func(a, b int) bool {
+		if demands[a].Rank != demands[b].Rank {
+			return demands[a].Rank > demands[b].Rank
+		}
+		return demands[a].Need.CPU > demands[b].Need.CPU
+	})
+	var work float64 // CPU seconds that found no room
+	for i := range demands {
+		d := &demands[i]
+		for n := 0; n < d.Waiting; n++ {
+			var at *bin
+			for _, b := range bins {
+				if b.takes(d) {
+					at = b
+					break
+				}
+			}
+			if at == nil {
+				at = add(d)
+			}
+			if at == nil {
+				break
+			}
+			at.free = at.free.Minus(d.Need)
+			if at.new {
+				work += d.Need.CPUs() * max(d.RunFor.Seconds(), 5)
+			}
+		}
+	}
+	if in.Knobs.Economy {
+		trim(wants, types, work)
+	} else if spare := int64(in.Knobs.SpareShare*float64(used)) - (have - used); spare > 0 {
+		for _, k := range open {
+			t := types[k.Type]
+			for spare > 0 && wants[k] < in.MaxCount && t.CPUs > 0 {
+				wants[k]++
+				spare -= int64(t.CPUs * 1e6)
+			}
+		}
+	}
+	for k, n := range wants {
+		if n > 0 {
+			hires = append(hires, Hire{k, min(n, wire.MaxHire)})
+		}
+	}
+	sort.Slice(hires, func(a, b int) bool {
+		return hires[a].Type+hires[a].Zone < hires[b].Type+hires[b].Zone || hires[a].Spot && !hires[b].Spot
+	})
+	return hires, giveBack(in, types, bins[:known])
+}
+
+// trim keeps thrifty deployments from renting a machine for work that the
+// same machines can do one after the other in little more than a boot time.
+func trim(wants map[Kind]int, types map[string]wire.MachineType, work float64) {
+	for k := range wants {
+		t := types[k.Type]
+		horizon := max(t.BootS*1.5, 30)
+		need := int(math.Ceil(work / (t.CPUs * horizon)))
+		if wants[k] > need {
+			wants[k] = need
+		}
+		work -= float64(wants[k]) * t.CPUs * horizon
+		if work < 0 {
+			work = 0
+		}
+	}
+}
+
+// kinds lists what may be asked for now, the cheapest CPU first.
+func kinds(in Input) []Kind {
+	type priced struct {
+		k Kind
+		p float64
+	}
+	var list []priced
+	have := map[Kind]int{}
+	for _, r := range in.Rented {
+		have[r.Kind]++
+	}
+	for _, t := range in.Types {
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				k := Kind{t.Name, z, spot}
+				p := t.Price
+				if spot {
+					p = t.SpotPrice
+				}
+				if in.Now < in.Refused[k] || p <= 0 {
+					continue
+				}
+				// Of equals, the zone with fewer machines: a wave takes fewer.
+				list = append(list, priced{k, p/max(t.CPUs, 1) + 1e-6*float64(have[k])})
+			}
+		}
+	}
+	sort.SliceStable(list, func(a, b int) bool { return list[a].p < list[b].p })
+	out := make([]Kind, len(list))
+	for i, x := range list {
+		out[i] = x.k
+	}
+	return out
+}
+
+// giveBack decides which machines are of no more use.
+func giveBack(in Input, types map[string]wire.MachineType, _ []*bin) (out []Return) {
+	viewed := map[string]bool{}
+	demand := len(in.Demands) > 0
+	for i := range in.Views {
+		v := &in.Views[i]
+		viewed[v.ID] = true
+		_, listed := in.Rented[v.ID]
+		switch {
+		case v.Silent:
+			if listed {
+				out = append(out, Return{v.ID, "silent for its whole lease"})
+			}
+		case v.Sick && len(v.Tasks) == 0:
+			out = append(out, Return{v.ID, "several jobs failed on it"})
+		case v.Draining && len(v.Tasks) == 0:
+			out = append(out, Return{v.ID, "set aside for return"})
+		case v.Accounted && len(v.Tasks) == 0 && v.Idle > in.Knobs.IdleReturn && !(demand && v.Usable):
+			out = append(out, Return{v.ID, "idle"})
+		}
+	}
+	for _, r := range in.Rented {
+		if viewed[r.ID] {
+			continue
+		}
+		age := in.Now - r.Since
+		if r.Phase == wire.MachineFailed {
+			out = append(out, Return{r.ID, "failed"})
+		} else if t, ok := types[r.Type]; ok && age.Seconds() > max(t.BootS, 5)*in.Knobs.BootPatience {
+			out = append(out, Return{r.ID, "never came up"})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,254 @@
+// Package front answers users. Any controller accepts a job by a create-if-absent
+// write; whatever is not final is asked of the team's placer.
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Store is the part of the state service that the front needs.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Item, bool, error)
+	Commit(ctx context.Context, m wire.Multi) (uint64, error)
+}
+
+// Placers finds who places a team's jobs, and asks.
+type Placers interface {
+	Status(ctx context.Context, q peer.JobQuery) (peer.JobAnswer, error)
+	Withdraw(ctx context.Context, q peer.JobQuery) (peer.JobAnswer, error)
+}
+
+// Front answers users.
+type Front struct {
+	store   Store
+	placers Placers
+	book    *jobs.Book
+	limits  map[string]res.Amounts
+	wall    func() time.Time
+	log     *slog.Logger
+
+	mu    sync.Mutex
+	types []wire.MachineType
+}
+
+// New makes a front; limits holds each team's limit, an amount of 0 meaning none.
+func New(store Store, placers Placers, book *jobs.Book, limits map[string]res.Amounts, wall func() time.Time, log *slog.Logger) *Front {
+	return &Front{store: store, placers: placers, book: book, limits: limits, wall: wall, log: log}
+}
+
+// SetTypes tells the machine types.
+func (f *Front) SetTypes(types []wire.MachineType) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.types = types
+}
+
+// Decisive tells whether the machine types are known.
+func (f *Front) Decisive() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.types) > 0
+}
+
+func answer(status int, v any) httpx.Response {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return httpx.Response{Status: 503, Body: []byte(`{"error":"no answer"}`), RetryAfter: 1}
+	}
+	return httpx.Response{Status: status, Body: b}
+}
+
+func refuse(status int, text string) httpx.Response {
+	r := answer(status, wire.Error{Error: text})
+	if status == 503 {
+		r.RetryAfter = 1
+	}
+	return r
+}
+
+// Handle answers a request below /api/jobs; rest is the path after that.
+func (f *Front) Handle(ctx context.Context, r *httpx.Request, rest string) httpx.Response {
+	if rest == "" {
+		if r.Method != "POST" {
+			return refuse(405, "method not allowed")
+		}
+		return f.submit(ctx, r.Body)
+	}
+	id, verb, sub := strings.Cut(strings.TrimPrefix(rest, "/"), "/")
+	switch {
+	case !sub && r.Method == "GET":
+		if !wire.ValidJobID(id) {
+			return refuse(404, "no such job")
+		}
+		return f.get(ctx, id)
+	case sub && verb == "withdraw" && r.Method == "POST":
+		if !wire.ValidJobID(id) {
+			return refuse(404, "no such job")
+		}
+		return f.withdraw(ctx, id)
+	case !sub || verb == "withdraw":
+		return refuse(405, "method not allowed")
+	}
+	return refuse(404, "no such path")
+}
+
+// canRun tells why a job can never run; "" when it can.
+func (f *Front) canRun(j *jobs.Job) string {
+	limit, ok := f.limits[j.Team]
+	if !ok {
+		return "unknown team"
+	}
+	if limit.CPU > 0 && j.Need.CPU > limit.CPU || limit.GPU > 0 && j.Need.GPU > limit.GPU {
+		return "a task needs more than the team's limit"
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.types {
+		if !j.Need.Fits(res.Have(t.CPUs, t.GPUs, t.MemGB)) {
+			continue
+		}
+		allowed := len(j.Types) == 0
+		for _, name := range j.Types {
+			allowed = allowed || name == t.Name
+		}
+		inZone := j.Zone == ""
+		for _, z := range t.Zones {
+			inZone = inZone || z == j.Zone
+		}
+		if allowed && inZone {
+			return ""
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+// submit accepts a job. It is accepted only once its record is durable.
+func (f *Front) submit(ctx context.Context, body []byte) httpx.Response {
+	spec, err := wire.ParseJob(body)
+	if err != nil {
+		return refuse(400, err.Error())
+	}
+	if s, ok := f.book.Final(spec.ID); ok {
+		return answer(200, s.State(spec.ID))
+	}
+	if _, ok := f.book.Find(spec.ID); ok {
+		return f.get(ctx, spec.ID)
+	}
+	if !f.Decisive() {
+		return refuse(503, "the machine types are not known yet")
+	}
+	rec := jobs.Record{Job: spec, AcceptedMS: f.wall().UnixMilli()}
+	if why := f.canRun(jobs.New(rec, 0)); why != "" {
+		return refuse(422, why)
+	}
+	_, err = f.store.Commit(ctx, wire.Multi{
+		When: []wire.Cond{{Key: state.Active + spec.ID}, {Key: state.Final + spec.ID}},
+		Then: []wire.Op{{Put: state.Active + spec.ID, Value: rec}}})
+	switch {
+	case err == nil:
+		return answer(201, map[string]string{"id": spec.ID, "phase": wire.Pending})
+	case errors.Is(err, state.ErrConflict):
+		return f.get(ctx, spec.ID) // known already
+	}
+	f.log.Debug("accepting a job", "job", spec.ID, "err", err)
+	return refuse(503, "the job can't be stored now")
+}
+
+// get tells a job's state.
+func (f *Front) get(ctx context.Context, id string) httpx.Response {
+	if s, ok := f.book.Final(id); ok {
+		return answer(200, s.State(id))
+	}
+	if j, ok := f.book.Find(id); ok {
+		a, err := f.placers.Status(ctx, peer.JobQuery{Team: j.Team, ID: id})
+		if err == nil && a.Known && a.Found {
+			if a.Retry {
+				return refuse(503, "the job's end is being written")
+			}
+			return answer(200, a.State)
+		}
+	}
+	return f.read(ctx, id)
+}
+
+// look reads a job's record from the state service: its final state, or its
+// active record. The active one is read first: when it is gone because the job
+// became final, the final one is there.
+func (f *Front) look(ctx context.Context, id string) (final *jobs.Final, active *jobs.Record, err error) {
+	it, found, err := f.store.Get(ctx, state.Active+id)
+	if err != nil {
+		return nil, nil, err
+	}
+	if found {
+		var rec jobs.Record
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			return nil, nil, err
+		}
+		return nil, &rec, nil
+	}
+	it, found, err = f.store.Get(ctx, state.Final+id)
+	if err != nil || !found {
+		return nil, nil, err
+	}
+	var s jobs.Final
+	if err := json.Unmarshal(it.Value, &s); err != nil {
+		return nil, nil, err
+	}
+	f.book.Keep(id, s)
+	return &s, nil, nil
+}
+
+// read answers from the state service: a job whose active record was there at
+// the time of the read was not final then, so nobody had been told its end.
+func (f *Front) read(ctx context.Context, id string) httpx.Response {
+	final, active, err := f.look(ctx, id)
+	switch {
+	case err != nil:
+		return refuse(503, "the job's state can't be read now")
+	case final != nil:
+		return answer(200, final.State(id))
+	case active != nil:
+		return answer(200, wire.JobState{ID: id, Phase: wire.Pending})
+	}
+	return refuse(404, "no such job")
+}
+
+// withdraw ends a job.
+func (f *Front) withdraw(ctx context.Context, id string) httpx.Response {
+	if s, ok := f.book.Final(id); ok {
+		return answer(200, map[string]string{"id": id, "phase": s.Phase})
+	}
+	team := ""
+	if j, ok := f.book.Find(id); ok {
+		team = j.Team
+	} else {
+		final, active, err := f.look(ctx, id)
+		switch {
+		case err != nil:
+			return refuse(503, "the job's state can't be read now")
+		case final != nil:
+			return answer(200, map[string]string{"id": id, "phase": final.Phase})
+		case active == nil:
+			return refuse(404, "no such job")
+		}
+		team = active.Team
+	}
+	a, err := f.placers.Withdraw(ctx, peer.JobQuery{Team: team, ID: id})
+	if err != nil || !a.Known || !a.Found || a.Retry {
+		return refuse(503, "the job is not cancelled yet, ask again")
+	}
+	return answer(200, map[string]string{"id": id, "phase": a.State.Phase})
+}
--- /dev/null
+++ b/internal/httpx/parse.go
@@ -0,0 +1,257 @@
+// Package httpx is the project's own HTTP/1.1: a parser, a server on gnet with
+// a goroutine for each connection, and a client that keeps connections open.
+package httpx
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Limits of a message head.
+const (
+	maxHead = 16 << 10
+)
+
+// Errors of the parser. After any of them the framing is lost.
+var (
+	ErrMalformed = errors.New("malformed HTTP message")
+	ErrTooLarge  = errors.New("HTTP message too large")
+	errMore      = errors.New("more bytes needed")
+)
+
+// Request is one parsed request.
+type Request struct {
+	Method, Path, Query string
+	Body                []byte
+	Close               bool
+}
+
+// Response is one response, to be written or as parsed.
+type Response struct {
+	Status     int
+	Body       []byte
+	RetryAfter int // seconds, 0: none
+	Close      bool
+}
+
+type head struct {
+	first   string
+	length  int
+	chunked bool
+	close   bool
+	retry   int
+	size    int
+}
+
+// parseHead reads the start line and the headers of the message in b.
+func parseHead(b []byte) (head, error) {
+	h := head{length: -1}
+	end := bytes.Index(b, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(b) > maxHead {
+			return h, ErrTooLarge
+		}
+		return h, errMore
+	}
+	if end > maxHead {
+		return h, ErrTooLarge
+	}
+	h.size = end + 4
+	text := string(b[:end])
+	line, rest, _ := strings.Cut(text, "\r\n")
+	h.first = line
+	for rest != "" {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+			return h, fmt.Errorf("%w: header line", ErrMalformed)
+		}
+		value = strings.Trim(value, " \t")
+		switch {
+		case strings.EqualFold(name, "content-length"):
+			n, err := strconv.ParseUint(value, 10, 31)
+			if err != nil || (h.length >= 0 && h.length != int(n)) || value[0] == '+' {
+				return h, fmt.Errorf("%w: content-length", ErrMalformed)
+			}
+			h.length = int(n)
+		case strings.EqualFold(name, "transfer-encoding"):
+			if !strings.EqualFold(value, "chunked") {
+				return h, fmt.Errorf("%w: transfer-encoding", ErrMalformed)
+			}
+			h.chunked = true
+		case strings.EqualFold(name, "connection"):
+			if strings.EqualFold(value, "close") {
+				h.close = true
+			}
+		case strings.EqualFold(name, "retry-after"):
+			h.retry, _ = strconv.Atoi(value)
+		}
+	}
+	if h.chunked && h.length >= 0 {
+		return h, fmt.Errorf("%w: two framings", ErrMalformed)
+	}
+	return h, nil
+}
+
+// parseChunks reads a chunked body from b; used tells how many bytes it took.
+func parseChunks(b []byte, limit int) (body []byte, used int, err error) {
+	for {
+		i := bytes.Index(b[used:], []byte("\r\n"))
+		if i < 0 {
+			if len(b)-used > 256 {
+				return nil, 0, ErrMalformed
+			}
+			return nil, 0, errMore
+		}
+		size, _, _ := strings.Cut(string(b[used:used+i]), ";")
+		n, perr := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if perr != nil {
+			return nil, 0, fmt.Errorf("%w: chunk size", ErrMalformed)
+		}
+		used += i + 2
+		if len(body)+int(n) > limit {
+			return nil, 0, ErrTooLarge
+		}
+		if n == 0 {
+			for { // trailers
+				j := bytes.Index(b[used:], []byte("\r\n"))
+				if j < 0 {
+					if len(b)-used > maxHead {
+						return nil, 0, ErrTooLarge
+					}
+					return nil, 0, errMore
+				}
+				used += j + 2
+				if j == 0 {
+					return body, used, nil
+				}
+			}
+		}
+		if len(b) < used+int(n)+2 {
+			return nil, 0, errMore
+		}
+		body = append(body, b[used:used+int(n)]...)
+		used += int(n)
+		if b[used] != '\r' || b[used+1] != '\n' {
+			return nil, 0, fmt.Errorf("%w: chunk end", ErrMalformed)
+		}
+		used += 2
+	}
+}
+
+func parseBody(h head, b []byte, limit int) (body []byte, used int, err error) {
+	if h.chunked {
+		body, used, err = parseChunks(b[h.size:], limit)
+		return body, used + h.size, err
+	}
+	if h.length > limit {
+		return nil, 0, ErrTooLarge
+	}
+	n := max(h.length, 0)
+	if len(b) < h.size+n {
+		return nil, 0, errMore
+	}
+	return bytes.Clone(b[h.size : h.size+n]), h.size + n, nil
+}
+
+// ParseRequest reads one request from b. It returns errMore as (nil, 0, nil)
+// while the request is not complete.
+func ParseRequest(b []byte, limit int) (*Request, int, error) {
+	h, err := parseHead(b)
+	if errors.Is(err, errMore) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	method, rest, ok := strings.Cut(h.first, " ")
+	target, proto, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || method == "" || !strings.HasPrefix(target, "/") ||
+		(proto != "HTTP/1.1" && proto != "HTTP/1.0") {
+		return nil, 0, fmt.Errorf("%w: request line", ErrMalformed)
+	}
+	for _, c := range method {
+		if c < 'A' || c > 'Z' {
+			return nil, 0, fmt.Errorf("%w: method", ErrMalformed)
+		}
+	}
+	body, used, err := parseBody(h, b, limit)
+	if errors.Is(err, errMore) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	path, query, _ := strings.Cut(target, "?")
+	return &Request{Method: method, Path: path, Query: query, Body: body,
+		Close: h.close || proto == "HTTP/1.0"}, used, nil
+}
+
+// ParseResponse reads one response from b; (nil, 0, nil) while it is not complete.
+func ParseResponse(b []byte, limit int) (*Response, int, error) {
+	h, err := parseHead(b)
+	if errors.Is(err, errMore) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	proto, rest, _ := strings.Cut(h.first, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || !strings.HasPrefix(proto, "HTTP/1.") || status < 200 || status > 599 {
+		return nil, 0, fmt.Errorf("%w: status line", ErrMalformed)
+	}
+	if h.length < 0 && !h.chunked && status != 204 && status != 304 {
+		return nil, 0, fmt.Errorf("%w: no length", ErrMalformed)
+	}
+	body, used, err := parseBody(h, b, limit)
+	if errors.Is(err, errMore) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	return &Response{Status: status, Body: body, RetryAfter: h.retry, Close: h.close}, used, nil
+}
+
+var reasons = map[int]string{200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request", 422: "Unprocessable Content",
+	429: "Too Many Requests", 503: "Service Unavailable"}
+
+// AppendResponse writes r to b.
+func AppendResponse(b []byte, r Response) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(r.Status), 10)
+	b = append(b, ' ')
+	b = append(b, reasons[r.Status]...)
+	b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+	if r.RetryAfter > 0 {
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendInt(b, int64(r.RetryAfter), 10)
+	}
+	if r.Close {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\n\r\n"...)
+	return append(b, r.Body...)
+}
+
+// AppendRequest writes a request to b.
+func AppendRequest(b []byte, method, host, target string, body []byte) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	if body != nil {
+		b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(body)), 10)
+	}
+	b = append(b, "\r\n\r\n"...)
+	return append(b, body...)
+}
--- /dev/null
+++ b/internal/httpx/server.go
@@ -0,0 +1,204 @@
+package httpx
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// Handler answers one request.
+type Handler func(ctx context.Context, r *Request) Response
+
+// Server takes inbound connections on gnet and serves each with a goroutine.
+type Server struct {
+	gnet.BuiltinEventEngine
+	handler Handler
+	max     int64
+	idle    time.Duration
+	log     *slog.Logger
+
+	ctx   context.Context
+	open  atomic.Int64
+	eng   gnet.Engine
+	ready chan struct{}
+	wg    sync.WaitGroup
+}
+
+// NewServer makes a server that holds at most max connections.
+func NewServer(handler Handler, max int, idle time.Duration, log *slog.Logger) *Server {
+	return &Server{handler: handler, max: int64(max), idle: idle, log: log, ready: make(chan struct{})}
+}
+
+// conn is the inbox between the event loop and the connection's goroutine.
+type conn struct {
+	c    gnet.Conn
+	mu   sync.Mutex
+	buf  []byte
+	wake chan struct{}
+	gone bool
+}
+
+// Run serves on addr until ctx ends.
+func (s *Server) Run(ctx context.Context, addr string) error {
+	s.ctx = ctx
+	go func() {
+		select {
+		case <-s.ready:
+		case <-ctx.Done():
+			return
+		}
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		if err := s.eng.Stop(stop); err != nil {
+			s.log.Debug("stopping the server", "err", err)
+		}
+	}()
+	err := gnet.Run(s, "tcp4://"+addr, gnet.WithNumEventLoop(1), gnet.WithLogLevel(5),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReuseAddr(true), gnet.WithReadBufferCap(8<<10), gnet.WithWriteBufferCap(8<<10))
+	s.wg.Wait()
+	return err
+}
+
+// OnBoot notes the engine.
+func (s *Server) OnBoot(eng gnet.Engine) gnet.Action {
+	s.eng = eng
+	close(s.ready)
+	return gnet.None
+}
+
+// OnOpen starts the connection's goroutine, unless there are too many.
+func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if s.open.Add(1) > s.max {
+		return AppendResponse(nil, Response{Status: 503, RetryAfter: 1, Close: true,
+			Body: []byte(`{"error":"too many connections"}`)}), gnet.Close
+	}
+	k := &conn{c: c, wake: make(chan struct{}, 1)}
+	c.SetContext(k)
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		s.serve(k)
+	}()
+	return nil, gnet.None
+}
+
+// OnClose tells the goroutine that its peer is gone.
+func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	s.open.Add(-1)
+	if k, ok := c.Context().(*conn); ok {
+		k.mu.Lock()
+		k.gone = true
+		k.mu.Unlock()
+		k.poke()
+	}
+	return gnet.None
+}
+
+// OnTraffic hands bytes to the connection's goroutine. A peer that sends far
+// more than one request may hold is cut off here: it can't fill the memory.
+func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
+	k, ok := c.Context().(*conn)
+	if !ok {
+		return gnet.Close
+	}
+	b, err := c.Next(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	k.mu.Lock()
+	k.buf = append(k.buf, b...)
+	over := len(k.buf) > 4*bodyLimit
+	k.mu.Unlock()
+	if over {
+		return gnet.Close
+	}
+	k.poke()
+	return gnet.None
+}
+
+const bodyLimit = 64 << 10
+
+func (k *conn) poke() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// next waits for a whole request; nil when the connection is over.
+func (s *Server) next(k *conn) (*Request, error) {
+	timer := time.NewTimer(s.idle)
+	defer timer.Stop()
+	for {
+		k.mu.Lock()
+		if k.gone {
+			k.mu.Unlock()
+			return nil, nil
+		}
+		var r *Request
+		var used int
+		var err error
+		if len(k.buf) > 0 {
+			r, used, err = ParseRequest(k.buf, bodyLimit)
+		}
+		if r != nil {
+			k.buf = append(k.buf[:0], k.buf[used:]...)
+			if len(k.buf) == 0 && cap(k.buf) > 16<<10 {
+				k.buf = nil
+			}
+		}
+		k.mu.Unlock()
+		if r != nil || err != nil {
+			return r, err
+		}
+		select {
+		case <-k.wake:
+		case <-timer.C:
+			return nil, nil
+		case <-s.ctx.Done():
+			return nil, nil
+		}
+	}
+}
+
+func (s *Server) serve(k *conn) {
+	for {
+		r, err := s.next(k)
+		if err != nil {
+			status, text := 400, `{"error":"malformed request"}`
+			if errors.Is(err, ErrTooLarge) {
+				status, text = 413, `{"error":"request too large"}`
+			}
+			s.write(k, Response{Status: status, Body: []byte(text), Close: true})
+			return
+		}
+		if r == nil {
+			if err := k.c.Close(); err != nil {
+				s.log.Debug("closing a connection", "err", err)
+			}
+			return
+		}
+		resp := s.handler(s.ctx, r)
+		resp.Close = resp.Close || r.Close
+		s.write(k, resp)
+		if resp.Close {
+			return
+		}
+	}
+}
+
+func (s *Server) write(k *conn, r Response) {
+	var done gnet.AsyncCallback
+	if r.Close {
+		done = func(c gnet.Conn, _ error) error { return c.Close() }
+	}
+	if err := k.c.AsyncWrite(AppendResponse(nil, r), done); err != nil {
+		s.log.Debug("writing a response", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,130 @@
+// Package jobs is every controller's view of the jobs in the state service:
+// the active ones in full, the final states of recent ones.
+package jobs
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Record is the value of an active job's key.
+type Record struct {
+	wire.Job
+	AcceptedMS int64 `json:"accepted_ms"` // time of day at the accepting controller
+}
+
+// Job is an accepted job that is not final.
+type Job struct {
+	Record
+	Stamp uint64 // of its record: grows with the order of acceptance
+	Need  res.Amounts
+	Level int
+}
+
+// New makes a job from its record.
+func New(spec Record, stamp uint64) *Job {
+	return &Job{Record: spec, Stamp: stamp, Need: res.Need(spec.CPUs, spec.GPUs, spec.MemGB), Level: wire.RankLevel(spec.Rank)}
+}
+
+// Final is the record of a job that is over.
+type Final struct {
+	Phase string `json:"phase"`
+	Team  string `json:"team"`
+	Tasks int    `json:"tasks"`
+}
+
+// State is what users are told of a final job.
+func (f Final) State(id string) wire.JobState {
+	s := wire.JobState{ID: id, Phase: f.Phase}
+	if f.Phase == wire.Done {
+		s.Done = f.Tasks
+	}
+	return s
+}
+
+// maxFinals bounds the cache of final states; older ones are read again.
+const maxFinals = 20_000
+
+// Book holds the view.
+type Book struct {
+	mu     sync.RWMutex
+	active map[string]*Job
+	finals map[string]Final
+	order  []string
+}
+
+// NewBook makes an empty view.
+func NewBook() *Book { return &Book{active: map[string]*Job{}, finals: map[string]Final{}} }
+
+// Apply takes one event of the replica.
+func (b *Book) Apply(e state.Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if id, ok := strings.CutPrefix(e.Key, state.Active); ok {
+		if e.Value == nil {
+			delete(b.active, id)
+			return
+		}
+		var spec Record
+		if json.Unmarshal(e.Value, &spec) == nil {
+			b.active[id] = New(spec, e.Stamp)
+		}
+	} else if id, ok := strings.CutPrefix(e.Key, state.Final); ok && e.Value != nil {
+		var f Final
+		if json.Unmarshal(e.Value, &f) == nil && f.Phase != "" {
+			b.keep(id, f)
+		}
+	}
+}
+
+func (b *Book) keep(id string, f Final) {
+	if _, ok := b.finals[id]; !ok {
+		b.order = append(b.order, id)
+		if len(b.order) > maxFinals {
+			delete(b.finals, b.order[0])
+			b.order = b.order[1:]
+		}
+	}
+	b.finals[id] = f
+}
+
+// Keep notes a final state that was read.
+func (b *Book) Keep(id string, f Final) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keep(id, f)
+}
+
+// Find gives an active job.
+func (b *Book) Find(id string) (*Job, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	j, ok := b.active[id]
+	return j, ok
+}
+
+// Final gives the final state of a job, if it is known here.
+func (b *Book) Final(id string) (Final, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	f, ok := b.finals[id]
+	return f, ok
+}
+
+// OfTeam lists a team's active jobs.
+func (b *Book) OfTeam(team string) []*Job {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var out []*Job
+	for _, j := range b.active {
+		if j.Team == team {
+			out = append(out, j)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,360 @@
+// Package node wires a controller together: the replica feeds the book of jobs,
+// the owner, the placer and the claims; connections reach the front and the owner.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/fleet"
+	"github.com/merlinlatch/merlinlatch/internal/front"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/owner"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/placer"
+	"github.com/merlinlatch/merlinlatch/internal/policy"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// partsPerController is how many partitions there are for each controller.
+const partsPerController = 4
+
+// Node is one controller.
+type Node struct {
+	set    *config.Settings
+	log    *slog.Logger
+	store  *state.Client
+	keeper *claim.Keeper
+	book   *jobs.Book
+	owner  *owner.Owner
+	placer *placer.Placer
+	front  *front.Front
+	fleet  *fleet.Fleet
+	peers  map[string]*peer.Client
+	loaded chan struct{}
+
+	mu      sync.Mutex
+	catalog wire.Catalog
+}
+
+// New makes a controller from its settings.
+func New(ctx context.Context, set *config.Settings, knobs *policy.Knobs, log *slog.Logger) *Node {
+	p := &set.Params
+	n := &Node{set: set, log: log, book: jobs.NewBook(), peers: map[string]*peer.Client{}, loaded: make(chan struct{})}
+	c := clock.NewSteady()
+	instance := uuid.NewString()
+	n.store = state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count)
+	hosts := []string{set.Host}
+	for _, o := range set.Peers {
+		hosts = append(hosts, o.Host)
+		n.peers[o.Host] = peer.NewClient(o.Addr)
+	}
+	parts := partsPerController * p.Count
+	duties, partDuties := []string{}, []string{}
+	for i := range parts {
+		partDuties = append(partDuties, owner.Duty(i))
+	}
+	duties = append(duties, partDuties...)
+	teams := make([]placer.Team, 0, len(p.Teams))
+	limits := map[string]res.Amounts{}
+	for _, t := range p.Teams {
+		tm := placer.Team{Name: t.Name, Guarantee: res.Have(t.CPUs, t.GPUs, 0), Limit: res.Have(t.CPUsMax, t.GPUsMax, 0)}
+		teams = append(teams, tm)
+		limits[t.Name] = tm.Limit
+		duties = append(duties, placer.Duty(t.Name))
+	}
+	duties = append(duties, fleet.Duty)
+	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), n.store, c,
+		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter}, log)
+	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps,
+		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
+	wall := time.Now
+	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter},
+		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
+	owners := map[string]placer.OwnerCaller{set.Host: localOwner{n.owner}}
+	for h, pc := range n.peers {
+		owners[h] = remoteOwner{pc}
+	}
+	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
+		ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, n.book, c, log)
+	n.front = front.New(n.store, n, n.book, limits, wall, log)
+	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
+		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience},
+		knobs.HireBackoff, clock.FromSeconds(p.Cloud.ListLagS), n.keptCatalog, log)
+	return n
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	srv := httpx.NewServer(n.handle, max(16, n.set.Params.Limits.Sockets*2/3), 90*time.Second, n.log)
+	replica := state.NewReplica(n.store, n.apply, n.log)
+	g.Go(func() error { return replica.Run(ctx, n.loaded) })
+	g.Go(func() error { return srv.Run(ctx, n.set.Listen) })
+	g.Go(func() error { return peer.Serve(ctx, n.set.PeerListen, &service{n}) })
+	g.Go(func() error { return n.keeper.Run(ctx) })
+	g.Go(func() error { return n.owner.Run(ctx) })
+	g.Go(func() error { return n.placer.Run(ctx) })
+	g.Go(func() error { return n.fleet.Run(ctx) })
+	for h, c := range n.peers {
+		g.Go(func() error { return n.greet(ctx, h, c) })
+	}
+	n.log.Info("merlinlatch is up", "host", n.set.Host, "listen", n.set.Listen)
+	return g.Wait()
+}
+
+// apply takes events of the replica. Jobs, machines and progress are taken
+// before claims, so that a duty gained stands on all that came before it.
+func (n *Node) apply(evs []state.Event) {
+	for _, e := range evs {
+		n.book.Apply(e)
+		if e.Key == state.Catalog && e.Value != nil {
+			n.setCatalog(e.Value)
+		}
+	}
+	n.owner.Apply(evs)
+	n.placer.Apply(evs)
+	n.keeper.Apply(evs)
+	for _, e := range evs {
+		if strings.HasPrefix(e.Key, state.Claims) || strings.HasPrefix(e.Key, state.Nodes) {
+			n.owner.Reconcile()
+			n.placer.Reconcile()
+			break
+		}
+	}
+}
+
+func (n *Node) setCatalog(raw json.RawMessage) {
+	var c wire.Catalog
+	if err := json.Unmarshal(raw, &c); err != nil || len(c.Types) == 0 {
+		n.log.Error("the kept catalog is not understood", "err", err)
+		return
+	}
+	n.mu.Lock()
+	n.catalog = c
+	n.mu.Unlock()
+	types := map[string]res.Amounts{}
+	for _, t := range c.Types {
+		types[t.Name] = res.Have(t.CPUs, t.GPUs, t.MemGB)
+	}
+	n.owner.SetTypes(types)
+	n.front.SetTypes(c.Types)
+}
+
+func (n *Node) keptCatalog() wire.Catalog {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.catalog
+}
+
+// greet exchanges a word with a peer once a second: it tells whether a peer can
+// reach the state service while this controller can't, and which incarnations resigned.
+func (n *Node) greet(ctx context.Context, host string, c *peer.Client) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		var out peer.Hello
+		if err := c.Call("Hello", n.hello(), &out, 800*time.Millisecond); err != nil {
+			n.log.Debug("greeting", "peer", host, "err", err)
+			continue
+		}
+		n.keeper.Hear(out.Contact)
+		if out.Resigned != "" {
+			n.keeper.Bury(ctx, host, out.Resigned)
+		}
+	}
+}
+
+func (n *Node) hello() peer.Hello {
+	ago, resigned := n.keeper.Contact()
+	return peer.Hello{Host: n.set.Host, Incarnation: n.keeper.Incarnation(), Contact: ago, Resigned: resigned}
+}
+
+// handle answers a request of a user, a worker or the load balancer.
+func (n *Node) handle(ctx context.Context, r *httpx.Request) httpx.Response {
+	switch {
+	case r.Path == wire.PathReport:
+		if r.Method != "POST" {
+			return text(405, "method not allowed")
+		}
+		return n.owner.HandleReport(r.Body)
+	case r.Path == wire.PathReady:
+		if r.Method != "GET" {
+			return text(405, "method not allowed")
+		}
+		return n.ready()
+	case r.Path == wire.PathJobs || strings.HasPrefix(r.Path, wire.PathJobs+"/"):
+		return n.front.Handle(ctx, r, strings.TrimPrefix(r.Path, wire.PathJobs))
+	}
+	return text(404, "no such path")
+}
+
+func text(status int, msg string) httpx.Response {
+	b, _ := json.Marshal(wire.Error{Error: msg})
+	return httpx.Response{Status: status, Body: b}
+}
+
+func (n *Node) ready() httpx.Response {
+	select {
+	case <-n.loaded:
+	default:
+		return text(503, "reading the state service")
+	}
+	if !n.front.Decisive() {
+		return text(503, "the machine types are not known yet")
+	}
+	if !n.keeper.Confirmed() {
+		return text(503, "not registered with the state service")
+	}
+	return httpx.Response{Status: 200, Body: []byte(`{"ready":true}`)}
+}
+
+// askTimeout bounds a question to a peer on a user's behalf.
+const askTimeout = 1500 * time.Millisecond
+
+// Status asks the team's placer about a job.
+func (n *Node) Status(_ context.Context, q peer.JobQuery) (peer.JobAnswer, error) {
+	return n.ask("Status", n.placer.Status, q, askTimeout)
+}
+
+// Withdraw asks the team's placer to end a job.
+func (n *Node) Withdraw(_ context.Context, q peer.JobQuery) (peer.JobAnswer, error) {
+	return n.ask("Withdraw", n.placer.Withdraw, q, 2*askTimeout)
+}
+
+func (n *Node) ask(method string, local func(peer.JobQuery) peer.JobAnswer, q peer.JobQuery, timeout time.Duration) (peer.JobAnswer, error) {
+	host, ok := n.keeper.Holder(placer.Duty(q.Team))
+	if !ok {
+		return peer.JobAnswer{}, fmt.Errorf("team %s has no placer now", q.Team)
+	}
+	if host == n.set.Host {
+		return local(q), nil
+	}
+	var out peer.JobAnswer
+	err := n.peers[host].Call(method, q, &out, timeout)
+	return out, err
+}
+
+// each calls a method of all peers at once.
+func each[Out any](n *Node, method string, in any, take func(Out)) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, c := range n.peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var out Out
+			if err := c.Call(method, in, &out, 600*time.Millisecond); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				take(out)
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Demands asks all placers what waits.
+func (n *Node) Demands(context.Context) []peer.Demand {
+	out := n.placer.Demands()
+	each(n, "Demand", n.hello(), func(a peer.DemandAnswer) { out = append(out, a.Demands...) })
+	return out
+}
+
+// Views gives the mirror of all machines.
+func (n *Node) Views() []peer.MachineView { return n.placer.Views() }
+
+// Drain asks all owners to set machines aside.
+func (n *Node) Drain(_ context.Context, ids []string) []string {
+	out := n.owner.Drain(ids)
+	each(n, "Drain", peer.DrainQuery{Machines: ids}, func(a peer.DrainAnswer) { out = append(out, a.Ready...) })
+	return out
+}
+
+// Gone tells all owners of machines that are gone for certain.
+func (n *Node) Gone(_ context.Context, ids []string) {
+	n.owner.Gone(ids)
+	each(n, "Gone", peer.GoneNote{Machines: ids}, func(peer.DrainAnswer) {})
+}
+
+type localOwner struct{ o *owner.Owner }
+
+func (l localOwner) Round(in peer.Round) (peer.RoundAnswer, error) { return l.o.Round(in), nil }
+func (l localOwner) Poll(in peer.Poll) (peer.PollAnswer, error)    { return l.o.Poll(in), nil }
+
+type remoteOwner struct{ c *peer.Client }
+
+func (r remoteOwner) Round(in peer.Round) (out peer.RoundAnswer, err error) {
+	err = r.c.Call("Round", in, &out, 1500*time.Millisecond)
+	return out, err
+}
+
+func (r remoteOwner) Poll(in peer.Poll) (out peer.PollAnswer, err error) {
+	err = r.c.Call("Poll", in, &out, in.Wait.Duration()+1500*time.Millisecond)
+	return out, err
+}
+
+// service is what peers may call.
+type service struct{ n *Node }
+
+var _ peer.Service = (*service)(nil)
+
+func (s *service) Round(in peer.Round, out *peer.RoundAnswer) error {
+	*out = s.n.owner.Round(in)
+	return nil
+}
+
+func (s *service) Poll(in peer.Poll, out *peer.PollAnswer) error {
+	*out = s.n.owner.Poll(in)
+	return nil
+}
+
+func (s *service) Hello(in peer.Hello, out *peer.Hello) error {
+	*out = s.n.hello()
+	return nil
+}
+
+func (s *service) Demand(_ peer.Hello, out *peer.DemandAnswer) error {
+	out.Demands = s.n.placer.Demands()
+	return nil
+}
+
+func (s *service) Status(in peer.JobQuery, out *peer.JobAnswer) error {
+	*out = s.n.placer.Status(in)
+	return nil
+}
+
+func (s *service) Withdraw(in peer.JobQuery, out *peer.JobAnswer) error {
+	*out = s.n.placer.Withdraw(in)
+	return nil
+}
+
+func (s *service) Drain(in peer.DrainQuery, out *peer.DrainAnswer) error {
+	out.Ready = s.n.owner.Drain(in.Machines)
+	return nil
+}
+
+func (s *service) Gone(in peer.GoneNote, _ *peer.DrainAnswer) error {
+	s.n.owner.Gone(in.Machines)
+	return nil
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,372 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Claims tells which duties this process holds.
+type Claims interface {
+	Mine(duty string) (claim.Held, bool)
+	Holder(duty string) (string, bool)
+}
+
+// Store takes transactions.
+type Store interface {
+	Commit(ctx context.Context, m wire.Multi) (uint64, error)
+}
+
+// Duty names the claim of a partition.
+func Duty(part int) string { return fmt.Sprintf("part-%03d", part) }
+
+// Partition gives the partition of a machine.
+func Partition(machine string, parts int) int {
+	h := fnv.New32a()
+	h.Write([]byte(machine))
+	return int(h.Sum32() % uint32(parts))
+}
+
+// Owner serves the partitions that this process holds.
+type Owner struct {
+	host     string
+	instance string
+	parts    int
+	txnOps   int
+	claims   Claims
+	store    Store
+	clock    clock.Clock
+	log      *slog.Logger
+	ctx      context.Context
+
+	mu       sync.Mutex
+	table    *Table
+	registry map[string]Registered
+	clients  map[string]*httpx.Client
+	changed  chan struct{}
+	wake     chan struct{}
+}
+
+// New makes an owner.
+func New(ctx context.Context, host, instance string, parts, txnOps int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, log *slog.Logger) *Owner {
+	return &Owner{ctx: ctx, host: host, instance: instance, parts: parts, txnOps: txnOps, claims: claims, store: store, clock: c, log: log,
+		table: NewTable(t, jobs), registry: map[string]Registered{}, clients: map[string]*httpx.Client{},
+		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
+}
+
+// SetTypes tells what the machine types offer.
+func (o *Owner) SetTypes(types map[string]res.Amounts) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.SetTypes(types)
+	o.notify()
+}
+
+// notify tells waiting polls and the couriers of a change. The lock is held.
+func (o *Owner) notify() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Apply takes events of the replica: the records of machines.
+func (o *Owner) Apply(evs []state.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range evs {
+		id, ok := strings.CutPrefix(e.Key, state.Machines)
+		if !ok {
+			continue
+		}
+		var r Registered
+		if e.Value == nil {
+			delete(o.registry, id)
+			o.table.Registered(id, false)
+		} else if json.Unmarshal(e.Value, &r) == nil {
+			o.registry[id] = r
+			o.table.Registered(id, true)
+		}
+	}
+	o.notify()
+}
+
+// Reconcile takes over and gives up partitions as the claims now say.
+func (o *Owner) Reconcile() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	changed := false
+	for p := range o.parts {
+		h, mine := o.claims.Mine(Duty(p))
+		term, _, have := o.table.Part(p)
+		switch {
+		case mine && (!have || term != h.Term):
+			machines := map[string]Registered{}
+			for id, r := range o.registry {
+				if Partition(id, o.parts) == p {
+					machines[id] = r
+				}
+			}
+			o.table.Gain(p, h.Term, h.Stamp, machines, now)
+			o.log.Info("partition taken over", "part", p, "term", h.Term, "machines", len(machines))
+			changed = true
+		case !mine && have:
+			o.table.Lose(p)
+			o.log.Info("partition given up", "part", p, "term", term)
+			changed = true
+		}
+	}
+	if changed {
+		o.notify()
+	}
+}
+
+func refuse(status int, text, steward string, retry int) httpx.Response {
+	b, _ := json.Marshal(wire.Error{Error: text, Steward: steward})
+	return httpx.Response{Status: status, Body: b, RetryAfter: retry}
+}
+
+// HandleReport answers a worker's report.
+func (o *Owner) HandleReport(body []byte) httpx.Response {
+	var r wire.Report
+	if err := json.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 || r.Tick == 0 {
+		return refuse(400, "not a report", "", 0)
+	}
+	part := Partition(r.Machine, o.parts)
+	h, mine := o.claims.Mine(Duty(part))
+	if !mine {
+		if holder, ok := o.claims.Holder(Duty(part)); ok && holder != o.host {
+			return refuse(421, "another controller has this machine", holder, 0)
+		}
+		return refuse(503, "no controller has this machine now", "", 1)
+	}
+	o.mu.Lock()
+	term, _, have := o.table.Part(part)
+	if !have || term != h.Term {
+		o.mu.Unlock()
+		return refuse(503, "taking over", "", 1)
+	}
+	before := o.table.Version()
+	ans, ok := o.table.Report(&r, part, o.clock.Now())
+	if o.table.Version() != before {
+		o.notify()
+	}
+	o.mu.Unlock()
+	if !ok {
+		return refuse(503, "an old report", "", 0)
+	}
+	b, err := json.Marshal(ans)
+	if err != nil {
+		return refuse(503, "no answer", "", 1)
+	}
+	return httpx.Response{Status: 200, Body: b}
+}
+
+// Round carries out a placing controller's round.
+func (o *Owner) Round(in peer.Round) peer.RoundAnswer {
+	o.Reconcile()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ans := o.table.Round(in, o.instance, o.clock.Now())
+	o.notify()
+	return ans
+}
+
+// pollGap gathers changes that come close together into one answer.
+const pollGap = 12 * time.Millisecond
+
+// Poll gives the machines that changed after a cursor, waiting for a change.
+func (o *Owner) Poll(in peer.Poll) peer.PollAnswer {
+	deadline := time.NewTimer(in.Wait.Duration())
+	defer deadline.Stop()
+	for waited, over := false, false; ; waited = true {
+		o.mu.Lock()
+		ready := in.Incarnation != o.instance || o.table.Version() > in.Cursor
+		changed := o.changed
+		o.mu.Unlock()
+		if ready || over {
+			if waited && !over {
+				time.Sleep(pollGap)
+			}
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			return o.table.Poll(in, o.instance, o.clock.Now())
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			over = true
+		case <-o.ctx.Done():
+			over = true
+		}
+	}
+}
+
+// Drain keeps machines free for their return.
+func (o *Owner) Drain(ids []string) []string {
+	o.Reconcile()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ready := o.table.Drain(ids, func(id string) int { return Partition(id, o.parts) }, o.clock.Now())
+	o.notify()
+	return ready
+}
+
+// Gone takes the word that machines are gone for certain.
+func (o *Owner) Gone(ids []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Gone(ids, func(id string) int { return Partition(id, o.parts) }, o.clock.Now())
+	o.notify()
+}
+
+// Run does what is due until ctx ends: lapses, records of machines, couriers.
+func (o *Owner) Run(ctx context.Context) error {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	var recording sync.Mutex
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			o.Reconcile()
+			o.mu.Lock()
+			before := o.table.Version()
+			drop := o.table.Tick(o.clock.Now())
+			if o.table.Version() != before {
+				o.notify()
+			}
+			fresh := o.table.Unregistered()
+			o.mu.Unlock()
+			if (len(drop) > 0 || len(fresh) > 0) && recording.TryLock() {
+				go func() {
+					defer recording.Unlock()
+					o.record(ctx, fresh, drop)
+				}()
+			}
+		case <-o.wake:
+		}
+		o.send(ctx)
+	}
+}
+
+// record writes the records of new machines, and drops those of machines that
+// are gone, each on the condition that the partition is still held.
+func (o *Owner) record(ctx context.Context, fresh map[string]Registered, drop []string) {
+	ops := map[int][]wire.Op{}
+	for id, r := range fresh {
+		p := Partition(id, o.parts)
+		ops[p] = append(ops[p], wire.Op{Put: state.Machines + id, Value: r})
+	}
+	for _, id := range drop {
+		p := Partition(id, o.parts)
+		ops[p] = append(ops[p], wire.Op{Drop: state.Machines + id})
+	}
+	for p, list := range ops {
+		h, mine := o.claims.Mine(Duty(p))
+		if !mine {
+			continue
+		}
+		for len(list) > 0 {
+			n := min(len(list), o.txnOps)
+			_, err := o.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty(p), Stamp: h.Stamp}}, Then: list[:n]})
+			if err != nil {
+				o.log.Info("recording machines", "part", p, "err", err)
+				break
+			}
+			o.mu.Lock()
+			if term, _, have := o.table.Part(p); have && term == h.Term {
+				for _, op := range list[:n] {
+					if op.Put != "" {
+						o.table.Registered(strings.TrimPrefix(op.Put, state.Machines), true)
+					}
+				}
+			}
+			o.notify()
+			o.mu.Unlock()
+			list = list[n:]
+		}
+	}
+}
+
+// send starts a courier for each machine that has something to be sent.
+func (o *Owner) send(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	for _, id := range o.table.Pending(now) {
+		part, _ := o.table.PartOf(id)
+		term, _, _ := o.table.Part(part)
+		if h, mine := o.claims.Mine(Duty(part)); !mine || h.Term != term {
+			continue
+		}
+		addr, orders := o.table.TakeOrders(id, now)
+		if orders == nil {
+			continue
+		}
+		c := o.clients[id]
+		if c == nil || c.Addr() != addr {
+			c = httpx.NewClient(addr, 1, 256<<10)
+			o.clients[id] = c
+		}
+		go o.courier(ctx, id, c, orders)
+	}
+}
+
+const orderTimeout = 1200 * time.Millisecond
+
+// courier carries orders to one worker and brings its answer back.
+func (o *Owner) courier(ctx context.Context, id string, c *httpx.Client, orders *wire.Orders) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := o.post(ctx, c, orders)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	if err != nil {
+		o.log.Debug("orders had no answer", "machine", id, "err", err)
+		o.table.Unanswered(id, orders, now)
+		return
+	}
+	o.table.Answered(id, orders, r, now)
+	o.notify()
+}
+
+var errOdd = errors.New("odd answer")
+
+func (o *Owner) post(ctx context.Context, c *httpx.Client, orders *wire.Orders) (*wire.Report, error) {
+	b, err := json.Marshal(orders)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.Do(ctx, "POST", wire.PathOrders, b)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != 200 && resp.Status != 409 {
+		return nil, fmt.Errorf("%w: status %d", errOdd, resp.Status)
+	}
+	var r wire.Report
+	if err := json.Unmarshal(resp.Body, &r); err != nil || r.Machine == "" {
+		return nil, fmt.Errorf("%w: %.80s", errOdd, resp.Body)
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/owner/table.go
@@ -0,0 +1,791 @@
+// Package owner is the duty of holding a partition of the machines: their
+// reports, the leases on their room, the starts and stops of tasks.
+//
+// Table is the decision, plain code that takes the time; Owner does the I/O.
+package owner
+
+import (
+	"sort"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Registered is the record of a machine that may hold tasks.
+type Registered struct {
+	Addr string `json:"addr"`
+	Type string `json:"type"`
+	Zone string `json:"zone"`
+	Spot bool   `json:"spot"`
+}
+
+// Jobs tells which jobs are active.
+type Jobs interface {
+	Find(id string) (*jobs.Job, bool)
+	Final(id string) (jobs.Final, bool)
+}
+
+// Timing is what the table needs to know of spans.
+type Timing struct {
+	Lease      clock.Micros // the workers' lease
+	LeaseTTL   clock.Micros // of leases on room
+	SickErrors int
+}
+
+// task is one attempt on a machine: a lease (nothing sent), sent, or seen.
+type task struct {
+	id       peer.TaskID
+	team     string
+	rank     int
+	need     res.Amounts
+	image    string
+	since    clock.Micros
+	sent     bool         // a run was sent, at least once
+	sentTick uint64       // report whose answer carried the last run
+	risk     uint64       // token of an unanswered /orders that carried a run; 0: none
+	lastSend clock.Micros // by /orders; not repeated at once
+	seen     bool
+	found    bool // not asked for here: a former owner's
+	phase    string
+	cause    string
+	stop     bool
+	grace    float64
+	settled  bool
+	victims  []peer.TaskID
+}
+
+func (t *task) exited() bool { return t.phase == wire.TaskExited }
+
+type machine struct {
+	id   string
+	part int
+	Registered
+	cap        res.Amounts
+	token      uint64 // what orders are sent with
+	seenToken  uint64 // highest that the worker showed
+	session    uint64
+	tick       uint64
+	heard      bool // a report of this term has come
+	answered   clock.Micros
+	registered bool
+	accounted  bool
+	silent     bool
+	gone       bool
+	draining   bool
+	noticed    bool
+	sick       bool
+	probedAt   clock.Micros
+	quietUntil clock.Micros // no /orders until then: one had no answer
+	inflight   bool
+	shunUntil  clock.Micros
+	errors     int
+	errJobs    map[string]bool
+	images     []string
+	idleSince  clock.Micros
+	version    uint64
+	tasks      map[peer.TaskID]*task
+}
+
+type partition struct {
+	term  uint64
+	stamp uint64
+}
+
+// Table holds the machines of the partitions that this controller owns.
+type Table struct {
+	timing    Timing
+	jobs      Jobs
+	types     map[string]res.Amounts
+	parts     map[int]partition
+	machines  map[string]*machine
+	version   uint64
+	teamTerms map[string]uint64
+	rounds    map[string]lastRound
+	cancelled map[string]clock.Micros
+	failing   map[string]map[string]bool // job: machines on which it failed
+}
+
+type lastRound struct {
+	seq    uint64
+	answer peer.RoundAnswer
+}
+
+// NewTable makes an empty table.
+func NewTable(t Timing, j Jobs) *Table {
+	return &Table{timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]partition{},
+		machines: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
+		cancelled: map[string]clock.Micros{}, failing: map[string]map[string]bool{}}
+}
+
+// SetTypes tells what the machine types offer.
+func (t *Table) SetTypes(types map[string]res.Amounts) {
+	t.types = types
+	for _, m := range t.machines {
+		m.cap = types[m.Type]
+		t.touch(m)
+	}
+}
+
+func (t *Table) touch(m *machine) {
+	t.version++
+	m.version = t.version
+}
+
+// baseToken is the lowest token of a term.
+func baseToken(term uint64) uint64 { return term << 32 }
+
+// Gain takes a partition over. Every machine registered for it may hold tasks
+// of the former owner's until a report shows a token of this term, or it was
+// not answered by anybody for its lease, counted from now at the latest.
+func (t *Table) Gain(part int, term, stamp uint64, machines map[string]Registered, now clock.Micros) {
+	t.Lose(part)
+	t.parts[part] = partition{term, stamp}
+	for id, r := range machines {
+		m := t.add(id, part, r, now)
+		m.registered = true
+	}
+	t.version++
+}
+
+// Lose gives a partition up.
+func (t *Table) Lose(part int) {
+	if _, ok := t.parts[part]; !ok {
+		return
+	}
+	delete(t.parts, part)
+	for id, m := range t.machines {
+		if m.part == part {
+			delete(t.machines, id)
+		}
+	}
+	t.version++
+}
+
+func (t *Table) add(id string, part int, r Registered, now clock.Micros) *machine {
+	m := &machine{id: id, part: part, Registered: r, cap: t.types[r.Type], token: baseToken(t.parts[part].term) + 1,
+		answered: now, idleSince: now, tasks: map[peer.TaskID]*task{}, errJobs: map[string]bool{}, session: 1}
+	t.machines[id] = m
+	t.touch(m)
+	return m
+}
+
+// Report takes a worker's report and decides the answer. ok is false when the
+// report is of a former session: it must not be answered with 200.
+func (t *Table) Report(r *wire.Report, part int, now clock.Micros) (ans wire.ReportAnswer, ok bool) {
+	m := t.machines[r.Machine]
+	if m == nil {
+		m = t.add(r.Machine, part, Registered{r.Addr, r.Type, r.Zone, r.Spot}, now)
+	}
+	if m.gone || r.Session < m.session && m.heard || m.silent && m.heard && r.Session <= m.session {
+		return ans, false
+	}
+	if r.Token > m.token && r.Token>>32 > t.parts[part].term {
+		return ans, false // a later term than ours: not ours to command
+	}
+	fresh := !m.heard || r.Session > m.session || r.Tick > m.tick
+	if fresh {
+		if m.Addr != r.Addr {
+			m.Addr = r.Addr
+		}
+		t.absorb(m, r, true, now)
+		m.quietUntil = 0
+	}
+	m.answered = now
+	ans.Token = m.token
+	ans.Orders = []wire.Order{}
+	if fresh && m.accounted {
+		ans.Orders = t.orders(m, true, now)
+	}
+	return ans, true
+}
+
+// absorb takes what a worker says of itself, from a report or from the answer
+// to /orders. Older words than the newest known are dropped.
+func (t *Table) absorb(m *machine, r *wire.Report, isReport bool, now clock.Micros) {
+	if m.heard && (r.Session < m.session || r.Session == m.session && r.Tick <= m.tick) {
+		return
+	}
+	changed := !m.heard
+	if m.heard && r.Session > m.session {
+		// A new session: whatever ran in an earlier one was killed, and no
+		// order that names an earlier one is executed.
+		for id, k := range m.tasks {
+			if k.sent || k.seen {
+				delete(m.tasks, id)
+			}
+		}
+		changed = true
+	}
+	if m.silent {
+		m.silent, changed = false, true
+	}
+	m.heard, m.session, m.tick = true, r.Session, r.Tick
+	m.seenToken = max(m.seenToken, r.Token)
+	if !m.accounted && r.Token >= baseToken(t.parts[m.part].term) {
+		m.accounted, changed = true, true
+	}
+	if n := r.NoticeS != nil; n != m.noticed {
+		m.noticed, changed = n, true
+	}
+	listed := map[peer.TaskID]bool{}
+	for _, tr := range r.Tasks {
+		job, n, ok := wire.SplitTask(tr.Task)
+		if !ok {
+			continue
+		}
+		id := peer.TaskID{Job: job, N: n, Attempt: tr.Attempt}
+		listed[id] = true
+		k := m.tasks[id]
+		if k == nil {
+			k = &task{id: id, since: now, found: true}
+			if j, ok := t.jobs.Find(job); ok {
+				k.team, k.rank, k.need, k.image = j.Team, j.Level, j.Need, j.Image
+			}
+			m.tasks[id] = k
+		}
+		if !k.seen || k.phase != tr.Phase {
+			changed = true
+			if tr.Phase == wire.TaskExited {
+				t.exit(m, k, tr.Cause, now)
+			}
+		}
+		k.seen, k.sent, k.phase, k.cause = true, true, tr.Phase, tr.Cause
+	}
+	for id, k := range m.tasks {
+		if listed[id] || !k.sent {
+			continue
+		}
+		switch {
+		case k.seen:
+			delete(m.tasks, id) // forgotten
+			changed = true
+		case k.stop && isReport && r.Tick > k.sentTick && (k.risk == 0 || m.seenToken > k.risk):
+			// Never started, and no copy of its run can arrive any more.
+			delete(m.tasks, id)
+			changed = true
+		}
+	}
+	if len(m.tasks) > 0 {
+		m.idleSince = now
+	}
+	if changed {
+		t.touch(m)
+	}
+}
+
+// exit keeps account of failures: a machine on which several jobs fail in a
+// row is sick, unless the jobs fail everywhere.
+func (t *Table) exit(m *machine, k *task, cause string, now clock.Micros) {
+	switch cause {
+	case wire.CauseDone:
+		m.errors = 0
+		clear(m.errJobs)
+		delete(t.failing, k.id.Job)
+	case wire.CauseError:
+		f := t.failing[k.id.Job]
+		if f == nil {
+			f = map[string]bool{}
+			t.failing[k.id.Job] = f
+		}
+		f[m.id] = true
+		if len(f) > 2 {
+			return // the job's own mistake
+		}
+		m.errors++
+		m.errJobs[k.id.Job] = true
+		m.shunUntil = now + min(5*clock.Second<<min(m.errors, 4), 60*clock.Second)
+		if len(m.errJobs) >= t.timing.SickErrors || m.errors >= 8 {
+			m.sick = true
+		}
+	}
+}
+
+// inUse is what the machine's tasks take that are there, or may be.
+func (m *machine) inUse() (started, all res.Amounts) {
+	for _, k := range m.tasks {
+		if k.exited() {
+			continue
+		}
+		all = all.Plus(k.need)
+		if k.sent {
+			started = started.Plus(k.need)
+		}
+	}
+	return started, all
+}
+
+func (m *machine) usable(now clock.Micros) bool {
+	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.sick && now >= m.shunUntil
+}
+
+// over tells that nothing of a task's job may run any more. For a task that
+// was found, its job not being active is proof: the record was there before
+// the task's start, and the replica is as new as this owner's claim. For one that was
+// asked for, the replica may be older than the job, so only its end is proof.
+func (t *Table) over(k *task) bool {
+	if t.cancelled[k.id.Job] > 0 {
+		return true
+	}
+	if _, final := t.jobs.Final(k.id.Job); final {
+		return true
+	}
+	_, active := t.jobs.Find(k.id.Job)
+	return k.found && !active
+}
+
+// maxOrders keeps an answer's line below the protocol's 64 KiB.
+const maxOrders = 400
+
+// resend tells whether an order may go to the worker's own address once more.
+func (k *task) resend(now clock.Micros) bool {
+	return k.lastSend == 0 || now > k.lastSend+clock.Second
+}
+
+// orders collects what the worker should do now. Forgets go only into answers
+// to reports: the worker takes those in sequence, so no run that was sent in an
+// earlier answer can arrive after the forget and start the attempt once more.
+func (t *Table) orders(m *machine, inReport bool, now clock.Micros) []wire.Order {
+	out := []wire.Order{}
+	ids := make([]*task, 0, len(m.tasks))
+	for _, k := range m.tasks {
+		ids = append(ids, k)
+	}
+	sort.Slice(ids, func(a, b int) bool {
+		if ids[a].since != ids[b].since {
+			return ids[a].since < ids[b].since
+		}
+		if ids[a].id.Job != ids[b].id.Job {
+			return ids[a].id.Job < ids[b].id.Job
+		}
+		return ids[a].id.N < ids[b].id.N
+	})
+	for _, k := range ids {
+		if len(out) >= maxOrders {
+			return out
+		}
+		name := wire.TaskName(k.id.Job, k.id.N)
+		if t.over(k) {
+			k.settled = true
+			if !k.exited() && !k.stop {
+				k.stop, k.grace = true, 0
+			}
+		}
+		switch {
+		case k.exited() && k.settled:
+			if inReport && (k.risk == 0 || m.seenToken > k.risk) {
+				out = append(out, wire.Order{Verb: wire.VerbForget, Task: name, Attempt: k.id.Attempt})
+			}
+		case k.stop && !k.exited():
+			g := k.grace
+			if k.phase == wire.TaskSaving && g > 0 || !inReport && !k.resend(now) {
+				continue
+			}
+			if !inReport {
+				k.lastSend = now
+			}
+			out = append(out, wire.Order{Verb: wire.VerbStop, Task: name, Attempt: k.id.Attempt, GraceS: &g})
+		}
+	}
+	if m.silent || m.gone || !m.registered {
+		return out
+	}
+	started, _ := m.inUse()
+	for _, k := range ids {
+		if len(out) >= maxOrders {
+			return out
+		}
+		if k.seen || k.stop || k.exited() {
+			continue
+		}
+		if !k.sent {
+			if m.draining || !k.need.Fits(m.cap.Minus(started)) {
+				continue
+			}
+			started = started.Plus(k.need)
+			k.sent = true
+		}
+		if inReport {
+			k.sentTick = m.tick
+		} else if k.resend(now) {
+			k.lastSend = now
+		} else {
+			continue
+		}
+		out = append(out, wire.Order{Verb: wire.VerbRun, Task: wire.TaskName(k.id.Job, k.id.N), Attempt: k.id.Attempt})
+	}
+	return out
+}
+
+// TakeOrders gives what to send to a worker's own address now, nil for nothing.
+// Until it is answered, its runs count as possibly still on their way.
+func (t *Table) TakeOrders(id string, now clock.Micros) (addr string, o *wire.Orders) {
+	m := t.machines[id]
+	if m == nil || m.inflight || m.gone || m.silent || m.Addr == "" || now < m.quietUntil {
+		return "", nil
+	}
+	o = &wire.Orders{Token: m.token, Session: m.session, Orders: []wire.Order{}}
+	if m.accounted {
+		o.Orders = t.orders(m, false, now)
+		if len(o.Orders) == 0 {
+			return "", nil
+		}
+		for _, or := range o.Orders {
+			if or.Verb != wire.VerbRun {
+				continue
+			}
+			job, n, _ := wire.SplitTask(or.Task)
+			m.tasks[peer.TaskID{Job: job, N: n, Attempt: or.Attempt}].risk = m.token
+		}
+	}
+	if !m.accounted {
+		if now < m.probedAt+500*clock.Millisecond {
+			return "", nil
+		}
+		m.probedAt = now
+	}
+	m.inflight = true
+	return m.Addr, o
+}
+
+// Answered takes the answer to /orders: the worker's report after it.
+func (t *Table) Answered(id string, sent *wire.Orders, r *wire.Report, now clock.Micros) {
+	m := t.machines[id]
+	if m == nil || !m.inflight || sent.Token>>32 != t.parts[m.part].term {
+		return
+	}
+	m.inflight = false
+	for _, k := range m.tasks {
+		if k.risk == sent.Token {
+			k.risk = 0
+		}
+	}
+	if r.Machine != id {
+		m.quietUntil = now + 5*clock.Second
+		return
+	}
+	if !m.heard {
+		if m.session != r.Session {
+			m.session, m.probedAt = r.Session, 0 // the next try names the right one
+		}
+		if r.Token < baseToken(t.parts[m.part].term) {
+			return
+		}
+	}
+	t.absorb(m, r, false, now)
+}
+
+// Unanswered notes that /orders had no answer: it may still be executed, until
+// the worker shows a higher token. Orders go with reports for a while.
+func (t *Table) Unanswered(id string, sent *wire.Orders, now clock.Micros) {
+	m := t.machines[id]
+	if m == nil || sent.Token>>32 != t.parts[m.part].term {
+		return
+	}
+	m.inflight = false
+	m.token++
+	m.quietUntil = now + 2*clock.Second
+}
+
+// Round carries out what a placing controller has for this owner.
+func (t *Table) Round(in peer.Round, incarnation string, now clock.Micros) peer.RoundAnswer {
+	last := t.rounds[in.From]
+	if in.Seq == last.seq && in.Seq != 0 {
+		return last.answer
+	}
+	ans := peer.RoundAnswer{Incarnation: incarnation, Refused: make([]bool, len(in.Asks))}
+	if in.Seq < last.seq {
+		for i := range ans.Refused {
+			ans.Refused[i] = true
+		}
+		return ans
+	}
+	t.fence(in.Terms)
+	shown := map[string]bool{}
+	for _, job := range in.Cancels {
+		t.cancelled[job] = now
+		for _, m := range t.machines {
+			for id, k := range m.tasks {
+				if id.Job == job {
+					t.end(m, k, 0)
+					shown[m.id] = true
+				}
+			}
+		}
+	}
+	for _, s := range in.Stops {
+		if m := t.machines[s.Machine]; m != nil {
+			if k := m.tasks[s.ID]; k != nil {
+				t.end(m, k, s.GraceS)
+				shown[m.id] = true
+			}
+		}
+	}
+	for _, s := range in.Settles {
+		if m := t.machines[s.Machine]; m != nil {
+			if k := m.tasks[s.ID]; k != nil && k.exited() {
+				k.settled = true
+			}
+		}
+	}
+	for i, a := range in.Asks {
+		ans.Refused[i] = !t.lease(a, in.Terms[a.Team], now)
+		shown[a.Machine] = true
+	}
+	for id := range shown {
+		if m := t.machines[id]; m != nil {
+			ans.Machines = append(ans.Machines, t.view(m, now))
+		}
+	}
+	t.rounds[in.From] = lastRound{in.Seq, ans}
+	return ans
+}
+
+// fence refuses, from now on, what comes under lower terms of these teams.
+func (t *Table) fence(terms map[string]uint64) {
+	for team, term := range terms {
+		t.teamTerms[team] = max(t.teamTerms[team], term)
+	}
+}
+
+// lease grants room for one task, or refuses. A second start of a task that is
+// on the machine already is refused.
+func (t *Table) lease(a peer.Ask, term uint64, now clock.Micros) bool {
+	m := t.machines[a.Machine]
+	if m == nil || term == 0 || term < t.teamTerms[a.Team] || a.ID.Attempt>>32 != term ||
+		t.parts[m.part].term != a.Term || !m.usable(now) || t.cancelled[a.ID.Job] > 0 {
+		return false
+	}
+	for id, k := range m.tasks {
+		if id.Job == a.ID.Job && id.N == a.ID.N && !k.exited() {
+			return false
+		}
+	}
+	_, all := m.inUse()
+	free := m.cap.Minus(all)
+	var victims []*task
+	for _, v := range a.Victims {
+		k := m.tasks[v]
+		if k == nil || k.exited() || (k.rank >= a.Rank && !a.Over) {
+			continue
+		}
+		if !k.stop {
+			victims = append(victims, k)
+		}
+		free = free.Plus(k.need)
+	}
+	if !a.Need.Fits(free) {
+		return false
+	}
+	for _, v := range victims {
+		t.end(m, v, t.graceOf(v))
+	}
+	m.tasks[a.ID] = &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, image: a.Image, since: now}
+	m.note(a.Image)
+	m.idleSince = now
+	t.touch(m)
+	return true
+}
+
+func (t *Table) graceOf(k *task) float64 {
+	if j, ok := t.jobs.Find(k.id.Job); ok && j.SaveEveryS > 0 {
+		return j.SaveS + 0.1
+	}
+	return 0
+}
+
+// note keeps the machine's latest images, the newest first.
+func (m *machine) note(image string) {
+	out := []string{image}
+	for _, i := range m.images {
+		if i != image && len(out) < 6 {
+			out = append(out, i)
+		}
+	}
+	m.images = out
+}
+
+// end stops a task; a lease of which nothing was sent just ends.
+func (t *Table) end(m *machine, k *task, grace float64) {
+	switch {
+	case !k.sent:
+		delete(m.tasks, k.id)
+	case k.exited():
+		return
+	case !k.stop || grace < k.grace:
+		k.stop, k.grace, k.lastSend = true, grace, 0
+	default:
+		return
+	}
+	t.touch(m)
+}
+
+// Tick lets leases lapse and machines fall silent. It gives the machines whose
+// record may be dropped: nothing can be on them any more.
+func (t *Table) Tick(now clock.Micros) (drop []string) {
+	for id, m := range t.machines {
+		if !m.gone && !m.silent && now > m.answered+t.timing.Lease.PlusDrift()+500*clock.Millisecond {
+			// Not answered 200 by any possible owner for its whole lease:
+			// the worker has killed and forgotten all that it had.
+			m.silent, m.accounted = true, m.accounted && m.heard
+			clear(m.tasks)
+			t.touch(m)
+		}
+		for tid, k := range m.tasks {
+			if !k.sent && now > k.since+t.timing.LeaseTTL {
+				delete(m.tasks, tid)
+				t.touch(m)
+			}
+		}
+		if m.shunUntil != 0 && now >= m.shunUntil {
+			m.shunUntil = 0
+			t.touch(m)
+		}
+		if (m.silent || m.gone) && m.registered {
+			drop = append(drop, id)
+		}
+		if m.gone && now > m.answered+600*clock.Second {
+			delete(t.machines, id)
+		}
+	}
+	for job, at := range t.cancelled {
+		if now > at+600*clock.Second {
+			delete(t.cancelled, job)
+		}
+	}
+	return drop
+}
+
+// Gone takes the word that machines are gone for certain.
+func (t *Table) Gone(ids []string, part func(string) int, now clock.Micros) {
+	for _, id := range ids {
+		m := t.machines[id]
+		if m == nil {
+			if _, ok := t.parts[part(id)]; !ok {
+				continue
+			}
+			m = t.add(id, part(id), Registered{}, now)
+		}
+		m.gone, m.answered = true, now
+		clear(m.tasks)
+		t.touch(m)
+	}
+}
+
+// Drain keeps machines free of new tasks and names those that hold nothing.
+func (t *Table) Drain(ids []string, part func(string) int, now clock.Micros) (ready []string) {
+	for _, id := range ids {
+		m := t.machines[id]
+		if m == nil {
+			if _, ok := t.parts[part(id)]; !ok {
+				continue
+			}
+			m = t.add(id, part(id), Registered{}, now) // not up yet
+			m.draining = true
+			ready = append(ready, id)
+			continue
+		}
+		if m.gone || m.silent || len(m.tasks) == 0 && (m.accounted || !m.registered) {
+			ready = append(ready, id)
+			m.draining = true
+			t.touch(m)
+		}
+	}
+	return ready
+}
+
+// Registered notes that a machine's record is in the state service, or gone from it.
+func (t *Table) Registered(id string, there bool) {
+	if m := t.machines[id]; m != nil && m.registered != there {
+		m.registered = there
+		t.touch(m)
+	}
+}
+
+// Unregistered lists machines that report and have no record yet.
+func (t *Table) Unregistered() map[string]Registered {
+	var out map[string]Registered
+	for id, m := range t.machines {
+		if m.heard && !m.registered && !m.silent && !m.gone {
+			if out == nil {
+				out = map[string]Registered{}
+			}
+			out[id] = m.Registered
+		}
+	}
+	return out
+}
+
+// Part gives the term and the claim's stamp of a partition that is owned.
+func (t *Table) Part(part int) (term, stamp uint64, ok bool) {
+	p, ok := t.parts[part]
+	return p.term, p.stamp, ok
+}
+
+// PartOf gives the partition of a machine in the table.
+func (t *Table) PartOf(id string) (int, bool) {
+	m := t.machines[id]
+	if m == nil {
+		return 0, false
+	}
+	return m.part, true
+}
+
+// Pending lists machines that should be sent to now, or probed.
+func (t *Table) Pending(now clock.Micros) []string {
+	var out []string
+	for id, m := range t.machines {
+		if m.inflight || m.silent || m.gone || m.Addr == "" || now < m.quietUntil {
+			continue
+		}
+		want := !m.accounted && !m.draining
+		for _, k := range m.tasks {
+			if !k.seen || k.stop && !k.exited() && k.phase != wire.TaskSaving {
+				want = true
+			}
+		}
+		if want {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (t *Table) view(m *machine, now clock.Micros) peer.MachineView {
+	_, all := m.inUse()
+	v := peer.MachineView{ID: m.id, Part: m.part, Term: t.parts[m.part].term, Version: m.version, Type: m.Type, Zone: m.Zone,
+		Spot: m.Spot, Cap: m.cap, Free: m.cap.Minus(all), Accounted: m.accounted || m.silent || m.gone, Usable: m.usable(now),
+		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick, Images: append([]string(nil), m.images...)}
+	if len(m.tasks) == 0 {
+		v.Idle = now - m.idleSince
+	}
+	for _, k := range m.tasks {
+		v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
+			Cause: k.cause, Stopping: k.stop, Since: now - k.since})
+	}
+	return v
+}
+
+// Poll gives what changed after a cursor.
+func (t *Table) Poll(in peer.Poll, incarnation string, now clock.Micros) peer.PollAnswer {
+	t.fence(in.Terms)
+	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: map[int]uint64{}}
+	after := in.Cursor
+	if in.Incarnation != incarnation {
+		after, out.Full = 0, true
+	}
+	for p, part := range t.parts {
+		out.Parts[p] = part.term
+	}
+	for _, m := range t.machines {
+		if m.version > after {
+			out.Machines = append(out.Machines, t.view(m, now))
+		}
+	}
+	return out
+}
+
+// Version is the table's present version.
+func (t *Table) Version() uint64 { return t.version }
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,273 @@
+// Package peer holds what the controllers say to each other, and the net/rpc
+// client and server that carry it.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// TaskID names one attempt of one task.
+type TaskID struct {
+	Job     string
+	N       int
+	Attempt uint64
+}
+
+// String is for logs.
+func (t TaskID) String() string { return fmt.Sprintf("%s/%d#%x", t.Job, t.N, t.Attempt) }
+
+// TaskView is a task as its machine's owner sees it.
+type TaskView struct {
+	ID       TaskID
+	Team     string
+	Rank     int
+	Need     res.Amounts
+	Phase    string // "" while the start was not seen yet
+	Cause    string
+	Stopping bool
+	Since    clock.Micros // age of the lease when the view was made
+}
+
+// MachineView is a machine as its owner sees it.
+type MachineView struct {
+	ID        string
+	Part      int
+	Term      uint64
+	Version   uint64
+	Type      string
+	Zone      string
+	Spot      bool
+	Cap       res.Amounts
+	Free      res.Amounts
+	Accounted bool // the table is the truth: no order of a former owner can change it
+	Usable    bool // may get tasks
+	Draining  bool
+	Silent    bool // no report for the whole lease: all its tasks are gone
+	Noticed   bool // spot notice
+	Sick      bool
+	Images    []string
+	Idle      clock.Micros // how long without tasks
+	Tasks     []TaskView
+}
+
+// Ask asks for a lease on a machine's room for one task, and hands the task over.
+type Ask struct {
+	ID      TaskID
+	Team    string
+	Rank    int
+	Need    res.Amounts
+	Image   string
+	Machine string
+	Term    uint64   // of the machine's partition
+	Victims []TaskID // tasks of others to stop for it
+	Over    bool     // victims may have the same or a higher rank: their team is beyond its guarantee
+}
+
+// Stop asks for the end of a task.
+type Stop struct {
+	ID      TaskID
+	Machine string
+	GraceS  float64
+}
+
+// Settle tells that the end of a task is taken note of: it may be forgotten.
+type Settle struct {
+	ID      TaskID
+	Machine string
+}
+
+// Round is what a placing controller has for one owner. Rounds from one
+// incarnation are numbered; a repeat is answered as the first time.
+type Round struct {
+	From    string // incarnation of the placing controller
+	Seq     uint64
+	Terms   map[string]uint64 // its teams' terms: older ones are refused from now on
+	Asks    []Ask
+	Stops   []Stop
+	Settles []Settle
+	Cancels []string // jobs of which nothing may run any more
+}
+
+// RoundAnswer answers a round.
+type RoundAnswer struct {
+	Incarnation string
+	Refused     []bool // one for each ask
+	Machines    []MachineView
+}
+
+// Poll asks for the machines that changed after a cursor, waiting for a change.
+type Poll struct {
+	Incarnation string // of the owner, as last heard
+	Cursor      uint64
+	Terms       map[string]uint64
+	Wait        clock.Micros
+	Gen         uint64 // for the asker's own use
+}
+
+// PollAnswer answers a poll.
+type PollAnswer struct {
+	Incarnation string
+	Cursor      uint64
+	Full        bool
+	Parts       map[int]uint64 // partitions held, with terms
+	Machines    []MachineView
+	Gone        []string
+}
+
+// Hello is what controllers tell each other once a second.
+type Hello struct {
+	Host        string
+	Incarnation string
+	Contact     clock.Micros // how long ago the state service confirmed its hold
+	Resigned    string       // its last incarnation that gave up for good
+	Ready       bool
+}
+
+// Demand is work that waits for room, or runs, as the fleet needs to know it.
+type Demand struct {
+	Need    res.Amounts
+	Types   []string
+	Zone    string
+	Spot    bool
+	Rank    int
+	Waiting int // tasks
+	Urgent  bool
+	RunFor  clock.Micros
+	Image   string
+}
+
+// DemandAnswer answers the fleet.
+type DemandAnswer struct{ Demands []Demand }
+
+// JobQuery asks the placer about a job, or to withdraw it.
+type JobQuery struct{ Team, ID string }
+
+// JobAnswer is the placer's answer.
+type JobAnswer struct {
+	Known bool // this controller places the team's jobs and may speak
+	Found bool
+	Retry bool // not yet: ask again
+	State wire.JobState
+}
+
+// DrainQuery asks an owner to keep machines free for their return.
+type DrainQuery struct{ Machines []string }
+
+// DrainAnswer names those that hold neither task nor lease and get none any more.
+type DrainAnswer struct{ Ready []string }
+
+// GoneNote tells an owner of machines that are gone for certain.
+type GoneNote struct{ Machines []string }
+
+// Service is what every controller offers to its peers.
+type Service interface {
+	Round(in Round, out *RoundAnswer) error
+	Poll(in Poll, out *PollAnswer) error
+	Hello(in Hello, out *Hello) error
+	Demand(in Hello, out *DemandAnswer) error
+	Status(in JobQuery, out *JobAnswer) error
+	Withdraw(in JobQuery, out *JobAnswer) error
+	Drain(in DrainQuery, out *DrainAnswer) error
+	Gone(in GoneNote, out *DrainAnswer) error
+}
+
+const serviceName = "Merlinlatch"
+
+// ErrDown means that a peer can't be reached.
+var ErrDown = errors.New("peer can't be reached")
+
+// Serve answers peers on addr until ctx ends.
+func Serve(ctx context.Context, addr string, svc any) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName(serviceName, svc); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("cluster_listen: %w", err)
+	}
+	context.AfterFunc(ctx, func() { l.Close() })
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		go srv.ServeConn(c)
+	}
+}
+
+// Client calls one peer over one connection, made anew when it breaks.
+type Client struct {
+	addr   string
+	mu     sync.Mutex
+	conn   *rpc.Client
+	downAt time.Time
+}
+
+// NewClient makes a client for a peer's address.
+func NewClient(addr string) *Client { return &Client{addr: addr} }
+
+func (c *Client) get() (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	if !c.downAt.IsZero() && time.Since(c.downAt) < 200*time.Millisecond {
+		return nil, ErrDown
+	}
+	nc, err := net.DialTimeout("tcp4", c.addr, 500*time.Millisecond)
+	if err != nil {
+		c.downAt = time.Now()
+		return nil, fmt.Errorf("%w: %w", ErrDown, err)
+	}
+	c.downAt = time.Time{}
+	c.conn = rpc.NewClient(nc)
+	return c.conn, nil
+}
+
+// Call calls a method. After an error other than one of the peer's own the
+// call may have been executed, or may yet be.
+func (c *Client) Call(method string, in, out any, timeout time.Duration) error {
+	conn, err := c.get()
+	if err != nil {
+		return err
+	}
+	call := conn.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-call.Done:
+		var own rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &own) {
+			c.drop(conn)
+		}
+		return call.Error
+	case <-t.C:
+		c.drop(conn)
+		return fmt.Errorf("%w: %s: no answer", ErrDown, method)
+	}
+}
+
+func (c *Client) drop(conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
--- /dev/null
+++ b/internal/policy/default.star
@@ -0,0 +1,19 @@
+# The operators' knobs, with their defaults. A script given with --policy is run
+# with the same names at hand and may set any of them. `economy` is true when the
+# objectives ask for useful share or price.
+
+hold_ttl_s = 27        # how long a controller acts without hearing from the state service
+hold_renew_s = 2       # how often it asks
+resign_after_s = 5     # cut off for so long while a peer is not: give duties up
+hold_grace_s = 3       # free duties wait so long for their preferred controller
+sample = 6             # machines drawn for each placement
+batch = 40             # tasks placed in one round when little waits
+lease_ttl_s = 12       # an unused lease lapses
+progress_every_s = 2   # completed tasks are written down so often
+preempt_after_s = 0.6  # work waits so long before it takes room from lower ranks
+idle_return_s = 25 if economy else 240
+spare_share = 0.0 if economy else 0.5   # room rented ahead, as a share of what is in use
+boot_patience = 3.0    # a machine not up after so many times its boot time is given back
+hire_backoff_s = 12    # a kind of machine that was refused is not asked for so long
+sick_errors = 2        # jobs that fail in a row on a machine before it is set aside
+log_rounds = False     # log each placement round at debug
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,139 @@
+// Package policy reads the operators' own settings, a Starlark script.
+package policy
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"sort"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+)
+
+//go:embed default.star
+var defaults string
+
+// Knobs is what the script sets.
+type Knobs struct {
+	HoldTTL, HoldRenew, ResignAfter, HoldGrace clock.Micros
+	Sample, Batch                              int
+	LeaseTTL, ProgressEvery, PreemptAfter      clock.Micros
+	IdleReturn, HireBackoff                    clock.Micros
+	SpareShare, BootPatience                   float64
+	SickErrors                                 int
+	LogRounds                                  bool
+	Economy                                    bool
+}
+
+// Economy tells whether the objectives ask for thrift.
+func Economy(s *config.Settings) bool {
+	for _, o := range s.Params.Objectives {
+		if o.Kind == "useful" || o.Kind == "price" {
+			return true
+		}
+	}
+	return false
+}
+
+// Load runs the embedded default and then the script at path, if any.
+func Load(path string, s *config.Settings) (*Knobs, error) {
+	text := ""
+	if path != "" {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("policy: %w", err)
+		}
+		text = string(b)
+	}
+	return Parse(text, s)
+}
+
+// Parse runs the embedded default and then the given script.
+func Parse(text string, s *config.Settings) (*Knobs, error) {
+	k := &Knobs{Economy: Economy(s)}
+	given := starlark.StringDict{"economy": starlark.Bool(k.Economy), "controllers": starlark.MakeInt(s.Params.Count)}
+	vals, err := run("default.star", defaults, given)
+	if err != nil {
+		return nil, err
+	}
+	if text != "" {
+		own, err := run("policy", text, given)
+		if err != nil {
+			return nil, err
+		}
+		names := make([]string, 0, len(own))
+		for n := range own {
+			names = append(names, n)
+		}
+		sort.Strings(names)
+		for _, n := range names {
+			if _, ok := vals[n]; !ok {
+				if _, fn := own[n].(starlark.Callable); fn || n[0] == '_' {
+					continue
+				}
+				return nil, fmt.Errorf("policy: knob %s is not known", n)
+			}
+			vals[n] = own[n]
+		}
+	}
+	return k, k.read(vals)
+}
+
+func run(name, text string, given starlark.StringDict) (starlark.StringDict, error) {
+	thread := &starlark.Thread{Name: name}
+	thread.SetMaxExecutionSteps(1_000_000) // a script can't hang the start
+	vals, err := starlark.ExecFileOptions(&syntax.FileOptions{TopLevelControl: true, GlobalReassign: true}, thread, name, text, given)
+	if err != nil {
+		return nil, fmt.Errorf("policy: %w", err)
+	}
+	return vals, nil
+}
+
+func (k *Knobs) read(vals starlark.StringDict) error {
+	num := func(name string, lo, hi float64) (float64, error) {
+		v, ok := starlark.AsFloat(vals[name])
+		if !ok || !(v >= lo && v <= hi) {
+			return 0, fmt.Errorf("policy: knob %s must be a number from %g to %g", name, lo, hi)
+		}
+		return v, nil
+	}
+	for _, f := range []struct {
+		name   string
+		lo, hi float64
+		set    func(v float64)
+	}{
+		{"hold_ttl_s", 1, 600, func(v float64) { k.HoldTTL = clock.FromSeconds(v) }},
+		{"hold_renew_s", 0.1, 60, func(v float64) { k.HoldRenew = clock.FromSeconds(v) }},
+		{"resign_after_s", 0.5, 600, func(v float64) { k.ResignAfter = clock.FromSeconds(v) }},
+		{"hold_grace_s", 0, 60, func(v float64) { k.HoldGrace = clock.FromSeconds(v) }},
+		{"sample", 1, 1000, func(v float64) { k.Sample = int(v) }},
+		{"batch", 1, 10000, func(v float64) { k.Batch = int(v) }},
+		{"lease_ttl_s", 1, 600, func(v float64) { k.LeaseTTL = clock.FromSeconds(v) }},
+		{"progress_every_s", 0.1, 60, func(v float64) { k.ProgressEvery = clock.FromSeconds(v) }},
+		{"preempt_after_s", 0, 3600, func(v float64) { k.PreemptAfter = clock.FromSeconds(v) }},
+		{"idle_return_s", 0, 86400, func(v float64) { k.IdleReturn = clock.FromSeconds(v) }},
+		{"spare_share", 0, 10, func(v float64) { k.SpareShare = v }},
+		{"boot_patience", 1, 100, func(v float64) { k.BootPatience = v }},
+		{"hire_backoff_s", 0, 3600, func(v float64) { k.HireBackoff = clock.FromSeconds(v) }},
+		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
+	} {
+		v, err := num(f.name, f.lo, f.hi)
+		if err != nil {
+			return err
+		}
+		f.set(v)
+	}
+	if k.HoldRenew*3 > k.HoldTTL {
+		return fmt.Errorf("policy: knob hold_renew_s must be at most a third of hold_ttl_s")
+	}
+	b, ok := vals["log_rounds"].(starlark.Bool)
+	if !ok {
+		return fmt.Errorf("policy: knob log_rounds must be True or False")
+	}
+	k.LogRounds = bool(b)
+	return nil
+}
--- /dev/null
+++ b/internal/state/client.go
@@ -0,0 +1,220 @@
+// Package state speaks with the state service: a client that keeps to this
+// controller's part of the request budget, and a replica kept fresh by a watch.
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// What may go wrong with a call.
+var (
+	// ErrRefused means that the request was surely not executed.
+	ErrRefused = errors.New("state service refused the request")
+	// ErrUnknown means that the request may have been executed, or may yet be.
+	ErrUnknown = errors.New("state service gave no answer")
+	// ErrConflict means that a condition did not hold.
+	ErrConflict = errors.New("a condition did not hold")
+	// ErrNoHold means that the hold has ended.
+	ErrNoHold = errors.New("the hold has ended")
+	// ErrTooOld means that the watched revision is no longer kept.
+	ErrTooOld = errors.New("the revision is no longer kept")
+	// ErrBudget means that this controller's part of the budget is spent.
+	ErrBudget = errors.New("request budget spent")
+)
+
+// Client calls the state service.
+type Client struct {
+	http   *httpx.Client
+	reqs   *rate.Limiter
+	writes *rate.Limiter
+}
+
+// NewClient makes a client that keeps to one of share parts of the budget.
+func NewClient(addr string, rps, writes float64, share int) *Client {
+	n := float64(max(share, 1))
+	return &Client{
+		http:   httpx.NewClient(addr, 8, 8<<20),
+		reqs:   rate.NewLimiter(rate.Limit(rps/n*0.95), max(1, int(rps/n*0.9))),
+		writes: rate.NewLimiter(rate.Limit(writes/n*0.95), max(13, int(writes/n))),
+	}
+}
+
+const callTimeout = 2 * time.Second
+
+func (c *Client) call(ctx context.Context, method, target string, body any, timeout time.Duration) (*httpx.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := c.reqs.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, ErrBudget)
+	}
+	var b []byte
+	if body != nil {
+		var err error
+		if b, err = json.Marshal(body); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+	}
+	r, err := c.http.Do(ctx, method, target, b)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch r.Status {
+	case 200, 404, 409, 410:
+		return r, nil
+	case 400, 429, 503:
+		return nil, fmt.Errorf("%w: status %d %.100s", ErrRefused, r.Status, r.Body)
+	}
+	return nil, fmt.Errorf("%w: status %d", ErrUnknown, r.Status)
+}
+
+func decode(r *httpx.Response, v any) error {
+	if err := json.Unmarshal(r.Body, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return nil
+}
+
+// Get reads a key; found is false when it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (item wire.Item, found bool, err error) {
+	r, err := c.call(ctx, "GET", wire.PathKeys+"/"+key, nil, callTimeout)
+	if err != nil {
+		return item, false, err
+	}
+	if r.Status == 404 {
+		// A 404 counts only when it is the service's own word.
+		var none struct {
+			Rev *uint64 `json:"ledger_rev"`
+		}
+		if err := decode(r, &none); err != nil || none.Rev == nil {
+			return item, false, fmt.Errorf("%w: odd 404", ErrUnknown)
+		}
+		return item, false, nil
+	}
+	if err := decode(r, &item); err != nil {
+		return item, false, err
+	}
+	if r.Status != 200 || item.Key != key {
+		return item, false, fmt.Errorf("%w: odd answer", ErrUnknown)
+	}
+	return item, true, nil
+}
+
+// List reads all keys with a prefix; rev is the revision of the first page.
+func (c *Client) List(ctx context.Context, prefix string) (items []wire.Item, rev uint64, err error) {
+	after := ""
+	for {
+		q := "?prefix=" + url.QueryEscape(prefix) + "&most=500"
+		if after != "" {
+			q += "&after=" + url.QueryEscape(after)
+		}
+		r, err := c.call(ctx, "GET", wire.PathKeys+q, nil, callTimeout)
+		if err != nil {
+			return nil, 0, err
+		}
+		var page wire.Items
+		if err := decode(r, &page); err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			rev = page.Rev
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, rev, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Commit carries out a transaction and gives its revision.
+func (c *Client) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if n := len(m.Then); n > 0 {
+		if err := c.writes.WaitN(ctx, n); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrRefused, ErrBudget)
+		}
+	}
+	if m.When == nil {
+		m.When = []wire.Cond{}
+	}
+	r, err := c.call(ctx, "POST", wire.PathMulti, m, callTimeout)
+	if err != nil {
+		return 0, err
+	}
+	var a wire.MultiAnswer
+	if err := decode(r, &a); err != nil {
+		return 0, err
+	}
+	switch r.Status {
+	case 200:
+		return a.Rev, nil
+	case 409:
+		return a.Rev, fmt.Errorf("%w: %v", ErrConflict, a.Failed)
+	}
+	return 0, fmt.Errorf("%w: status %d", ErrUnknown, r.Status)
+}
+
+// Spare tells whether n changes that can wait may be made now, leaving room
+// for urgent ones.
+func (c *Client) Spare(n int) bool {
+	return c.writes.Tokens() >= float64(n)+float64(c.writes.Burst())/3
+}
+
+// Grant makes a hold.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	r, err := c.call(ctx, "POST", wire.PathHolds, map[string]int64{"ttl_ms": ttl.Milliseconds()}, callTimeout)
+	if err != nil {
+		return 0, err
+	}
+	var a wire.HoldAnswer
+	if err := decode(r, &a); err != nil || r.Status != 200 || a.Hold == 0 {
+		return 0, fmt.Errorf("%w: making a hold: status %d", ErrUnknown, r.Status)
+	}
+	return a.Hold, nil
+}
+
+// Extend renews a hold.
+func (c *Client) Extend(ctx context.Context, hold uint64, timeout time.Duration) error {
+	r, err := c.call(ctx, "POST", fmt.Sprintf("%s/%d/extend", wire.PathHolds, hold), struct{}{}, timeout)
+	if err != nil {
+		return err
+	}
+	switch r.Status {
+	case 200:
+		return nil
+	case 404:
+		return ErrNoHold
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, r.Status)
+}
+
+// Watch waits for changes after rev.
+func (c *Client) Watch(ctx context.Context, prefix string, rev uint64, block time.Duration) (wire.Changes, error) {
+	var ch wire.Changes
+	q := fmt.Sprintf("%s?prefix=%s&after=%d&block_ms=%d", wire.PathChanges, url.QueryEscape(prefix), rev, block.Milliseconds())
+	r, err := c.call(ctx, "GET", q, nil, block+5*time.Second)
+	if err != nil {
+		return ch, err
+	}
+	if r.Status == 410 {
+		return ch, ErrTooOld
+	}
+	if err := decode(r, &ch); err != nil {
+		return ch, err
+	}
+	if r.Status != 200 || ch.Rev < rev {
+		return ch, fmt.Errorf("%w: odd answer", ErrUnknown)
+	}
+	return ch, nil
+}
--- /dev/null
+++ b/internal/state/replica.go
@@ -0,0 +1,168 @@
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Root is the prefix of every key of the project; the watch covers it.
+const Root = "ml/"
+
+// Prefixes of keys below Root.
+const (
+	Claims   = Root + "c/" // duties
+	Nodes    = Root + "n/" // registered incarnations
+	Active   = Root + "a/" // jobs that are not final
+	Final    = Root + "f/" // final states of jobs
+	Machines = Root + "m/" // machines that may hold tasks
+	Progress = Root + "p/" // completed tasks of active jobs
+	Catalog  = Root + "k/catalog"
+)
+
+// loaded are the prefixes read at the start; final states are only followed.
+var loaded = []string{Claims, Nodes, Active, Machines, Progress, Root + "k/"}
+
+// Event is one change of a key, in order of revisions.
+type Event struct {
+	Key   string
+	Value json.RawMessage // nil: dropped
+	Stamp uint64
+}
+
+// Source is what the replica reads from.
+type Source interface {
+	List(ctx context.Context, prefix string) ([]wire.Item, uint64, error)
+	Watch(ctx context.Context, prefix string, rev uint64, block time.Duration) (wire.Changes, error)
+}
+
+// Replica follows the keys and tells a listener of every change.
+type Replica struct {
+	src    Source
+	tell   func([]Event)
+	log    *slog.Logger
+	stamps map[string]uint64
+	rev    uint64
+}
+
+// NewReplica makes a replica that tells its listener of changes, in order.
+func NewReplica(src Source, tell func([]Event), log *slog.Logger) *Replica {
+	return &Replica{src: src, tell: tell, log: log, stamps: map[string]uint64{}}
+}
+
+// minGap bounds how often a watch is opened anew, since each counts as a request.
+const minGap = 90 * time.Millisecond
+
+// Run follows the keys until ctx ends. loadedOnce is closed after the first full read.
+func (r *Replica) Run(ctx context.Context, loadedOnce chan<- struct{}) error {
+	fresh := false
+	first := true
+	pause := func(d time.Duration) {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+	}
+	for ctx.Err() == nil {
+		if !fresh {
+			if err := r.load(ctx); err != nil {
+				r.log.Info("reading the state service", "err", err)
+				pause(300 * time.Millisecond)
+				continue
+			}
+			fresh = true
+			if first {
+				close(loadedOnce)
+				first = false
+			}
+		}
+		began := time.Now()
+		ch, err := r.src.Watch(ctx, Root, r.rev, 20*time.Second)
+		switch {
+		case errors.Is(err, ErrTooOld):
+			fresh = false
+			continue
+		case err != nil:
+			if ctx.Err() == nil {
+				r.log.Debug("watching the state service", "err", err)
+			}
+			pause(250 * time.Millisecond)
+			continue
+		}
+		r.apply(ch)
+		if gap := minGap - time.Since(began); gap > 0 {
+			pause(gap)
+		}
+	}
+	return nil
+}
+
+// apply takes a watch's answer. Replays of what is known are dropped by stamp.
+func (r *Replica) apply(ch wire.Changes) {
+	var evs []Event
+	for _, c := range ch.Log {
+		key := c.Put
+		if key == "" {
+			key = c.Drop
+		}
+		if c.Stamp <= r.stamps[key] || key == "" {
+			continue
+		}
+		if c.Put != "" {
+			if !strings.HasPrefix(key, Final) {
+				r.stamps[key] = c.Stamp
+			}
+			evs = append(evs, Event{key, c.Value, c.Stamp})
+		} else {
+			delete(r.stamps, key)
+			evs = append(evs, Event{key, nil, c.Stamp})
+		}
+	}
+	r.rev = max(r.rev, ch.Rev)
+	if len(evs) > 0 {
+		r.tell(evs)
+	}
+}
+
+// load reads everything and tells the differences from what was known.
+func (r *Replica) load(ctx context.Context) error {
+	var evs []Event
+	var low uint64
+	seen := map[string]bool{}
+	for i, p := range loaded {
+		items, rev, err := r.src.List(ctx, p)
+		if err != nil {
+			return err
+		}
+		if i == 0 || rev < low {
+			low = rev
+		}
+		for _, it := range items {
+			seen[it.Key] = true
+			if it.Stamp > r.stamps[it.Key] {
+				evs = append(evs, Event{it.Key, it.Value, it.Stamp})
+			}
+		}
+	}
+	for key, stamp := range r.stamps {
+		if !seen[key] {
+			evs = append(evs, Event{key, nil, max(low, stamp)})
+			delete(r.stamps, key)
+		}
+	}
+	for _, e := range evs {
+		if e.Value != nil {
+			r.stamps[e.Key] = e.Stamp
+		}
+	}
+	r.rev = low
+	if len(evs) > 0 {
+		r.tell(evs)
+	}
+	return nil
+}
