Idle time of machines counts on in the mirror; counts in the logs

Ruled out: refused drains (none in the log). Conclusion: the mirror adds what has passed since the view was made.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,6 +107,7 @@
 	catalog  wire.Catalog
 	fetched  clock.Micros
 	listed   clock.Micros
+	told     clock.Micros
 }
 
 // New makes a fleet.
@@ -162,6 +163,10 @@
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.others.Views(), Demands: f.others.Demands(ctx),
 		Refused: f.refused, Knobs: f.knobs, MaxCount: 20}
 	hires, returns := Plan(in)
+	if now > f.told+10*clock.Second {
+		f.told = now
+		f.tell(in)
+	}
 	if f.log.Enabled(ctx, slog.LevelDebug) {
 		f.log.Debug("fleet", "rented", len(f.rented), "views", len(in.Views), "demands", in.Demands, "hires", hires, "returns", returns)
 	}
@@ -176,6 +181,28 @@
 	}
 }
 
+// tell logs how the fleet stands.
+func (f *Fleet) tell(in Input) {
+	var have, used, waiting int64
+	up, spot := 0, 0
+	for _, v := range in.Views {
+		if !v.Silent {
+			up++
+			have += v.Cap.CPU
+			used += v.Cap.CPU - v.Free.CPU
+		}
+	}
+	for _, r := range in.Rented {
+		if r.Spot {
+			spot++
+		}
+	}
+	for _, d := range in.Demands {
+		waiting += d.Need.CPU * int64(d.Waiting)
+	}
+	f.log.Info("fleet", "up", up, "rented", len(in.Rented), "spot", spot, "cpus", have/1e6, "used", used/1e6, "waiting_cpus", waiting/1e6)
+}
+
 // fetchCatalog reads the catalog, and keeps it in the state service so that a
 // controller that starts while the cloud is out can decide.
 func (f *Fleet) fetchCatalog(ctx context.Context, h claim.Held, now clock.Micros) {
--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -59,7 +60,7 @@
 			s.log.Debug("stopping the server", "err", err)
 		}
 	}()
-	err := gnet.Run(s, "tcp4://"+addr, gnet.WithNumEventLoop(1), gnet.WithLogLevel(5),
+	err := gnet.Run(s, "tcp4://"+addr, gnet.WithNumEventLoop(1), gnet.WithLogger(engineLog{s.log}),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReuseAddr(true), gnet.WithReadBufferCap(8<<10), gnet.WithWriteBufferCap(8<<10))
 	s.wg.Wait()
 	return err
@@ -202,3 +203,12 @@
 		s.log.Debug("writing a response", "err", err)
 	}
 }
+
+// engineLog passes the event loop's own messages on, at a level below ours.
+type engineLog struct{ log *slog.Logger }
+
+func (l engineLog) Debugf(format string, args ...any) { l.log.Debug(fmt.Sprintf(format, args...)) }
+func (l engineLog) Infof(format string, args ...any)  { l.log.Debug(fmt.Sprintf(format, args...)) }
+func (l engineLog) Warnf(format string, args ...any)  { l.log.Info(fmt.Sprintf(format, args...)) }
+func (l engineLog) Errorf(format string, args ...any) { l.log.Error(fmt.Sprintf(format, args...)) }
+func (l engineLog) Fatalf(format string, args ...any) { l.log.Error(fmt.Sprintf(format, args...)) }
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -107,6 +107,9 @@
 	up       bool
 }
 
+// Counts is what happened since the start, for the logs.
+type Counts struct{ Placed, Refused, Preempted, Done, Stopped, Failed, Lost int }
+
 // Desk holds the teams that this controller places, and mirrors all owners' machines.
 type Desk struct {
 	timing   Timing
@@ -120,6 +123,7 @@
 	rng      *rand.Rand
 	acks     map[string]map[string]bool // job: hosts that took its cancellation
 	wall     func() int64               // time of day in ms, good to the settings' bound
+	counts   Counts
 }
 
 // NewDesk makes an empty desk.
@@ -177,6 +181,17 @@
 	r.Cancels = slices.DeleteFunc(r.Cancels, func(id string) bool { return tm.jobs[id] != nil })
 }
 
+// Summary gives the counts, and how many tasks wait and are bound.
+func (d *Desk) Summary() (c Counts, waiting, bound int) {
+	for _, tm := range d.teams {
+		for _, j := range tm.jobs {
+			waiting += j.waiting()
+			bound += len(j.bound)
+		}
+	}
+	return d.counts, waiting, bound
+}
+
 // Terms gives the teams held and their terms.
 func (d *Desk) Terms() map[string]uint64 {
 	out := make(map[string]uint64, len(d.teams))
@@ -465,6 +480,7 @@
 		// Not there. That is certain when the view is newer than the grant, or
 		// comes from a later owner, to whom the ask can't be granted any more.
 		if m.Term > b.term || !b.asked && (m.instance != b.instance || m.Version >= b.version) {
+			d.counts.Lost++
 			d.release(b)
 		}
 	}
@@ -485,6 +501,9 @@
 	}
 	n := tv.ID.N
 	if tv.Cause == wire.CauseDone {
+		if !j.isDone(n) {
+			d.counts.Done++
+		}
 		j.markDone(n)
 		j.errors = 0
 		if j.acked[tv.ID] != m.Term {
@@ -496,7 +515,12 @@
 			d.stop(other, 0)
 		}
 	} else {
-		if b != nil && tv.Cause != wire.CauseStopped {
+		switch {
+		case b == nil:
+		case tv.Cause == wire.CauseStopped:
+			d.counts.Stopped++
+		default:
+			d.counts.Failed++
 			j.fail(m.ID, now)
 		}
 		if j.acked[tv.ID] != m.Term {
@@ -671,6 +695,8 @@
 		}
 		j.stalled = 0
 		j.team.counter++
+		d.counts.Placed++
+		d.counts.Preempted += len(victims)
 		b := &binding{id: peer.TaskID{Job: j.ID, N: t, Attempt: j.team.term<<32 | j.team.counter}, job: j, machine: m.ID, host: m.host,
 			zone: m.Zone, term: m.Term, asked: true, instance: m.instance, since: now}
 		d.bind(b, m)
@@ -884,6 +910,7 @@
 			continue
 		}
 		if i >= len(ans.Refused) || ans.Refused[i] {
+			d.counts.Refused++
 			d.release(b)
 			d.refree(m)
 			continue
@@ -1011,12 +1038,18 @@
 	return out
 }
 
-// Views gives the mirror of all machines, for the fleet.
-func (d *Desk) Views() (out []peer.MachineView) {
+// Views gives the mirror of all machines, for the fleet. An idle machine sends
+// no news of itself, so its idle time is what it was then and what has passed since.
+func (d *Desk) Views(now clock.Micros) (out []peer.MachineView) {
 	for _, m := range d.machines {
 		if o := d.owners[m.host]; o.parts[m.Part] == m.Term {
 			v := m.MachineView
 			v.Free = m.free
+			if len(v.Tasks) == 0 && len(m.bound) == 0 {
+				v.Idle += now - m.seenAt
+			} else {
+				v.Idle = 0
+			}
 			out = append(out, v)
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -167,6 +167,7 @@
 	}
 	g.Go(func() error { return p.placeLoop(ctx) })
 	g.Go(func() error { return p.writeLoop(ctx) })
+	g.Go(func() error { return p.tellLoop(ctx) })
 	return g.Wait()
 }
 
@@ -243,6 +244,24 @@
 	}
 }
 
+// tellLoop logs now and then how placing stands.
+func (p *Placer) tellLoop(ctx context.Context) error {
+	var last Counts
+	for ctx.Err() == nil {
+		pause(ctx, 10*time.Second)
+		p.mu.Lock()
+		c, waiting, bound := p.desk.Summary()
+		p.mu.Unlock()
+		if c != last {
+			p.log.Info("placing", "waiting", waiting, "bound", bound, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused,
+				"preempted", c.Preempted-last.Preempted, "done", c.Done-last.Done, "stopped", c.Stopped-last.Stopped,
+				"failed", c.Failed-last.Failed, "lost", c.Lost-last.Lost)
+		}
+		last = c
+	}
+	return nil
+}
+
 // roundGap gathers what comes close together into one round of decisions.
 const roundGap = 8 * time.Millisecond
 
@@ -532,5 +551,5 @@
 func (p *Placer) Views() []peer.MachineView {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.desk.Views()
+	return p.desk.Views(p.clock.Now())
 }
