--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -54,7 +54,7 @@
 	stop     bool
 	grace    float64
 	settled  bool
-	victims  []peer.TaskID
+	covered  bool // its job is within its team's guarantee
 }
 
 func (t *task) exited() bool { return t.phase == wire.TaskExited }
@@ -303,18 +303,22 @@
 	}
 }
 
-// inUse is what the machine's tasks take that are there, or may be.
-func (m *machine) inUse() (started, all res.Amounts) {
+// inUse is what the machine's tasks take that are there, or may be, and what
+// is spoken for. A task that was told to stop is still there, but its room may
+// be leased already: the lease waits for its end.
+func (m *machine) inUse() (started, spoken res.Amounts) {
 	for _, k := range m.tasks {
 		if k.exited() {
 			continue
 		}
-		all = all.Plus(k.need)
+		if !k.stop {
+			spoken = spoken.Plus(k.need)
+		}
 		if k.sent {
 			started = started.Plus(k.need)
 		}
 	}
-	return started, all
+	return started, spoken
 }
 
 func (m *machine) usable(now clock.Micros) bool {
@@ -568,12 +572,13 @@
 	var victims []*task
 	for _, v := range a.Victims {
 		k := m.tasks[v]
-		if k == nil || k.exited() || (k.rank >= a.Rank && !a.Over) {
+		if k == nil || k.exited() || k.stop || (k.rank >= a.Rank && !a.Over) {
 			continue
 		}
-		if !k.stop {
-			victims = append(victims, k)
+		if a.Need.Fits(free) {
+			break // room enough by now: nobody else need be stopped
 		}
+		victims = append(victims, k)
 		free = free.Plus(k.need)
 	}
 	if !a.Need.Fits(free) {
@@ -582,7 +587,7 @@
 	for _, v := range victims {
 		t.end(m, v, t.graceOf(v))
 	}
-	m.tasks[a.ID] = &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, image: a.Image, since: now}
+	m.tasks[a.ID] = &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, image: a.Image, covered: a.Covered, since: now}
 	m.note(a.Image)
 	m.idleSince = now
 	t.touch(m)
@@ -763,7 +768,7 @@
 	}
 	for _, k := range m.tasks {
 		v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
-			Cause: k.cause, Stopping: k.stop, Since: now - k.since})
+			Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since})
 	}
 	return v
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,7 @@
 	Phase    string // "" while the start was not seen yet
 	Cause    string
 	Stopping bool
+	Covered  bool         // its job is within its team's guarantee
 	Since    clock.Micros // age of the lease when the view was made
 }
 
@@ -71,6 +72,7 @@
 	Term    uint64   // of the machine's partition
 	Victims []TaskID // tasks of others to stop for it
 	Over    bool     // victims may have the same or a higher rank: their team is beyond its guarantee
+	Covered bool     // the task's job is within its team's guarantee
 }
 
 // Stop asks for the end of a task.
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -60,6 +60,7 @@
 	unsettled  map[peer.TaskID]ending // ended as done, not written yet
 	acked      map[peer.TaskID]uint64 // ends settled with the owner of that term
 	stalled    clock.Micros
+	covered    bool // fits its team's guarantee together with the team's earlier jobs
 	since      clock.Micros
 	errors     int
 	failedOn   map[string]clock.Micros
@@ -602,11 +603,30 @@
 	return j.since + clock.FromSeconds(*j.DueS)
 }
 
-// order sorts the jobs that have tasks to place: rank, then what can still
-// meet its deadline by deadline, then age.
+// cover marks the jobs that are within the team's guarantee: each fits there
+// together with the team's earlier unfinished jobs.
+func (tm *team) cover() {
+	if tm.Guarantee.CPU == 0 && tm.Guarantee.GPU == 0 {
+		return
+	}
+	list := make([]*job, 0, len(tm.jobs))
+	for _, j := range tm.jobs {
+		list = append(list, j)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Stamp < list[b].Stamp })
+	var sum res.Amounts
+	for _, j := range list {
+		sum = sum.Plus(j.Need.Times(int64(j.Tasks)))
+		j.covered = sum.CPU <= tm.Guarantee.CPU && sum.GPU <= tm.Guarantee.GPU
+	}
+}
+
+// order sorts the jobs that have tasks to place: what can still meet its
+// deadline first, then rank, guarantee, deadline, age.
 func (d *Desk) order(now clock.Micros) []*job {
 	var out []*job
 	for _, tm := range d.teams {
+		tm.cover()
 		for _, j := range tm.jobs {
 			if !j.cancelling && !j.finishing && j.waiting() > 0 && now >= j.backoff {
 				out = append(out, j)
@@ -615,12 +635,14 @@
 	}
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
+		if lx, ly := x.late(now), y.late(now); lx != ly {
+			return ly
+		}
 		if x.Level != y.Level {
 			return x.Level > y.Level
 		}
-		lx, ly := x.late(now), y.late(now)
-		if lx != ly {
-			return ly
+		if x.covered != y.covered {
+			return x.covered
 		}
 		if x.due() != y.due() {
 			return x.due() < y.due()
@@ -712,7 +734,7 @@
 		}
 		o := d.owners[m.host]
 		o.next.Asks = append(o.next.Asks, peer.Ask{ID: b.id, Team: j.team.Name, Rank: j.Level, Need: j.Need, Image: j.Image,
-			Machine: m.ID, Term: m.Term, Victims: victims, Over: over})
+			Machine: m.ID, Term: m.Term, Victims: victims, Over: over, Covered: j.covered})
 		placed++
 	}
 	return placed
@@ -787,20 +809,13 @@
 	return from[:n]
 }
 
-// preempt looks for room that tasks of lower rank hold, or, for a team that is
-// within its guarantee, teams beyond theirs; the least work is lost.
+// preempt looks for room that tasks of lower rank hold or, for a job within
+// its team's guarantee, tasks that other teams run beyond theirs; the least
+// work is lost. Work that is late already takes no room from others: it would
+// be as late, and what it stops would be late too.
 func (d *Desk) preempt(j *job, room []*mirror, now clock.Micros) (*mirror, []peer.TaskID, bool) {
-	guaranteed := j.team.Guarantee.CPU > 0 && within(j.team.used.Plus(j.Need), j.team.Guarantee)
-	var use map[string]res.Amounts
-	if guaranteed {
-		use = map[string]res.Amounts{}
-		for _, m := range d.machines {
-			for _, t := range m.Tasks {
-				if t.Phase != wire.TaskExited && !t.Stopping {
-					use[t.Team] = use[t.Team].Plus(t.Need)
-				}
-			}
-		}
+	if j.late(now) {
+		return nil, nil, false
 	}
 	var best *mirror
 	var bestVictims []peer.TaskID
@@ -813,10 +828,10 @@
 		var cand []*peer.TaskView
 		for i := range m.Tasks {
 			t := &m.Tasks[i]
-			if t.Phase == wire.TaskExited || t.Stopping || t.Team == "" {
+			if t.Phase == wire.TaskExited || t.Stopping || t.Team == "" || t.Covered && !(j.covered && t.Rank < j.Level) {
 				continue
 			}
-			if t.Rank < j.Level || guaranteed && t.Team != j.team.Name && use[t.Team].Minus(t.Need).CPU >= d.known[t.Team].Guarantee.CPU {
+			if t.Rank < j.Level || j.covered && t.Team != j.team.Name {
 				cand = append(cand, t)
 			}
 		}
@@ -839,6 +854,9 @@
 			cost += t.Since + (now - m.seenAt) + clock.Second
 			over = over || t.Rank >= j.Level
 		}
+		if over {
+			cost += 1000 * clock.Second // lower ranks first
+		}
 		if j.Need.Fits(free) && len(victims) > 0 && (best == nil || cost < bestCost) {
 			best, bestVictims, bestCost, bestOver = m, victims, cost, over
 		}
