--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -32,10 +32,11 @@
 
 // Knobs of the plan.
 type Knobs struct {
-	Economy      bool
-	SpareShare   float64
-	IdleReturn   clock.Micros
-	BootPatience float64
+	Economy                  bool
+	SpareShare               float64
+	IdleReturn               clock.Micros
+	BootPatience             float64
+	Catchup, CatchupOrdinary clock.Micros // with economy: waiting work is to be done in so long
 }
 
 // Input is what a plan is made from.
@@ -123,9 +124,10 @@
 		}
 		return demands[a].Need.CPU > demands[b].Need.CPU
 	})
-	var work float64 // CPU seconds that found no room
+	var work float64 // CPU seconds that wait
 	for i := range demands {
 		d := &demands[i]
+		work += d.Need.CPUs() * max(d.RunFor.Seconds(), 5) * float64(d.Waiting)
 		for n := 0; n < d.Waiting; n++ {
 			var at *bin
 			for _, b := range bins {
@@ -141,13 +143,10 @@
 				break
 			}
 			at.free = at.free.Minus(d.Need)
-			if at.new {
-				work += d.Need.CPUs() * max(d.RunFor.Seconds(), 5)
-			}
 		}
 	}
 	if in.Knobs.Economy {
-		trim(wants, types, work)
+		trim(in, wants, open, types, work, have, used)
 	} else if spare := int64(in.Knobs.SpareShare*float64(used)) - (have - used); spare > 0 {
 		for _, k := range open {
 			t := types[k.Type]
@@ -168,20 +167,28 @@
 	return hires, giveBack(in, types, bins[:known])
 }
 
-// trim keeps thrifty deployments from renting a machine for work that the
-// same machines can do one after the other in little more than a boot time.
-func trim(wants map[Kind]int, types map[string]wire.MachineType, work float64) {
-	for k := range wants {
-		t := types[k.Type]
-		horizon := max(t.BootS*1.5, 30)
-		need := int(math.Ceil(work / (t.CPUs * horizon)))
-		if wants[k] > need {
-			wants[k] = need
+// trim keeps thrifty deployments from renting machines for work that those at
+// hand can do soon: together they do what waits within the time to catch up.
+func trim(in Input, wants map[Kind]int, open []Kind, types map[string]wire.MachineType, work float64, have, used int64) {
+	var run, n float64
+	for _, d := range in.Demands {
+		run += d.RunFor.Seconds() * float64(d.Waiting)
+		n += float64(d.Waiting)
+	}
+	busy := float64(used) / 1e6 * run / max(n, 1) / 2 // what runs is half done
+	extra := 0.0
+	for _, k := range open {
+		if wants[k] == 0 {
+			continue
 		}
-		work -= float64(wants[k]) * t.CPUs * horizon
-		if work < 0 {
-			work = 0
+		horizon := in.Knobs.Catchup.Seconds()
+		if !k.Spot {
+			horizon = in.Knobs.CatchupOrdinary.Seconds()
 		}
+		missing := (work+busy)/horizon - float64(have)/1e6 - extra
+		t := types[k.Type]
+		wants[k] = min(wants[k], max(0, int(math.Ceil(missing/t.CPUs))))
+		extra += float64(wants[k]) * t.CPUs
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,8 @@
 		ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, n.book, c, log)
 	n.front = front.New(n.store, n, n.book, limits, wall, log)
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
-		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience},
+		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
+			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
 		knobs.HireBackoff, clock.FromSeconds(p.Cloud.ListLagS), n.keptCatalog, log)
 	return n
 }
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -1,6 +1,7 @@
 # The operators' knobs, with their defaults. A script given with --policy is run
-# with the same names at hand and may set any of them. `economy` is true when the
-# objectives ask for useful share or price.
+# with the same names at hand and may set any of them. `economy` is true when no
+# objective asks for work to be finished within a fixed time: then it need be no
+# earlier than its deadline, and machines are rented with thrift.
 
 hold_ttl_s = 27        # how long a controller acts without hearing from the state service
 hold_renew_s = 2       # how often it asks
@@ -11,7 +12,9 @@
 lease_ttl_s = 12       # an unused lease lapses
 progress_every_s = 2   # completed tasks are written down so often
 preempt_after_s = 0.6  # work waits so long before it takes room from lower ranks
-idle_return_s = 25 if economy else 240
+idle_return_s = 15 if economy else 240
+catchup_s = 60         # with economy: spot machines are rented so that what waits is done in so long
+catchup_ordinary_s = 150 # the same for ordinary machines, once spot ones are refused
 spare_share = 0.0 if economy else 0.5   # room rented ahead, as a share of what is in use
 boot_patience = 3.0    # a machine not up after so many times its boot time is given back
 hire_backoff_s = 12    # a kind of machine that was refused is not asked for so long
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -22,21 +22,23 @@
 	HoldTTL, HoldRenew, ResignAfter, HoldGrace clock.Micros
 	Sample, Batch                              int
 	LeaseTTL, ProgressEvery, PreemptAfter      clock.Micros
-	IdleReturn, HireBackoff                    clock.Micros
+	IdleReturn, HireBackoff, Catchup           clock.Micros
+	CatchupOrdinary                            clock.Micros
 	SpareShare, BootPatience                   float64
 	SickErrors                                 int
 	LogRounds                                  bool
 	Economy                                    bool
 }
 
-// Economy tells whether the objectives ask for thrift.
+// Economy tells whether thrift is in order: no objective asks for work to be
+// finished within a fixed time, so that it need be no earlier than its deadline.
 func Economy(s *config.Settings) bool {
 	for _, o := range s.Params.Objectives {
-		if o.Kind == "useful" || o.Kind == "price" {
-			return true
+		if o.Kind == "finished" {
+			return false
 		}
 	}
-	return false
+	return len(s.Params.Objectives) > 0
 }
 
 // Load runs the embedded default and then the script at path, if any.
@@ -118,6 +120,8 @@
 		{"idle_return_s", 0, 86400, func(v float64) { k.IdleReturn = clock.FromSeconds(v) }},
 		{"spare_share", 0, 10, func(v float64) { k.SpareShare = v }},
 		{"boot_patience", 1, 100, func(v float64) { k.BootPatience = v }},
+		{"catchup_s", 1, 3600, func(v float64) { k.Catchup = clock.FromSeconds(v) }},
+		{"catchup_ordinary_s", 1, 3600, func(v float64) { k.CatchupOrdinary = clock.FromSeconds(v) }},
 		{"hire_backoff_s", 0, 3600, func(v float64) { k.HireBackoff = clock.FromSeconds(v) }},
 		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
 	} {
