--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -124,10 +124,8 @@
 		}
 		return demands[a].Need.CPU > demands[b].Need.CPU
 	})
-	var work float64 // CPU seconds that wait
 	for i := range demands {
 		d := &demands[i]
-		work += d.Need.CPUs() * max(d.RunFor.Seconds(), 5) * float64(d.Waiting)
 		for n := 0; n < d.Waiting; n++ {
 			var at *bin
 			for _, b := range bins {
@@ -146,7 +144,7 @@
 		}
 	}
 	if in.Knobs.Economy {
-		trim(in, wants, open, types, work, have, used)
+		trim(in, wants, open, types, have, used)
 	} else if spare := int64(in.Knobs.SpareShare*float64(used)) - (have - used); spare > 0 {
 		for _, k := range open {
 			t := types[k.Type]
@@ -168,25 +166,34 @@
 }
 
 // trim keeps thrifty deployments from renting machines for work that those at
-// hand can do soon: together they do what waits within the time to catch up.
-func trim(in Input, wants map[Kind]int, open []Kind, types map[string]wire.MachineType, work float64, have, used int64) {
+// hand can do in time: together they do what waits within the time to catch
+// up, or sooner where a deadline asks for it.
+func trim(in Input, wants map[Kind]int, open []Kind, types map[string]wire.MachineType, have, used int64) {
 	var run, n float64
 	for _, d := range in.Demands {
 		run += d.RunFor.Seconds() * float64(d.Waiting)
 		n += float64(d.Waiting)
 	}
-	busy := float64(used) / 1e6 * run / max(n, 1) / 2 // what runs is half done
+	run /= max(n, 1)
 	extra := 0.0
 	for _, k := range open {
 		if wants[k] == 0 {
 			continue
 		}
-		horizon := in.Knobs.Catchup.Seconds()
+		t := types[k.Type]
+		limit := in.Knobs.Catchup.Seconds()
 		if !k.Spot {
-			horizon = in.Knobs.CatchupOrdinary.Seconds()
+			limit = in.Knobs.CatchupOrdinary.Seconds()
 		}
-		missing := (work+busy)/horizon - float64(have)/1e6 - extra
-		t := types[k.Type]
+		rate := float64(used) / 1e6 * run / 2 / limit // what runs is half done
+		for _, d := range in.Demands {
+			h := limit
+			if d.Slack > 0 {
+				h = min(limit, max(d.Slack.Seconds(), t.BootS+10))
+			}
+			rate += d.Need.CPUs() * max(d.RunFor.Seconds(), 5) * float64(d.Waiting) / h
+		}
+		missing := rate - float64(have)/1e6 - extra
 		wants[k] = min(wants[k], max(0, int(math.Ceil(missing/t.CPUs))))
 		extra += float64(wants[k]) * t.CPUs
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -289,7 +289,7 @@
 			n := min(len(list), o.txnOps)
 			_, err := o.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty(p), Stamp: h.Stamp}}, Then: list[:n]})
 			if err != nil {
-				o.log.Info("recording machines", "part", p, "err", err)
+				o.log.Debug("recording machines", "part", p, "err", err)
 				break
 			}
 			o.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -145,7 +145,7 @@
 	Waiting int // tasks
 	Urgent  bool
 	RunFor  clock.Micros
-	Image   string
+	Slack   clock.Micros // how much later it may start; 0 when it is late or has no deadline
 }
 
 // DemandAnswer answers the fleet.
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -1049,8 +1049,12 @@
 				continue
 			}
 			room = room.Minus(j.Need.Times(int64(n)))
-			out = append(out, peer.Demand{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot, Rank: j.Level, Waiting: n,
-				RunFor: clock.FromSeconds(j.EstimateS), Image: j.Image, Urgent: j.DueS != nil && !j.late(now)})
+			dm := peer.Demand{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot, Rank: j.Level, Waiting: n,
+				RunFor: clock.FromSeconds(j.EstimateS)}
+			if j.DueS != nil && !j.late(now) {
+				dm.Urgent, dm.Slack = true, max(clock.Second, j.due()-now-dm.RunFor)
+			}
+			out = append(out, dm)
 		}
 	}
 	return out
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -358,7 +358,9 @@
 			p.log.Info("job is over", "job", j.ID, "phase", phase)
 			return nil
 		}
-		p.log.Info("writing the end of a job", "job", j.ID, "err", err)
+		if try%32 == 0 { // once in a while: an outage lasts many tries
+			p.log.Info("writing the end of a job", "job", j.ID, "tries", try+1, "err", err)
+		}
 		if unknown = unknown || !errors.Is(err, state.ErrRefused); !unknown {
 			p.mu.Lock()
 			j.uncertain = false
