--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps,
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
 	wall := time.Now
-	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter},
+	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Waits: waits(p.Objectives)},
 		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
 	owners := map[string]placer.OwnerCaller{set.Host: localOwner{n.owner}}
 	for h, pc := range n.peers {
@@ -100,6 +100,18 @@
 	return n
 }
 
+// waits gives the classes whose tasks are to start within a time.
+func waits(objectives []config.Objective) map[string]clock.Micros {
+	out := map[string]clock.Micros{}
+	for _, o := range objectives {
+		within := clock.FromSeconds(o.WithinS)
+		if o.Kind == "wait" && o.Class != "" && (out[o.Class] == 0 || within < out[o.Class]) {
+			out[o.Class] = within
+		}
+	}
+	return out
+}
+
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -149,11 +161,13 @@
 	n.mu.Lock()
 	n.catalog = c
 	n.mu.Unlock()
-	types := map[string]res.Amounts{}
+	types, fetch := map[string]res.Amounts{}, map[string]float64{}
 	for _, t := range c.Types {
+		fetch[t.Name] = t.FetchGBPS
 		types[t.Name] = res.Have(t.CPUs, t.GPUs, t.MemGB)
 	}
 	n.owner.SetTypes(types)
+	n.placer.SetFetch(fetch)
 	n.front.SetTypes(c.Types)
 }
 
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -24,6 +24,7 @@
 type Timing struct {
 	Sample, Batch int
 	PreemptAfter  clock.Micros
+	Waits         map[string]clock.Micros // classes whose tasks should start within so long
 }
 
 // Team is a team's guarantee and limit.
@@ -108,6 +109,9 @@
 	up       bool
 }
 
+// SetFetch tells how fast machine types fetch images, in GB a second.
+func (d *Desk) SetFetch(rates map[string]float64) { d.fetch = rates }
+
 // Counts is what happened since the start, for the logs.
 type Counts struct{ Placed, Refused, Preempted, Done, Stopped, Failed, Lost int }
 
@@ -124,6 +128,7 @@
 	rng      *rand.Rand
 	acks     map[string]map[string]bool // job: hosts that took its cancellation
 	wall     func() int64               // time of day in ms, good to the settings' bound
+	fetch    map[string]float64         // GB a second by machine type
 	counts   Counts
 }
 
@@ -701,6 +706,7 @@
 	}
 	for placed < most {
 		if !within(j.team.used.Plus(held).Plus(j.Need), j.team.Limit) {
+			d.makeWay(j, held, now)
 			return placed
 		}
 		t := j.take()
@@ -740,6 +746,52 @@
 	return placed
 }
 
+// makeWay stops tasks of lower rank of the job's own team, where the team's
+// limit leaves no room for it. It is placed once they are gone for certain.
+func (d *Desk) makeWay(j *job, held res.Amounts, now clock.Micros) {
+	if j.stalled == 0 {
+		j.stalled = now
+	}
+	if j.late(now) || now < j.stalled+d.timing.PreemptAfter {
+		return
+	}
+	used := j.team.used.Plus(held)
+	var cand []*binding
+	for _, o := range j.team.jobs {
+		for _, b := range o.bound {
+			switch {
+			case b.stopping:
+				used = used.Minus(o.Need)
+			case o.Level < j.Level && !b.asked:
+				cand = append(cand, b)
+			}
+		}
+	}
+	sort.Slice(cand, func(a, b int) bool {
+		if cand[a].since != cand[b].since {
+			return cand[a].since > cand[b].since
+		}
+		return cand[a].id.String() < cand[b].id.String()
+	})
+	wanted := j.Need.Times(int64(j.waiting()))
+	for _, b := range cand {
+		if within(used.Plus(wanted), j.team.Limit) {
+			return
+		}
+		used = used.Minus(b.job.Need)
+		d.counts.Preempted++
+		d.stop(b, b.job.grace())
+	}
+}
+
+// grace is how long a task may save when it is stopped.
+func (j *job) grace() float64 {
+	if j.SaveEveryS > 0 {
+		return j.SaveS + 0.1
+	}
+	return 0
+}
+
 // allowed tells whether a machine may take one more task of a job, given where
 // the others are or may be.
 func (j *job) allowed(m *mirror) bool {
@@ -779,6 +831,13 @@
 		}
 		return nil, nil, false
 	}
+	if len(with) == 0 && d.hurried(j, fit[0], now) {
+		// The fetch alone would make the task late: room on a machine that has
+		// the image is worth a task that has hardly begun.
+		if m, victims, over := d.preempt(j, imaged(room, j.Image), now); m != nil && !over {
+			return m, victims, over
+		}
+	}
 	sample := d.draw(with, d.timing.Sample)
 	if len(sample) < d.timing.Sample {
 		sample = append(sample, d.draw(fit, d.timing.Sample-len(sample))...)
@@ -798,6 +857,27 @@
 	return best, nil, false
 }
 
+// hurried tells that a task can start in time on a machine that has its image,
+// and not on one that must fetch it.
+func (d *Desk) hurried(j *job, m *mirror, now clock.Micros) bool {
+	within, ok := d.timing.Waits[j.Class]
+	rate := d.fetch[m.Type]
+	if !ok || rate <= 0 || now > j.since+within {
+		return false
+	}
+	return now+clock.FromSeconds(j.ImageGB/rate) > j.since+within
+}
+
+// imaged picks the machines that have an image.
+func imaged(room []*mirror, image string) (out []*mirror) {
+	for _, m := range room {
+		if slices.Contains(m.Images, image) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 func (d *Desk) draw(from []*mirror, n int) []*mirror {
 	if len(from) <= n {
 		return from
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// SetFetch tells how fast machine types fetch images, in GB a second.
+func (p *Placer) SetFetch(rates map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.desk.SetFetch(rates)
+}
+
 // Apply takes events of the replica: jobs, progress and machines' records.
 func (p *Placer) Apply(evs []state.Event) {
 	p.mu.Lock()
