--- /dev/null
+++ b/internal/fakes/state.go
@@ -0,0 +1,249 @@
+// Package fakes holds in-memory stand-ins of the state service and of workers
+// for the stories that test the rules. They keep to the protocol's pages.
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+type hold struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// State is a state service in memory. Its holds run by the time of the test's bubble.
+type State struct {
+	mu      sync.Mutex
+	keys    map[string]wire.Item
+	log     []wire.Change
+	rev     uint64
+	holds   map[uint64]*hold
+	next    uint64
+	changed chan struct{}
+
+	Down    bool // answers 503 to all
+	Mute    bool // executes transactions and gives no answer
+	Capture bool // keeps transactions back, gives no answer; see Release
+	late    []wire.Multi
+}
+
+// NewState makes an empty state service.
+func NewState() *State {
+	return &State{keys: map[string]wire.Item{}, holds: map[uint64]*hold{}, changed: make(chan struct{})}
+}
+
+// View is one controller's way to the state service; it can be cut off alone.
+type View struct {
+	*State
+	Cut bool
+}
+
+func (s *State) expire() {
+	for id, h := range s.holds {
+		if time.Now().After(h.until) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.holds, id)
+	for k, it := range s.keys {
+		if it.Hold == id {
+			s.rev++
+			s.drop(k)
+		}
+	}
+}
+
+func (s *State) drop(k string) {
+	if _, ok := s.keys[k]; ok {
+		delete(s.keys, k)
+		s.log = append(s.log, wire.Change{Drop: k, Stamp: s.rev})
+	}
+	s.tell()
+}
+
+func (s *State) tell() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetDown starts or ends an outage. Once it is over every hold has its full time again.
+func (s *State) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down && !down {
+		for _, h := range s.holds {
+			h.until = time.Now().Add(h.ttl)
+		}
+	}
+	s.Down = down
+}
+
+func (v *View) refused() error {
+	if v.Cut || v.Down {
+		return fmt.Errorf("%w: status 503", state.ErrRefused)
+	}
+	return nil
+}
+
+// Get reads a key.
+func (v *View) Get(_ context.Context, key string) (wire.Item, bool, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.refused(); err != nil {
+		return wire.Item{}, false, err
+	}
+	v.expire()
+	it, ok := v.keys[key]
+	return it, ok, nil
+}
+
+// List reads all keys with a prefix.
+func (v *View) List(_ context.Context, prefix string) ([]wire.Item, uint64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.refused(); err != nil {
+		return nil, 0, err
+	}
+	v.expire()
+	var out []wire.Item
+	for k, it := range v.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, it)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	return out, v.rev, nil
+}
+
+// Watch waits for changes. During an outage it stays open.
+func (v *View) Watch(ctx context.Context, prefix string, rev uint64, block time.Duration) (wire.Changes, error) {
+	deadline := time.Now().Add(block)
+	for {
+		v.mu.Lock()
+		var out wire.Changes
+		if v.refused() == nil {
+			v.expire()
+			out.Rev = v.rev
+			for _, c := range v.log {
+				if c.Stamp > rev && strings.HasPrefix(c.Put+c.Drop, prefix) {
+					out.Log = append(out.Log, c)
+				}
+			}
+		}
+		changed := v.changed
+		v.mu.Unlock()
+		if len(out.Log) > 0 || !time.Now().Before(deadline) {
+			out.Rev = max(out.Rev, rev)
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(100*time.Millisecond, time.Until(deadline))):
+		case <-ctx.Done():
+			return wire.Changes{}, ctx.Err()
+		}
+	}
+}
+
+// Commit carries out a transaction.
+func (v *View) Commit(_ context.Context, m wire.Multi) (uint64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.refused(); err != nil {
+		return 0, err
+	}
+	if v.Capture {
+		v.late = append(v.late, m)
+		return 0, state.ErrUnknown
+	}
+	rev, err := v.apply(m)
+	if v.Mute {
+		return 0, state.ErrUnknown
+	}
+	return rev, err
+}
+
+// Release carries out the transactions that were kept back, and tells how many held.
+func (s *State) Release() (applied int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.late {
+		if _, err := s.apply(m); err == nil {
+			applied++
+		}
+	}
+	s.late = nil
+	return applied
+}
+
+func (s *State) apply(m wire.Multi) (uint64, error) {
+	s.expire()
+	for _, c := range m.When {
+		if s.keys[c.Key].Stamp != c.Stamp {
+			return s.rev, fmt.Errorf("%w: %s", state.ErrConflict, c.Key)
+		}
+	}
+	for _, op := range m.Then {
+		if op.Hold != 0 && s.holds[op.Hold] == nil {
+			return s.rev, fmt.Errorf("%w: no such lease", state.ErrRefused)
+		}
+	}
+	s.rev++
+	for _, op := range m.Then {
+		if op.Drop != "" {
+			s.drop(op.Drop)
+			continue
+		}
+		b, err := json.Marshal(op.Value)
+		if err != nil {
+			return s.rev, err
+		}
+		s.keys[op.Put] = wire.Item{Key: op.Put, Value: b, Stamp: s.rev, Hold: op.Hold}
+		s.log = append(s.log, wire.Change{Put: op.Put, Value: b, Stamp: s.rev})
+	}
+	s.tell()
+	return s.rev, nil
+}
+
+// Spare always has room.
+func (v *View) Spare(int) bool { return true }
+
+// Grant makes a hold.
+func (v *View) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.refused(); err != nil {
+		return 0, err
+	}
+	v.next++
+	v.holds[v.next] = &hold{ttl, time.Now().Add(ttl)}
+	return v.next, nil
+}
+
+// Extend renews a hold.
+func (v *View) Extend(_ context.Context, id uint64, _ time.Duration) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.refused(); err != nil {
+		return err
+	}
+	v.expire()
+	h := v.holds[id]
+	if h == nil {
+		return state.ErrNoHold
+	}
+	h.until = time.Now().Add(h.ttl)
+	return nil
+}
--- /dev/null
+++ b/internal/fakes/worker.go
@@ -0,0 +1,117 @@
+package fakes
+
+import (
+	"sort"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Worker is a machine's worker, by the protocol's page. Images take no time.
+type Worker struct {
+	ID      string
+	Type    string
+	Zone    string
+	Spot    bool
+	Lease   clock.Micros
+	Session uint64
+	Tick    uint64
+	Token   uint64
+	Tasks   map[string]*wire.TaskReport // by name and attempt
+	Starts  map[string]int              // how often each task has started
+	renewed clock.Micros
+}
+
+// NewWorker makes a worker that began at a time.
+func NewWorker(id string, lease, now clock.Micros) *Worker {
+	return &Worker{ID: id, Type: "big", Zone: "a", Lease: lease, Session: 1, Tasks: map[string]*wire.TaskReport{},
+		Starts: map[string]int{}, renewed: now}
+}
+
+// Check lets the lease run out.
+func (w *Worker) Check(now clock.Micros) {
+	if now > w.renewed+w.Lease {
+		clear(w.Tasks)
+		w.Session++
+		w.renewed = now
+	}
+}
+
+// Report is what the worker says now.
+func (w *Worker) Report(now clock.Micros) wire.Report {
+	w.Check(now)
+	w.Tick++
+	r := wire.Report{Machine: w.ID, Addr: "10.0.0.9:9000", Type: w.Type, Zone: w.Zone, Spot: w.Spot,
+		Session: w.Session, Tick: w.Tick, Token: w.Token}
+	for _, t := range w.Tasks {
+		r.Tasks = append(r.Tasks, *t)
+	}
+	sort.Slice(r.Tasks, func(a, b int) bool { return r.Tasks[a].Task < r.Tasks[b].Task })
+	return r
+}
+
+// Take takes the answer to a report that was sent at a time.
+func (w *Worker) Take(a wire.ReportAnswer, sent clock.Micros) bool {
+	if a.Token < w.Token {
+		return false
+	}
+	w.Token = a.Token
+	w.renewed = sent
+	w.do(a.Orders)
+	return true
+}
+
+// Orders takes a direct command; ok is false for a 409.
+func (w *Worker) Orders(o wire.Orders, now clock.Micros) (r wire.Report, ok bool) {
+	w.Check(now)
+	if ok = o.Token >= w.Token && o.Session == w.Session; ok {
+		w.Token = o.Token
+		w.do(o.Orders)
+	}
+	return w.Report(now), ok
+}
+
+func key(task string, attempt uint64) string {
+	return wire.TaskName(task, int(attempt))
+}
+
+func (w *Worker) do(orders []wire.Order) {
+	for _, o := range orders {
+		k := key(o.Task, o.Attempt)
+		t := w.Tasks[k]
+		switch o.Verb {
+		case wire.VerbRun:
+			if t == nil {
+				w.Tasks[k] = &wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Phase: wire.TaskRunning}
+				w.Starts[o.Task]++
+			}
+		case wire.VerbStop:
+			if t != nil && t.Phase != wire.TaskExited {
+				t.Phase, t.Cause = wire.TaskExited, wire.CauseStopped
+			}
+		case wire.VerbForget:
+			if t != nil && t.Phase == wire.TaskExited {
+				delete(w.Tasks, k)
+			}
+		}
+	}
+}
+
+// Running tells whether a task runs here.
+func (w *Worker) Running(task string) bool {
+	for _, t := range w.Tasks {
+		if t.Task == task && t.Phase != wire.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
+// Finish ends a task with a cause.
+func (w *Worker) Finish(task, cause string) {
+	for _, t := range w.Tasks {
+		if t.Task == task && t.Phase != wire.TaskExited {
+			t.Phase, t.Cause = wire.TaskExited, cause
+		}
+	}
+}
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -209,6 +209,11 @@
 		return
 	}
 	changed := !m.heard
+	if !m.heard || r.Session > m.session {
+		// A session lasts its whole lease from its own beginning, answered or
+		// not, and it may have begun as late as now.
+		m.answered = now
+	}
 	if m.heard && r.Session > m.session {
 		// A new session: whatever ran in an earlier one was killed, and no
 		// order that names an earlier one is executed.
--- /dev/null
+++ b/internal/owner/table_test.go
@@ -0,0 +1,437 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+const (
+	sec   = clock.Second
+	lease = 10 * sec
+	team  = "red"
+)
+
+// jobList is a view of jobs for the table.
+type jobList struct {
+	active map[string]*jobs.Job
+	final  map[string]jobs.Final
+}
+
+func (j jobList) Find(id string) (*jobs.Job, bool)   { x, ok := j.active[id]; return x, ok }
+func (j jobList) Final(id string) (jobs.Final, bool) { x, ok := j.final[id]; return x, ok }
+
+// scene is one owner and one machine that it has accounted for.
+type scene struct {
+	t     *testing.T
+	now   clock.Micros
+	jobs  jobList
+	table *Table
+	w     *fakes.Worker
+	seq   uint64
+}
+
+func newTable(j jobList) *Table {
+	tb := NewTable(Timing{Lease: lease, LeaseTTL: 5 * sec, SickErrors: 2}, j)
+	tb.SetTypes(map[string]res.Amounts{"big": res.Have(8, 0, 32)})
+	return tb
+}
+
+func newScene(t *testing.T) *scene {
+	spec := wire.Job{ID: "job-1", Team: team, Rank: "normal", Tasks: 10, CPUs: 2, MemGB: 1}
+	s := &scene{t: t, now: 100 * sec, jobs: jobList{map[string]*jobs.Job{"job-1": jobs.New(jobs.Record{Job: spec}, 5)}, map[string]jobs.Final{}}}
+	s.table = newTable(s.jobs)
+	s.w = fakes.NewWorker("m-1", lease, s.now)
+	s.table.Gain(0, 1, 1, nil, s.now)
+	s.report()
+	s.table.Registered("m-1", true)
+	s.report()
+	return s
+}
+
+// report lets the worker report to the owner and take the answer.
+func (s *scene) report() wire.ReportAnswer {
+	s.now += sec
+	return s.reportTo(s.table)
+}
+
+func (s *scene) reportTo(tb *Table) wire.ReportAnswer {
+	r := s.w.Report(s.now)
+	ans, ok := tb.Report(&r, 0, s.now)
+	if ok {
+		s.w.Take(ans, s.now)
+	}
+	return ans
+}
+
+func ask(n int, attempt uint64) peer.Ask {
+	return peer.Ask{ID: peer.TaskID{Job: "job-1", N: n, Attempt: 1<<32 | attempt}, Team: team, Rank: 1,
+		Need: res.Need(2, 0, 1), Machine: "m-1", Term: 1}
+}
+
+func (s *scene) round(r peer.Round) peer.RoundAnswer {
+	s.seq++
+	r.From, r.Seq, r.Terms = "placer", s.seq, map[string]uint64{team: 1}
+	return s.table.Round(r, "me", s.now)
+}
+
+func (s *scene) lease(n int, attempt uint64) bool {
+	return !s.round(peer.Round{Asks: []peer.Ask{ask(n, attempt)}}).Refused[0]
+}
+
+func (s *scene) tasks() []peer.TaskView {
+	return s.table.view(s.table.machines["m-1"], s.now).Tasks
+}
+
+// A controller dies with /orders on their way; they arrive after its successor
+// has spoken to the worker. They must be dead.
+func TestLateOrdersOfAFormerOwnerAreDead(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	_, late := s.table.TakeOrders("m-1", s.now)
+	require.Len(t, late.Orders, 1)
+
+	next := newTable(s.jobs)
+	next.Gain(0, 2, 9, map[string]Registered{"m-1": {Addr: "10.0.0.9:9000", Type: "big", Zone: "a"}}, s.now)
+	s.now += sec
+	s.reportTo(next)
+	require.False(t, next.machines["m-1"].accounted, "the report was made before the new token was seen")
+	s.now += sec
+	s.reportTo(next)
+	require.True(t, next.machines["m-1"].accounted)
+	_, ok := s.w.Orders(*late, s.now)
+	require.False(t, ok)
+	require.False(t, s.w.Running("job-1/0"))
+}
+
+// /orders had no answer. Until a report shows a higher token the run may still
+// arrive, so neither the task's place is given up nor the attempt forgotten.
+func TestUnansweredRunCountsUntilAHigherTokenIsSeen(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	_, late := s.table.TakeOrders("m-1", s.now)
+	s.table.Unanswered("m-1", late, s.now)
+	s.round(peer.Round{Stops: []peer.Stop{{ID: ask(0, 1).ID, Machine: "m-1"}}})
+
+	s.now += sec
+	r := s.w.Report(s.now)
+	ans, ok := s.table.Report(&r, 0, s.now)
+	require.True(t, ok)
+	require.Len(t, s.tasks(), 1, "the worker has not shown the new token: the run may still arrive")
+	_, executed := s.w.Orders(*late, s.now)
+	require.True(t, executed, "it does arrive")
+	s.w.Take(ans, s.now)
+	require.False(t, s.w.Running("job-1/0"), "the stop follows it")
+	s.report()
+	require.Len(t, s.tasks(), 1)
+	require.Equal(t, wire.TaskExited, s.tasks()[0].Phase)
+}
+
+// A forget may only follow when no copy of the run can arrive: it would start
+// the attempt once more.
+func TestForgetWaitsForTheLastCopyOfTheRun(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	_, late := s.table.TakeOrders("m-1", s.now)
+	s.table.Unanswered("m-1", late, s.now)
+	old := s.w.Token
+	s.report() // carries the run as well: it starts
+	require.True(t, s.w.Running("job-1/0"))
+	s.w.Finish("job-1/0", wire.CauseDone)
+	s.w.Token = old // as if the answer with the new token were still under way
+	s.now += sec
+	r := s.w.Report(s.now)
+	s.table.machines["m-1"].seenToken = old
+	_, ok := s.table.Report(&r, 0, s.now)
+	require.True(t, ok)
+	s.round(peer.Round{Settles: []peer.Settle{{ID: ask(0, 1).ID, Machine: "m-1"}}})
+	s.now += sec
+	r = s.w.Report(s.now)
+	ans, _ := s.table.Report(&r, 0, s.now)
+	for _, o := range ans.Orders {
+		require.NotEqual(t, wire.VerbForget, o.Verb)
+	}
+	s.w.Take(ans, s.now)
+	s.report() // shows the new token: the late copy is dead, and the forget goes out
+	s.report()
+	require.Empty(t, s.w.Tasks)
+	s.w.Orders(*late, s.now)
+	require.Equal(t, 1, s.w.Starts["job-1/0"])
+}
+
+// A report that was held up by a cut comes after newer ones.
+func TestLateReportsChangeNothing(t *testing.T) {
+	s := newScene(t)
+	held := s.w.Report(s.now) // lists nothing
+	require.True(t, s.lease(0, 1))
+	s.report()
+	s.report()
+	require.True(t, s.w.Running("job-1/0"))
+	ans, ok := s.table.Report(&held, 0, s.now)
+	require.True(t, ok)
+	require.Empty(t, ans.Orders)
+	require.Len(t, s.tasks(), 1)
+
+	s.w.Session = 2
+	s.w.Tick = 0
+	s.report()
+	_, ok = s.table.Report(&held, 0, s.now)
+	require.False(t, ok, "a report of a former session must not be answered with 200")
+}
+
+// A machine that nobody answers is given up only when its worker has surely
+// killed all that it had.
+func TestSilenceIsCertainOnlyAfterTheWholeLease(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	s.report()
+	s.now += lease
+	s.table.Tick(s.now)
+	require.Len(t, s.tasks(), 1)
+	s.now += sec
+	require.Equal(t, []string{"m-1"}, s.table.Tick(s.now), "its record may go")
+	require.Empty(t, s.tasks())
+	s.w.Check(s.now)
+	require.False(t, s.w.Running("job-1/0"))
+}
+
+// A worker begins a new session, and the owner learns of it by the answer to
+// /orders only. The session lasts its lease from its beginning, not from the last report.
+func TestANewSessionHasItsWholeLease(t *testing.T) {
+	s := newScene(t)
+	s.now += lease + 200*clock.Millisecond
+	for n := range 2 { // the first orders name the former session and are refused
+		require.True(t, s.lease(n, uint64(n+1)))
+		_, o := s.table.TakeOrders("m-1", s.now)
+		r, _ := s.w.Orders(*o, s.now)
+		s.table.Answered("m-1", o, &r, s.now)
+	}
+	require.True(t, s.w.Running("job-1/1"))
+	s.now += 2 * sec
+	require.Empty(t, s.table.Tick(s.now))
+	s.w.Check(s.now)
+	require.True(t, s.w.Running("job-1/1"))
+	require.Len(t, s.tasks(), 1)
+}
+
+// A machine gets no task before its record is in the state service: a later
+// owner would not know of it.
+func TestNoTaskBeforeTheRecord(t *testing.T) {
+	s := newScene(t)
+	s.table.Registered("m-1", false)
+	require.False(t, s.lease(0, 1))
+	s.table.Registered("m-1", true)
+	require.True(t, s.lease(0, 2))
+}
+
+// A repeat of a round is answered alike; a second start of a task is refused.
+func TestRepeatsAreAnsweredAlike(t *testing.T) {
+	s := newScene(t)
+	in := peer.Round{From: "placer", Seq: 7, Terms: map[string]uint64{team: 1}, Asks: []peer.Ask{ask(0, 1)}}
+	first := s.table.Round(in, "me", s.now)
+	again := s.table.Round(in, "me", s.now)
+	require.Equal(t, first, again)
+	require.False(t, first.Refused[0])
+	require.Len(t, s.tasks(), 1)
+	s.seq = 7
+	require.False(t, s.lease(0, 2), "the task is there with another attempt")
+}
+
+// The ask of a team's former placer arrives after the new one has been heard.
+func TestAFormerPlacersAskIsRefused(t *testing.T) {
+	s := newScene(t)
+	s.table.Poll(peer.Poll{Terms: map[string]uint64{team: 2}}, "me", s.now)
+	require.False(t, s.lease(0, 1))
+}
+
+// An ask made to the former owner of a partition reaches the next one.
+func TestAnAskUnderAFormerTermIsRefused(t *testing.T) {
+	s := newScene(t)
+	s.table.Gain(0, 2, 9, map[string]Registered{"m-1": {Addr: "x", Type: "big"}}, s.now)
+	s.report()
+	s.report()
+	require.True(t, s.table.machines["m-1"].usable(s.now))
+	require.False(t, s.lease(0, 1))
+}
+
+// An unused lease lapses; one whose run was sent does not.
+func TestUnusedLeasesLapse(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	s.now += 6 * sec
+	s.table.Tick(s.now)
+	require.Empty(t, s.tasks())
+	s.report()
+	require.True(t, s.lease(1, 2))
+	s.table.TakeOrders("m-1", s.now)
+	s.now += 6 * sec
+	s.table.Tick(s.now)
+	require.Len(t, s.tasks(), 1)
+}
+
+// Room of a stopping task is leased at once, and the lease starts after its end.
+func TestALeaseWaitsForTheEndOfItsVictim(t *testing.T) {
+	s := newScene(t)
+	for n := range 4 {
+		require.True(t, s.lease(n, uint64(n+1)))
+	}
+	s.report()
+	s.report()
+	a := ask(4, 9)
+	a.Rank = 2
+	a.Victims = []peer.TaskID{ask(0, 1).ID}
+	require.False(t, s.round(peer.Round{Asks: []peer.Ask{a}}).Refused[0])
+	_, o := s.table.TakeOrders("m-1", s.now)
+	require.Len(t, o.Orders, 1)
+	require.Equal(t, wire.VerbStop, o.Orders[0].Verb)
+	r, ok := s.w.Orders(*o, s.now)
+	require.True(t, ok)
+	s.table.Answered("m-1", o, &r, s.now)
+	_, o = s.table.TakeOrders("m-1", s.now)
+	require.Equal(t, wire.VerbRun, o.Orders[0].Verb)
+}
+
+// A job is withdrawn while its start is on the way; the stop reaches the task.
+func TestCancelInFlight(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	_, late := s.table.TakeOrders("m-1", s.now)
+	s.table.Unanswered("m-1", late, s.now)
+	s.round(peer.Round{Cancels: []string{"job-1"}})
+	require.False(t, s.lease(1, 2), "nothing of it may start any more")
+	s.w.Orders(*late, s.now)
+	require.True(t, s.w.Running("job-1/0"))
+	s.report()
+	require.False(t, s.w.Running("job-1/0"))
+}
+
+// A former owner's task of a job that is over is found and ended.
+func TestAFoundTaskOfAFinalJobIsEnded(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	s.report()
+	delete(s.jobs.active, "job-1")
+	next := newTable(s.jobs)
+	next.Gain(0, 2, 9, map[string]Registered{"m-1": {Addr: "x", Type: "big"}}, s.now)
+	for range 4 {
+		s.now += sec
+		s.reportTo(next)
+	}
+	require.Empty(t, s.w.Tasks)
+}
+
+// A task that was asked for is not ended because this owner's view of the jobs is old.
+func TestAnAskedTaskOutlivesAnOldView(t *testing.T) {
+	s := newScene(t)
+	delete(s.jobs.active, "job-1")
+	require.True(t, s.lease(0, 1))
+	s.report()
+	s.report()
+	require.True(t, s.w.Running("job-1/0"))
+}
+
+// A machine is set aside for its return only when it holds neither task nor
+// lease, and gets none after that.
+func TestDrainOnlyWhenEmpty(t *testing.T) {
+	s := newScene(t)
+	part := func(string) int { return 0 }
+	require.True(t, s.lease(0, 1))
+	require.Empty(t, s.table.Drain([]string{"m-1"}, part, s.now))
+	s.now += 6 * sec
+	s.table.Tick(s.now)
+	require.Equal(t, []string{"m-1"}, s.table.Drain([]string{"m-1"}, part, s.now))
+	require.False(t, s.lease(1, 2))
+	require.Equal(t, []string{"m-9"}, s.table.Drain([]string{"m-9"}, part, s.now), "one that never reported")
+	s.table.Gone([]string{"m-1"}, part, s.now)
+	r := s.w.Report(s.now)
+	_, ok := s.table.Report(&r, 0, s.now)
+	require.False(t, ok, "a late report of a returned machine")
+}
+
+// Several jobs fail on a machine: it is sick. One job that fails on many is not its fault.
+func TestSickMachines(t *testing.T) {
+	s := newScene(t)
+	spec := wire.Job{ID: "job-2", Team: team, Rank: "normal", Tasks: 10, CPUs: 2, MemGB: 1}
+	s.jobs.active["job-2"] = jobs.New(jobs.Record{Job: spec}, 6)
+	require.True(t, s.lease(0, 1))
+	a := ask(0, 2)
+	a.ID.Job = "job-2"
+	require.False(t, s.round(peer.Round{Asks: []peer.Ask{a}}).Refused[0])
+	s.report()
+	s.w.Finish("job-1/0", wire.CauseError)
+	s.report()
+	require.False(t, s.table.machines["m-1"].sick)
+	require.False(t, s.table.machines["m-1"].usable(s.now), "shunned for a while")
+	s.w.Finish("job-2/0", wire.CauseError)
+	s.report()
+	require.True(t, s.table.machines["m-1"].sick)
+}
+
+// Random losses: whatever is lost, late or repeated, no task ever runs twice
+// under one attempt, and what the owner holds covers what the worker runs.
+func TestWhateverIsLostTheTableCoversTheWorker(t *testing.T) {
+	for seed := uint64(1); seed <= 300; seed++ {
+		s := newScene(t)
+		rng := fakes.Rand(seed)
+		var late []*wire.Orders
+		attempt := uint64(0)
+		for range 200 {
+			s.now += 300 * clock.Millisecond
+			switch rng.IntN(6) {
+			case 0:
+				attempt++
+				s.lease(rng.IntN(10), attempt)
+			case 1:
+				if _, o := s.table.TakeOrders("m-1", s.now); o != nil {
+					if rng.IntN(2) == 0 {
+						late = append(late, o)
+						s.table.Unanswered("m-1", o, s.now)
+					} else {
+						r, _ := s.w.Orders(*o, s.now)
+						s.table.Answered("m-1", o, &r, s.now)
+					}
+				}
+			case 2:
+				if len(late) > 0 {
+					s.w.Orders(*late[rng.IntN(len(late))], s.now)
+				}
+			case 3:
+				r := s.w.Report(s.now)
+				if ans, ok := s.table.Report(&r, 0, s.now); ok && rng.IntN(3) > 0 {
+					s.w.Take(ans, s.now)
+				}
+			case 4:
+				for _, v := range s.tasks() {
+					if rng.IntN(2) == 0 {
+						s.round(peer.Round{Stops: []peer.Stop{{ID: v.ID, Machine: "m-1"}}})
+					}
+				}
+			case 5:
+				for _, v := range s.tasks() {
+					s.round(peer.Round{Settles: []peer.Settle{{ID: v.ID, Machine: "m-1"}}})
+				}
+			}
+			s.table.Tick(s.now)
+			s.w.Check(s.now)
+			held := map[string]bool{}
+			for _, v := range s.tasks() {
+				held[wire.TaskName(v.ID.Job, v.ID.N)] = true
+			}
+			for _, k := range s.w.Tasks {
+				if k.Phase != wire.TaskExited {
+					require.True(t, held[k.Task], "seed %d: %s runs and the table does not know", seed, k.Task)
+				}
+			}
+		}
+		for task, n := range s.w.Starts {
+			require.LessOrEqual(t, n, int(attempt), "%s", task)
+		}
+	}
+}
