--- /dev/null
+++ b/internal/placer/world_test.go
@@ -0,0 +1,566 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/owner"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+const (
+	sec      = clock.Second
+	lease    = 10 * sec
+	red      = "red"
+	limitCPU = 12
+)
+
+// host is a controller's owner part: a table that a crash replaces.
+type host struct {
+	name     string
+	instance string
+	table    *owner.Table
+}
+
+type lateOrders struct {
+	machine string
+	orders  wire.Orders
+}
+
+type lateRound struct {
+	h     *host
+	table *owner.Table // the process it was sent to
+	round peer.Round
+}
+
+// world is a small cluster without I/O: owners, one placer, workers, and a
+// network that loses, holds up and repeats what the test tells it to.
+type world struct {
+	t        *testing.T
+	now      clock.Micros
+	rng      *rand.Rand
+	book     *jobs.Book
+	stamp    uint64
+	active   map[string]*jobs.Job
+	hosts    []*host
+	partHost []int
+	partTerm []uint64
+	registry map[string]owner.Registered
+	workers  map[string]*fakes.Worker
+	names    []string
+	desk     *Desk
+	term     uint64
+	crashes  int
+	orders   []lateOrders
+	rounds   []lateRound
+	ended    map[string]bool
+}
+
+func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
+
+func (w *world) Final(id string) (jobs.Final, bool) { return w.book.Final(id) }
+
+func newWorld(t *testing.T, seed uint64, machines int) *world {
+	w := &world{t: t, now: 100 * sec, rng: fakes.Rand(seed), book: jobs.NewBook(), stamp: 10, active: map[string]*jobs.Job{},
+		registry: map[string]owner.Registered{}, workers: map[string]*fakes.Worker{}, ended: map[string]bool{}}
+	for i := range 2 {
+		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("h%d", i)})
+		w.boot(w.hosts[i])
+		w.partHost, w.partTerm = append(w.partHost, i), append(w.partTerm, 0)
+	}
+	for i := range machines {
+		id := fmt.Sprintf("m-%d", i)
+		w.names = append(w.names, id)
+		w.workers[id] = fakes.NewWorker(id, lease, w.now)
+		w.workers[id].Zone = []string{"a", "b"}[i/2%2]
+	}
+	for p := range w.partHost {
+		w.gain(p, p)
+	}
+	w.newDesk()
+	return w
+}
+
+func (w *world) boot(h *host) {
+	w.crashes++
+	h.instance = fmt.Sprintf("%s-%d", h.name, w.crashes)
+	h.table = owner.NewTable(owner.Timing{Lease: lease, LeaseTTL: 4 * sec, SickErrors: 2}, w)
+	h.table.SetTypes(map[string]res.Amounts{"big": res.Have(8, 0, 32)})
+}
+
+func (w *world) part(id string) int { return int(id[2]-'0') % len(w.partHost) }
+
+// gain moves a partition to a host: the former holder's authority is over.
+func (w *world) gain(p, to int) {
+	w.hosts[w.partHost[p]].table.Lose(p)
+	w.partHost[p] = to
+	w.partTerm[p]++
+	w.stamp++
+	found := map[string]owner.Registered{}
+	for id, r := range w.registry {
+		if w.part(id) == p {
+			found[id] = r
+		}
+	}
+	w.hosts[to].table.Gain(p, w.partTerm[p], w.stamp, found, w.now)
+}
+
+// newDesk replaces the placer: the former one is gone, and with it its memory.
+func (w *world) newDesk() {
+	w.term++
+	w.stamp++
+	w.desk = NewDesk(Timing{Sample: 3, Batch: 10, PreemptAfter: sec}, fmt.Sprintf("desk-%d", w.term),
+		[]Team{{Name: red, Limit: res.Have(limitCPU, 0, 0)}}, []string{"h0", "h1"}, w.term, func() int64 { return 0 })
+	for id := range w.registry {
+		w.desk.Register(id, true)
+	}
+	var list []*jobs.Job
+	for _, j := range w.active {
+		list = append(list, j)
+	}
+	w.desk.Gain(red, w.term, w.stamp, list, w.now)
+}
+
+func (w *world) addJob(id string, tasks int, change func(*wire.Job)) {
+	w.stamp++
+	spec := wire.Job{ID: id, Team: red, Rank: "normal", Tasks: tasks, CPUs: 2, MemGB: 1, Spot: true}
+	if change != nil {
+		change(&spec)
+	}
+	w.active[id] = jobs.New(jobs.Record{Job: spec}, w.stamp)
+	w.desk.AddJob(w.active[id], w.now)
+}
+
+// poll lets the placer hear an owner.
+func (w *world) poll(h *host, lost bool) {
+	in := w.desk.Cursor(h.name)
+	ans := h.table.Poll(in, h.instance, w.now)
+	if lost {
+		w.desk.Down(h.name)
+		return
+	}
+	w.desk.Hear(h.name, in, &ans, w.now)
+}
+
+// send lets the placer's next round reach an owner.
+func (w *world) send(h *host, reached, answered bool) {
+	r := w.desk.Send(h.name)
+	if r == nil {
+		return
+	}
+	if !reached {
+		w.rounds = append(w.rounds, lateRound{h, h.table, *r})
+		return
+	}
+	ans := h.table.Round(*r, h.instance, w.now)
+	if answered {
+		w.desk.Answered(h.name, r, &ans, w.now)
+	}
+}
+
+// report lets a worker report to its owner.
+func (w *world) report(id string, answered bool) {
+	k, p := w.workers[id], w.part(id)
+	r := k.Report(w.now)
+	ans, ok := w.hosts[w.partHost[p]].table.Report(&r, p, w.now)
+	if ok && answered {
+		k.Take(ans, w.now)
+	}
+}
+
+// courier carries /orders: in time, late, or without the answer.
+func (w *world) courier(id string, late, answered bool) {
+	t := w.hosts[w.partHost[w.part(id)]].table
+	_, o := t.TakeOrders(id, w.now)
+	if o == nil {
+		return
+	}
+	if late {
+		w.orders = append(w.orders, lateOrders{id, *o})
+		t.Unanswered(id, o, w.now)
+		return
+	}
+	r, _ := w.workers[id].Orders(*o, w.now)
+	if answered {
+		t.Answered(id, o, &r, w.now)
+	} else {
+		t.Unanswered(id, o, w.now)
+	}
+}
+
+// tick lets time do its work: lapses, records of machines, ends of jobs.
+func (w *world) tick() {
+	for _, h := range w.hosts {
+		for _, id := range h.table.Tick(w.now) {
+			delete(w.registry, id)
+			w.record(id, false)
+		}
+		for id, r := range h.table.Unregistered() {
+			w.registry[id] = r
+			w.record(id, true)
+		}
+	}
+	for _, j := range w.desk.Ready() {
+		w.end(j.ID, wire.Done)
+	}
+}
+
+func (w *world) end(id, phase string) {
+	w.book.Keep(id, jobs.Final{Phase: phase, Team: red})
+	w.ended[id] = true
+	delete(w.active, id)
+	w.desk.DropJob(id)
+}
+
+func (w *world) record(id string, there bool) {
+	w.desk.Register(id, there)
+	for _, h := range w.hosts {
+		h.table.Registered(id, there)
+	}
+}
+
+// settle runs the cluster without losses for a while.
+func (w *world) settle(steps int) {
+	for range steps {
+		w.now += 250 * clock.Millisecond
+		for _, id := range w.names {
+			w.report(id, true)
+			w.courier(id, false, true)
+		}
+		w.tick()
+		for _, h := range w.hosts {
+			w.poll(h, false)
+			w.send(h, true, true)
+		}
+		w.desk.Place(w.now)
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+		}
+		w.check("settling")
+	}
+}
+
+// check holds the rules against what the workers really run.
+func (w *world) check(when string) {
+	on := map[string]string{}
+	cpus := 0.0
+	for _, id := range w.names {
+		k := w.workers[id]
+		k.Check(w.now)
+		for _, t := range k.Tasks {
+			if t.Phase == wire.TaskExited {
+				continue
+			}
+			require.Empty(w.t, on[t.Task], "%s: %s runs on two machines", when, t.Task)
+			on[t.Task] = id
+			job, _, _ := wire.SplitTask(t.Task)
+			if j := w.active[job]; j != nil {
+				cpus += j.CPUs
+			} else {
+				cpus += 2
+			}
+		}
+	}
+	require.LessOrEqual(w.t, cpus, float64(limitCPU), "%s: the team is over its limit", when)
+}
+
+func (w *world) running() (n int) {
+	for _, k := range w.workers {
+		for _, t := range k.Tasks {
+			if t.Phase != wire.TaskExited {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Whatever is lost, late or repeated, and whoever crashes: no task on two
+// machines, no team over its limit, and in the end every job is done.
+func TestRulesHoldWhateverFails(t *testing.T) {
+	seeds := uint64(120)
+	if testing.Short() {
+		seeds = 20
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		w := newWorld(t, seed, 4)
+		rng := w.rng
+		w.settle(8)
+		jobsMade := 0
+		for step := range 500 {
+			w.now += clock.Micros(rng.IntN(200)) * clock.Millisecond
+			h := w.hosts[rng.IntN(2)]
+			id := w.names[rng.IntN(len(w.names))]
+			switch rng.IntN(16) {
+			case 0, 1:
+				w.poll(h, rng.IntN(4) == 0)
+			case 2, 3:
+				w.desk.Place(w.now)
+			case 4, 5:
+				w.send(h, rng.IntN(5) > 0, rng.IntN(4) > 0)
+			case 6, 7:
+				w.report(id, rng.IntN(4) > 0)
+			case 8, 9:
+				w.courier(id, rng.IntN(3) == 0, rng.IntN(3) > 0)
+			case 10:
+				if len(w.orders) > 0 {
+					o := w.orders[rng.IntN(len(w.orders))]
+					w.workers[o.machine].Orders(o.orders, w.now)
+				}
+			case 11:
+				if len(w.rounds) > 0 { // a late round reaches the process it was sent to, if that lives
+					if r := w.rounds[rng.IntN(len(w.rounds))]; r.h.table == r.table {
+						r.table.Round(r.round, r.h.instance, w.now)
+					}
+				}
+			case 12:
+				for _, k := range w.workers[id].Tasks {
+					if k.Phase != wire.TaskExited && rng.IntN(2) == 0 {
+						k.Phase, k.Cause = wire.TaskExited, []string{wire.CauseDone, wire.CauseDone, wire.CauseError}[rng.IntN(3)]
+					}
+				}
+			case 13:
+				if jobsMade < 6 {
+					jobsMade++
+					w.addJob(fmt.Sprintf("job-%d", jobsMade), 3+rng.IntN(8), nil)
+				}
+			case 14:
+				switch rng.IntN(12) {
+				case 0: // a controller's owner part crashes and takes its partitions anew
+					w.boot(h)
+					for p, at := range w.partHost {
+						if w.hosts[at] == h {
+							w.gain(p, at)
+						}
+					}
+				case 1: // a partition moves
+					w.gain(rng.IntN(2), rng.IntN(2))
+				case 2:
+					w.newDesk()
+				}
+			case 15:
+				w.tick()
+			}
+			w.check(fmt.Sprintf("seed %d step %d", seed, step))
+		}
+		for range 60 {
+			w.settle(4)
+			for _, k := range w.workers {
+				for _, r := range k.Tasks {
+					if r.Phase != wire.TaskExited {
+						r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+					}
+				}
+			}
+		}
+		require.Empty(t, w.active, "seed %d: some job never ended", seed)
+	}
+}
+
+// A task is on a machine whose controller crashes with its start under way:
+// its place is not given to another machine until that one is accounted for.
+func TestAnAskWithoutAnswerIsNotMadeElsewhere(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.settle(8)
+	w.addJob("job-1", 1, nil)
+	w.desk.Place(w.now)
+	var at *host
+	for _, h := range w.hosts {
+		if r := w.desk.Send(h.name); r != nil {
+			at = h
+			h.table.Round(*r, h.instance, w.now)
+		}
+	}
+	p := 0
+	for i, x := range w.partHost {
+		if w.hosts[x] == at {
+			p = i
+		}
+	}
+	for _, id := range w.names {
+		if w.part(id) == p {
+			w.courier(id, true, false)
+		}
+	}
+	w.boot(at) // the answer is lost, the process too
+	w.gain(p, w.partHost[p])
+	for range 4 {
+		for _, h := range w.hosts {
+			w.poll(h, false)
+		}
+		w.desk.Place(w.now)
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+		}
+		for _, id := range w.names {
+			if w.part(id) != p {
+				w.report(id, true)
+				w.courier(id, false, true)
+			}
+		}
+		w.check("waiting")
+	}
+	require.Zero(t, w.running(), "it may still arrive at the first machine")
+	w.settle(20)
+	require.Equal(t, 1, w.running())
+}
+
+// Another process than the one that may have granted answers a round: its
+// refusal proves nothing.
+func TestARefusalByAnotherProcessReleasesNothing(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.settle(8)
+	w.addJob("job-1", 1, nil)
+	w.desk.Place(w.now)
+	for _, h := range w.hosts {
+		r := w.desk.Send(h.name)
+		if r == nil {
+			continue
+		}
+		ans := peer.RoundAnswer{Incarnation: "someone else", Refused: []bool{true}}
+		w.desk.Answered(h.name, r, &ans, w.now)
+	}
+	require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 1)
+	require.NotZero(t, w.desk.teams[red].used.CPU, "it counts against the limit")
+}
+
+// A new placer takes over while a machine can't be reached: old jobs wait for
+// it, new ones start, and the limit counts all that it could hold.
+func TestTakeOverOfATeamWaitsForUnaccountedMachines(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.settle(8)
+	w.addJob("job-1", 2, nil)
+	w.settle(2)
+	require.Equal(t, 2, w.running())
+	w.boot(w.hosts[0])
+	w.newDesk()
+	w.gain(0, 0) // and the machines of partition 0 are silent for now
+	w.addJob("job-2", 2, nil)
+	for range 5 {
+		w.now += 100 * clock.Millisecond
+		for _, h := range w.hosts {
+			w.poll(h, false)
+		}
+		w.desk.Place(w.now)
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+		}
+		for _, id := range []string{"m-1", "m-3"} {
+			w.report(id, true)
+			w.courier(id, false, true)
+		}
+		w.check("unaccounted")
+	}
+	n, held := w.desk.uncleared(w.desk.teams[red])
+	require.Equal(t, 2, n)
+	require.GreaterOrEqual(t, held.CPUs(), 16.0)
+	require.Equal(t, 2, w.running(), "two machines of 8 CPUs may hold more than the limit of 12 leaves")
+	w.settle(8)
+	require.Equal(t, 4, w.running())
+}
+
+// Attempt numbers of two placers never meet.
+func TestAttemptsAreUniqueAcrossTakeOvers(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	seen := map[uint64]bool{}
+	for range 3 {
+		w.settle(8)
+		w.addJob(fmt.Sprintf("job-%d", w.term), 2, nil)
+		w.desk.Place(w.now)
+		for _, h := range w.hosts {
+			for _, a := range w.desk.owners[h.name].next.Asks {
+				require.False(t, seen[a.ID.Attempt])
+				seen[a.ID.Attempt] = true
+			}
+		}
+		w.newDesk()
+	}
+	require.Len(t, seen, 6)
+}
+
+// Spread and one_zone count every task that may be somewhere.
+func TestZonesCountWhatMayRun(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.settle(8)
+	w.addJob("job-1", 4, func(j *wire.Job) { j.Spread = true })
+	w.addJob("job-2", 2, func(j *wire.Job) { j.OneZone = true })
+	w.desk.Place(w.now) // nothing is sent yet: all are only asked for
+	zones := map[string]int{}
+	for n, b := range w.desk.teams[red].jobs["job-1"].bound {
+		require.NotNil(t, b, n)
+		zones[b.zone]++
+	}
+	require.LessOrEqual(t, zones["a"], 2)
+	require.LessOrEqual(t, zones["b"], 2)
+	zones = map[string]int{}
+	for _, b := range w.desk.teams[red].jobs["job-2"].bound {
+		zones[b.zone]++
+	}
+	require.Len(t, zones, 1)
+}
+
+// A withdrawal counts as taken only by owners that have it.
+func TestCancelIsToldOnlyWhenOwnersHaveIt(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.settle(8)
+	w.addJob("job-1", 2, nil)
+	w.settle(2)
+	require.Equal(t, 2, w.running())
+	require.True(t, w.desk.Cancel(red, "job-1"))
+	hosts := []string{"h0", "h1"}
+	require.False(t, w.desk.Acked("job-1", hosts))
+	w.send(w.hosts[0], true, true)
+	w.send(w.hosts[1], true, false) // taken, but the answer is lost
+	require.False(t, w.desk.Acked("job-1", hosts))
+	w.send(w.hosts[1], true, true)
+	require.True(t, w.desk.Acked("job-1", hosts))
+	w.settle(4)
+	require.Zero(t, w.running())
+}
+
+// A job that fails everywhere backs off by itself.
+func TestAFailingJobBacksOff(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.settle(8)
+	w.addJob("job-1", 4, nil)
+	starts := 0
+	for range 40 {
+		w.settle(1)
+		for _, k := range w.workers {
+			for _, r := range k.Tasks {
+				if r.Phase != wire.TaskExited {
+					r.Phase, r.Cause = wire.TaskExited, wire.CauseError
+					starts++
+				}
+			}
+		}
+	}
+	require.Positive(t, starts)
+	require.Less(t, starts, 40, "ten seconds of failures")
+	require.NotZero(t, w.desk.teams[red].jobs["job-1"].backoff)
+}
+
+// High rank takes the least work from lower rank; late work takes nothing.
+func TestPreemptionTakesFromLowerRanks(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settle(8)
+	w.addJob("job-1", 4, nil)
+	w.settle(4)
+	require.Equal(t, 4, w.running())
+	due := 0.5
+	w.addJob("job-2", 1, func(j *wire.Job) { j.Rank, j.DueS, j.EstimateS = "high", &due, 60 })
+	w.settle(12)
+	require.False(t, w.workers["m-0"].Running("job-2/0"), "it is late already")
+	w.addJob("job-3", 1, func(j *wire.Job) { j.Rank = "high" })
+	w.settle(12)
+	require.True(t, w.workers["m-0"].Running("job-3/0"))
+	require.Equal(t, 4, w.running())
+}
