--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,159 @@
+package claim
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+var timing = Timing{TTL: 27 * clock.Second, Renew: 2 * clock.Second, Grace: 3 * clock.Second, ResignAfter: 5 * clock.Second}
+
+// process is a controller's keeper and replica in a test's bubble.
+type process struct {
+	*Keeper
+	view *fakes.View
+	stop context.CancelFunc
+}
+
+var duties = []string{"one", "two", "three"}
+
+func start(t *testing.T, st *fakes.State, host string) *process {
+	ctx, cancel := context.WithCancel(t.Context())
+	v := &fakes.View{State: st}
+	k := NewKeeper(NewBook(host, []string{"a", "b", "c"}, duties), v, clock.NewSteady(), timing, quiet)
+	r := state.NewReplica(v, k.Apply, quiet)
+	go k.Run(ctx)                      //nolint:errcheck // ends with the context
+	go r.Run(ctx, make(chan struct{})) //nolint:errcheck // ends with the context
+	return &process{k, v, cancel}
+}
+
+func (p *process) has(duty string) bool {
+	_, ok := p.Mine(duty)
+	return ok
+}
+
+// Each takes the duty it is preferred for; each duty has one holder.
+func TestDutiesAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a, b, c := start(t, st, "a"), start(t, st, "b"), start(t, st, "c")
+		time.Sleep(2 * time.Second)
+		require.True(t, a.has("one") && b.has("two") && c.has("three"))
+		require.False(t, a.has("two") || b.has("one"))
+	})
+}
+
+// A restarted process replaces its former incarnation at once; the former one,
+// should it live, is out.
+func TestARestartTakesItsDutiesAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a := start(t, st, "a")
+		time.Sleep(time.Second)
+		first, _ := a.Mine("one")
+		again := start(t, st, "a")
+		time.Sleep(time.Second)
+		second, ok := again.Mine("one")
+		require.True(t, ok)
+		require.Equal(t, first.Term+1, second.Term)
+		require.False(t, a.has("one"))
+	})
+}
+
+// A process that is gone for good loses its duties when its hold ends, not before.
+func TestDutiesMoveWhenTheHoldEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a, b := start(t, st, "a"), start(t, st, "b")
+		time.Sleep(10 * time.Second)
+		require.True(t, a.has("one"))
+		a.stop()
+		time.Sleep(20 * time.Second)
+		require.False(t, b.has("one"))
+		time.Sleep(15 * time.Second)
+		require.True(t, b.has("one"))
+	})
+}
+
+// An outage of the state service of 20 s ends nobody's duties; a longer one
+// ends them by the holder's own clock, and a new term begins after it.
+func TestOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a := start(t, st, "a")
+		time.Sleep(time.Second)
+		first, _ := a.Mine("one")
+		st.SetDown(true)
+		for range 20 {
+			time.Sleep(time.Second)
+			require.True(t, a.has("one"))
+		}
+		st.SetDown(false)
+		time.Sleep(3 * time.Second)
+		same, ok := a.Mine("one")
+		require.True(t, ok)
+		require.Equal(t, first.Term, same.Term)
+		st.SetDown(true)
+		time.Sleep(28 * time.Second)
+		require.False(t, a.has("one"), "the hold may have ended by now")
+		st.SetDown(false)
+		time.Sleep(3 * time.Second)
+		next, ok := a.Mine("one")
+		require.True(t, ok)
+		require.Greater(t, next.Term, first.Term)
+	})
+}
+
+// One controller alone is refused by the state service. At no time do two hold
+// the same duty; told by a peer that can reach it, it gives up early.
+func TestACutOffHolderResigns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a, b := start(t, st, "a"), start(t, st, "b")
+		time.Sleep(10 * time.Second)
+		a.view.Cut = true
+		time.Sleep(6 * time.Second)
+		a.Hear(0)
+		require.False(t, a.has("one"))
+		_, resigned := a.Contact()
+		b.Bury(t.Context(), "a", resigned)
+		time.Sleep(4 * time.Second)
+		require.True(t, b.has("one"))
+		require.False(t, a.has("one"))
+		a.view.Cut = false
+		time.Sleep(2 * time.Second)
+		require.True(t, b.has("one") != a.has("one"))
+	})
+}
+
+// A claim's write is held up and arrives when the claim has moved on.
+func TestALateClaimFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		st.Capture = true
+		a := start(t, st, "a")
+		time.Sleep(time.Second)
+		a.stop()
+		st.Capture = false
+		b := start(t, st, "a")
+		time.Sleep(time.Second)
+		before, ok := b.Mine("one")
+		require.True(t, ok)
+		require.Zero(t, st.Release(), "a late registration must not replace the newer one")
+		time.Sleep(time.Second)
+		after, ok := b.Mine("one")
+		require.True(t, ok)
+		require.Equal(t, before, after)
+	})
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,44 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func sample(t *testing.T) string {
+	b, err := os.ReadFile("testdata/settings.json")
+	require.NoError(t, err)
+	return string(b)
+}
+
+func TestSettingsAreReadAndUnknownFieldsIgnored(t *testing.T) {
+	s, err := Parse([]byte(strings.Replace(sample(t), "{", `{"new_field": {"x": 1},`, 1)))
+	require.NoError(t, err)
+	require.Equal(t, "alpha", s.Host)
+	require.Equal(t, 2, len(s.Params.Teams))
+	require.EqualValues(t, 16_000_000, s.Lease())
+}
+
+// A bad settings file gives one clear line that names the field.
+func TestBadSettingsNameTheField(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"host_name": "alpha"`, `"host_name": ""`, "host_name"},
+		{`"listen": "127.0.0.1:8080"`, `"listen": "nowhere"`, "field listen"},
+		{`"lease_s": 16`, `"lease_s": "long"`, "lease_s"},
+		{`"lease_s": 16`, `"lease_s": -1`, "params.workers.lease_s"},
+		{`"rps": 100`, `"rps": 0`, "params.state.rps"},
+		{`"cpus_max": 20`, `"cpus_max": 5`, "params.teams[0]"},
+		{`"name": "blue"`, `"name": "red"`, "params.teams[1].name"},
+		{`"host_name": "beta"`, `"host_name": "alpha"`, "others[0].host_name"},
+		{`{`, ``, "settings"},
+	} {
+		text := strings.Replace(sample(t), c.old, c.new, 1)
+		require.NotEqual(t, sample(t), text, c.old)
+		_, err := Parse([]byte(text))
+		require.ErrorContains(t, err, c.want)
+		require.NotContains(t, err.Error(), "\n")
+	}
+}
--- /dev/null
+++ b/internal/fleet/plan_test.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+const sec = clock.Second
+
+func input() Input {
+	return Input{Now: 1000 * sec, Rented: map[string]Rented{}, Refused: map[Kind]clock.Micros{}, MaxCount: 20,
+		Types: []wire.MachineType{{Name: "big", CPUs: 32, MemGB: 128, Price: 1.2, SpotPrice: 0.4, BootS: 30, Zones: []string{"a", "b"}}},
+		Knobs: Knobs{IdleReturn: 60 * sec, BootPatience: 3, Catchup: 60 * sec, CatchupOrdinary: 150 * sec}}
+}
+
+func waiting(n int, change func(*peer.Demand)) []peer.Demand {
+	d := peer.Demand{Need: res.Need(16, 0, 32), Waiting: n, Spot: true, RunFor: 60 * sec, Rank: 1}
+	if change != nil {
+		change(&d)
+	}
+	return []peer.Demand{d}
+}
+
+func total(hires []Hire) (spot, ordinary int) {
+	for _, h := range hires {
+		if h.Spot {
+			spot += h.Count
+		} else {
+			ordinary += h.Count
+		}
+	}
+	return spot, ordinary
+}
+
+func TestRentsWhatIsMissing(t *testing.T) {
+	in := input()
+	in.Demands = waiting(8, nil)
+	in.Views = []peer.MachineView{{ID: "m-1", Type: "big", Zone: "a", Usable: true, Cap: res.Have(32, 0, 128), Free: res.Have(32, 0, 128)}}
+	in.Rented["m-2"] = Rented{Kind: Kind{"big", "a", true}, ID: "m-2", Phase: wire.MachineBooting, Since: in.Now}
+	hires, returns := Plan(in)
+	spot, ordinary := total(hires)
+	require.Equal(t, 2, spot, "four machines are needed, one is up and one on its way")
+	require.Zero(t, ordinary)
+	require.Empty(t, returns)
+}
+
+// What was refused is not asked for again at once; ordinary machines are the
+// hedge, and the only choice for jobs that must not use spot ones.
+func TestRefusalsAndKinds(t *testing.T) {
+	in := input()
+	in.Demands = waiting(4, nil)
+	in.Refused[Kind{"big", "a", true}] = in.Now + sec
+	in.Refused[Kind{"big", "b", true}] = in.Now + sec
+	spot, ordinary := total(first(Plan(in)))
+	require.Zero(t, spot)
+	require.Equal(t, 2, ordinary)
+	in = input()
+	in.Demands = waiting(4, func(d *peer.Demand) { d.Spot, d.Zone = false, "b" })
+	hires, _ := Plan(in)
+	require.Equal(t, []Hire{{Kind{"big", "b", false}, 2}}, hires)
+}
+
+func first(h []Hire, _ []Return) []Hire { return h }
+
+// With thrift, work that can wait is done by the machines at hand; work whose
+// deadline is near is not left waiting.
+func TestThrift(t *testing.T) {
+	in := input()
+	in.Knobs.Economy = true
+	in.Views = []peer.MachineView{}
+	for _, id := range []string{"m-1", "m-2", "m-3", "m-4"} {
+		in.Views = append(in.Views, peer.MachineView{ID: id, Type: "big", Usable: true, Cap: res.Have(32, 0, 128)})
+	}
+	in.Demands = waiting(3, nil)
+	spot, _ := total(first(Plan(in)))
+	require.Zero(t, spot)
+	in.Demands = waiting(20, nil)
+	few, _ := total(first(Plan(in)))
+	in.Demands = waiting(20, func(d *peer.Demand) { d.Slack = 41 * sec })
+	many, _ := total(first(Plan(in)))
+	require.Less(t, few, many)
+}
+
+func TestReturns(t *testing.T) {
+	in := input()
+	old := Rented{Kind: Kind{"big", "a", true}, Phase: wire.MachineBooting, Since: in.Now - 91*sec}
+	in.Rented["m-5"], in.Rented["m-6"] = with(old, "m-5", ""), with(old, "m-6", wire.MachineFailed)
+	in.Rented["m-3"] = with(old, "m-3", wire.MachineRunning)
+	in.Views = []peer.MachineView{
+		{ID: "m-1", Accounted: true, Usable: true, Idle: 61 * sec},
+		{ID: "m-2", Accounted: true, Usable: true, Idle: 59 * sec},
+		{ID: "m-3", Silent: true, Accounted: true},
+		{ID: "m-4", Accounted: true, Sick: true},
+		{ID: "m-7", Accounted: true, Sick: true, Tasks: []peer.TaskView{{}}},
+	}
+	_, returns := Plan(in)
+	ids := []string{}
+	for _, r := range returns {
+		ids = append(ids, r.ID)
+	}
+	require.Equal(t, []string{"m-1", "m-3", "m-4", "m-5", "m-6"}, ids)
+}
+
+func with(r Rented, id, phase string) Rented {
+	r.ID = id
+	if phase != "" {
+		r.Phase = phase
+	}
+	return r
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,178 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// placers answers as the team's placer would.
+type placers struct {
+	answer peer.JobAnswer
+	err    error
+}
+
+func (p *placers) Status(context.Context, peer.JobQuery) (peer.JobAnswer, error) {
+	return p.answer, p.err
+}
+func (p *placers) Withdraw(context.Context, peer.JobQuery) (peer.JobAnswer, error) {
+	return p.answer, p.err
+}
+
+const good = `{"id":"job-000412","jobclass":"train","owner":"red","shape":"array","rank":"high","shards":16,
+ "cpus":8.0,"accelerators":0,"mem_gb":16.0,"bundle":"img-07","size_gb":6.2,"hulls":null,"yard":null,"one_zone":false,
+ "spread":false,"loaners":true,"guess_s":240.0,"snap_every_s":30.0,"snap_s":4.0,"due_s":900.0,"later":"ignored"}`
+
+type scene struct {
+	*Front
+	t    *testing.T
+	view *fakes.View
+	pl   *placers
+	book *jobs.Book
+}
+
+func newScene(t *testing.T) *scene {
+	s := &scene{t: t, view: &fakes.View{State: fakes.NewState()}, pl: &placers{err: errors.New("nobody")}, book: jobs.NewBook()}
+	s.Front = New(s.view, s.pl, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, func() time.Time { return time.UnixMilli(5) },
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s.SetTypes([]wire.MachineType{{Name: "big", CPUs: 32, MemGB: 128, Zones: []string{"a"}}})
+	return s
+}
+
+func (s *scene) do(method, rest, body string) httpx.Response {
+	return s.Handle(s.t.Context(), &httpx.Request{Method: method, Body: []byte(body)}, rest)
+}
+
+func TestAcceptance(t *testing.T) {
+	s := newScene(t)
+	require.Equal(t, 404, s.do("GET", "/job-000412", "").Status)
+	r := s.do("POST", "", good)
+	require.Equal(t, 201, r.Status)
+	require.JSONEq(t, `{"id":"job-000412","phase":"pending"}`, string(r.Body))
+	require.Equal(t, 200, s.do("POST", "", good).Status, "a retry at a controller that has not heard of it yet")
+	require.Equal(t, 200, s.do("GET", "/job-000412", "").Status)
+}
+
+// The answer of the state service is lost: the user is told to come back, and
+// finds the job accepted.
+func TestAcceptanceWithALostAnswer(t *testing.T) {
+	s := newScene(t)
+	s.view.Mute = true
+	r := s.do("POST", "", good)
+	require.Equal(t, 503, r.Status)
+	require.Equal(t, 1, r.RetryAfter)
+	s.view.Mute = false
+	require.Equal(t, 200, s.do("POST", "", good).Status)
+}
+
+// During an outage nothing is forgotten and nothing invented.
+func TestOutage(t *testing.T) {
+	s := newScene(t)
+	s.view.SetDown(true)
+	require.Equal(t, 503, s.do("POST", "", good).Status)
+	require.Equal(t, 503, s.do("GET", "/job-000412", "").Status, "not 404: nobody has read")
+	require.Equal(t, 503, s.do("POST", "/job-000412/withdraw", "").Status)
+}
+
+// A job that is over stays over, whoever is asked, and a late copy of its
+// submission does not bring it back.
+func TestFinalStays(t *testing.T) {
+	s := newScene(t)
+	s.do("POST", "", good)
+	it, _, _ := s.view.Get(t.Context(), state.Active+"job-000412")
+	_, err := s.view.Commit(t.Context(), wire.Multi{When: []wire.Cond{{Key: it.Key, Stamp: it.Stamp}}, Then: []wire.Op{
+		{Put: state.Final + "job-000412", Value: jobs.Final{Phase: wire.Cancelled, Team: "red", Tasks: 16}}, {Drop: it.Key}}})
+	require.NoError(t, err)
+	for range 2 {
+		r := s.do("POST", "", good)
+		require.Equal(t, 200, r.Status)
+		require.Contains(t, string(r.Body), `"cancelled"`)
+	}
+	require.Contains(t, string(s.do("POST", "/job-000412/withdraw", "").Body), `"cancelled"`)
+}
+
+// Two placers write a job's end; the one whose claim has moved on fails, even
+// when its write arrives late.
+func TestALateEndFailsWhenTheClaimHasMoved(t *testing.T) {
+	s := newScene(t)
+	s.do("POST", "", good)
+	it, _, _ := s.view.Get(t.Context(), state.Active+"job-000412")
+	rev, _ := s.view.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Claims + "team-red", Value: 1}}})
+	s.view.Capture = true
+	_, err := s.view.Commit(t.Context(), wire.Multi{When: []wire.Cond{{Key: state.Claims + "team-red", Stamp: rev}, {Key: it.Key, Stamp: it.Stamp}},
+		Then: []wire.Op{{Drop: it.Key}}})
+	require.ErrorIs(t, err, state.ErrUnknown)
+	s.view.Capture = false
+	_, err = s.view.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Claims + "team-red", Value: 2}}})
+	require.NoError(t, err)
+	require.Zero(t, s.view.Release())
+	require.Equal(t, 200, s.do("GET", "/job-000412", "").Status)
+}
+
+// While the end of a job is being written, its placer says nothing that could be older.
+func TestNothingIsToldWhileTheEndIsWritten(t *testing.T) {
+	s := newScene(t)
+	s.do("POST", "", good)
+	it, _, _ := s.view.Get(t.Context(), state.Active+"job-000412")
+	s.book.Apply(state.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+	s.pl.answer, s.pl.err = peer.JobAnswer{Known: true, Found: true, Retry: true}, nil
+	r := s.do("GET", "/job-000412", "")
+	require.Equal(t, 503, r.Status)
+	require.Equal(t, 503, s.do("POST", "/job-000412/withdraw", "").Status)
+}
+
+func TestRefusals(t *testing.T) {
+	s := newScene(t)
+	for _, c := range []struct {
+		why    string
+		body   string
+		status int
+	}{
+		{"not JSON", `{`, 400},
+		{"not an object", `[1]`, 400},
+		{"null", `null`, 400},
+		{"no id", replace(`"id":"job-000412",`, ``), 400},
+		{"a bad id", replace(`job-000412`, `job-x`), 400},
+		{"too many tasks", replace(`"shards":16`, `"shards":100001`), 400},
+		{"no tasks", replace(`"shards":16`, `"shards":0`), 400},
+		{"a fraction of a task", replace(`"shards":16`, `"shards":1.5`), 400},
+		{"negative CPUs", replace(`"cpus":8.0`, `"cpus":-1`), 400},
+		{"too much", replace(`"cpus":8.0`, `"cpus":1e400`), 400},
+		{"an unknown shape", replace(`"array"`, `"heap"`), 400},
+		{"an unknown rank", replace(`"high"`, `"highest"`), 400},
+		{"a string for a number", replace(`8.0`, `"8"`), 400},
+		{"an unknown team", replace(`"red"`, `"blue"`), 422},
+		{"over the limit", replace(`"cpus":8.0`, `"cpus":65`), 422},
+		{"fits nothing", replace(`"cpus":8.0`, `"cpus":33`), 422},
+		{"an unknown type", replace(`"hulls":null`, `"hulls":["huge"]`), 422},
+		{"an unknown zone", replace(`"yard":null`, `"yard":"z"`), 422},
+	} {
+		require.Equal(t, c.status, s.do("POST", "", c.body).Status, c.why)
+	}
+	require.Equal(t, 404, s.do("GET", "/nonsense", "").Status)
+	require.Equal(t, 405, s.do("DELETE", "/job-1", "").Status)
+	require.Equal(t, 404, s.do("GET", "/job-1/tasks", "").Status)
+}
+
+func replace(old, new string) string {
+	b := []byte(good)
+	for i := range b {
+		if i+len(old) <= len(b) && string(b[i:i+len(old)]) == old {
+			return string(b[:i]) + new + string(b[i+len(old):])
+		}
+	}
+	panic("not found: " + old)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -143,7 +143,6 @@
 	Spot    bool
 	Rank    int
 	Waiting int // tasks
-	Urgent  bool
 	RunFor  clock.Micros
 	Slack   clock.Micros // how much later it may start; 0 when it is late or has no deadline
 }
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -1132,7 +1132,7 @@
 			dm := peer.Demand{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot, Rank: j.Level, Waiting: n,
 				RunFor: clock.FromSeconds(j.EstimateS)}
 			if j.DueS != nil && !j.late(now) {
-				dm.Urgent, dm.Slack = true, max(clock.Second, j.due()-now-dm.RunFor)
+				dm.Slack = max(clock.Second, j.due()-now-dm.RunFor)
 			}
 			out = append(out, dm)
 		}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -20,7 +20,7 @@
 	sec      = clock.Second
 	lease    = 10 * sec
 	red      = "red"
-	limitCPU = 12
+	limitCPU = 12 // of the team, where it has one
 )
 
 // host is a controller's owner part: a table that a crash replaces.
@@ -62,6 +62,7 @@
 	orders   []lateOrders
 	rounds   []lateRound
 	ended    map[string]bool
+	limit    float64 // CPUs; 0: none
 }
 
 func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
@@ -69,7 +70,11 @@
 func (w *world) Final(id string) (jobs.Final, bool) { return w.book.Final(id) }
 
 func newWorld(t *testing.T, seed uint64, machines int) *world {
-	w := &world{t: t, now: 100 * sec, rng: fakes.Rand(seed), book: jobs.NewBook(), stamp: 10, active: map[string]*jobs.Job{},
+	return newWorldOf(t, seed, machines, limitCPU)
+}
+
+func newWorldOf(t *testing.T, seed uint64, machines int, limit float64) *world {
+	w := &world{t: t, limit: limit, now: 100 * sec, rng: fakes.Rand(seed), book: jobs.NewBook(), stamp: 10, active: map[string]*jobs.Job{},
 		registry: map[string]owner.Registered{}, workers: map[string]*fakes.Worker{}, ended: map[string]bool{}}
 	for i := range 2 {
 		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("h%d", i)})
@@ -118,7 +123,7 @@
 	w.term++
 	w.stamp++
 	w.desk = NewDesk(Timing{Sample: 3, Batch: 10, PreemptAfter: sec}, fmt.Sprintf("desk-%d", w.term),
-		[]Team{{Name: red, Limit: res.Have(limitCPU, 0, 0)}}, []string{"h0", "h1"}, w.term, func() int64 { return 0 })
+		[]Team{{Name: red, Limit: res.Have(w.limit, 0, 0)}}, []string{"h0", "h1"}, w.term, func() int64 { return 0 })
 	for id := range w.registry {
 		w.desk.Register(id, true)
 	}
@@ -269,7 +274,10 @@
 			}
 		}
 	}
-	require.LessOrEqual(w.t, cpus, float64(limitCPU), "%s: the team is over its limit", when)
+	if w.limit == 0 {
+		return
+	}
+	require.LessOrEqual(w.t, cpus, w.limit, "%s: the team is over its limit", when)
 }
 
 func (w *world) running() (n int) {
@@ -291,7 +299,7 @@
 		seeds = 20
 	}
 	for seed := uint64(1); seed <= seeds; seed++ {
-		w := newWorld(t, seed, 4)
+		w := newWorldOf(t, seed, 4, []float64{0, limitCPU}[seed%2])
 		rng := w.rng
 		w.settle(8)
 		jobsMade := 0
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -19,4 +19,3 @@
 boot_patience = 3.0    # a machine not up after so many times its boot time is given back
 hire_backoff_s = 12    # a kind of machine that was refused is not asked for so long
 sick_errors = 2        # jobs that fail in a row on a machine before it is set aside
-log_rounds = False     # log each placement round at debug
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -26,7 +26,6 @@
 	CatchupOrdinary                            clock.Micros
 	SpareShare, BootPatience                   float64
 	SickErrors                                 int
-	LogRounds                                  bool
 	Economy                                    bool
 }
 
@@ -134,10 +133,5 @@
 	if k.HoldRenew*3 > k.HoldTTL {
 		return fmt.Errorf("policy: knob hold_renew_s must be at most a third of hold_ttl_s")
 	}
-	b, ok := vals["log_rounds"].(starlark.Bool)
-	if !ok {
-		return fmt.Errorf("policy: knob log_rounds must be True or False")
-	}
-	k.LogRounds = bool(b)
 	return nil
 }
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,49 @@
+package policy
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+)
+
+func settings(kinds ...string) *config.Settings {
+	s := &config.Settings{}
+	for _, k := range kinds {
+		s.Params.Objectives = append(s.Params.Objectives, config.Objective{Kind: k})
+	}
+	return s
+}
+
+// Thrift follows from the objectives: none asks for a finish within a fixed time.
+func TestThriftFollowsFromTheObjectives(t *testing.T) {
+	thrifty, err := Parse("", settings("deadline", "guarantee"))
+	require.NoError(t, err)
+	require.True(t, thrifty.Economy)
+	quick, err := Parse("", settings("deadline", "finished"))
+	require.NoError(t, err)
+	require.False(t, quick.Economy)
+	require.Less(t, thrifty.IdleReturn, quick.IdleReturn)
+}
+
+func TestOwnScripts(t *testing.T) {
+	k, err := Parse("_x = 4\nsample = _x * 2\nif economy:\n    batch = 7\n", settings("deadline"))
+	require.NoError(t, err)
+	require.Equal(t, 8, k.Sample)
+	require.Equal(t, 7, k.Batch)
+	require.Equal(t, 27*clock.Second, k.HoldTTL)
+	for script, want := range map[string]string{
+		"sampel = 3":                          "sampel",
+		"sample = 'many'":                     "sample",
+		"sample = 0":                          "sample",
+		"hold_ttl_s = 3":                      "hold_renew_s",
+		"def f(:":                             "policy",
+		"while True:\n    pass":               "policy",
+		"x = [i for i in range(100000000)]\n": "steps",
+	} {
+		_, err := Parse(script, settings())
+		require.ErrorContains(t, err, want, script)
+	}
+}
