--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -192,6 +192,12 @@
 			used += v.Cap.CPU - v.Free.CPU
 		}
 	}
+	if f.log.Enabled(context.Background(), slog.LevelDebug) {
+		for _, v := range in.Views {
+			f.log.Debug("machine", "id", v.ID, "type", v.Type, "spot", v.Spot, "usable", v.Usable, "silent", v.Silent, "sick", v.Sick,
+				"noticed", v.Noticed, "free_cpus", v.Free.CPUs(), "free_gb", float64(v.Free.Mem)/1e6, "tasks", len(v.Tasks), "idle_s", v.Idle.Seconds())
+		}
+	}
 	for _, r := range in.Rented {
 		if r.Spot {
 			spot++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps,
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
 	wall := time.Now
-	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Waits: waits(p.Objectives)},
+	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy, Waits: waits(p.Objectives)},
 		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
 	owners := map[string]placer.OwnerCaller{set.Host: localOwner{n.owner}}
 	for h, pc := range n.peers {
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -24,6 +24,7 @@
 type Timing struct {
 	Sample, Batch int
 	PreemptAfter  clock.Micros
+	Economy       bool
 	Waits         map[string]clock.Micros // classes whose tasks should start within so long
 }
 
@@ -64,6 +65,8 @@
 	covered    bool // fits its team's guarantee together with the team's earlier jobs
 	since      clock.Micros
 	errors     int
+	again      int          // tasks placed once more
+	lastStart  clock.Micros // when its last task was first seen running
 	failedOn   map[string]clock.Micros
 	backoff    clock.Micros
 }
@@ -476,6 +479,9 @@
 			continue
 		}
 		if b != nil {
+			if tv.Phase == wire.TaskRunning && b.phase != wire.TaskRunning {
+				b.job.lastStart = now
+			}
 			b.phase, b.stopping = tv.Phase, tv.Stopping
 		}
 	}
@@ -487,6 +493,7 @@
 		// comes from a later owner, to whom the ask can't be granted any more.
 		if m.Term > b.term || !b.asked && (m.instance != b.instance || m.Version >= b.version) {
 			d.counts.Lost++
+			b.job.again++
 			d.release(b)
 		}
 	}
@@ -521,6 +528,9 @@
 			d.stop(other, 0)
 		}
 	} else {
+		if b != nil {
+			j.again++
+		}
 		switch {
 		case b == nil:
 		case tv.Cause == wire.CauseStopped:
@@ -814,7 +824,7 @@
 // choose draws a small sample of the machines that showed room and takes the
 // best fit: one that has the image, then the one that is left with least room.
 func (d *Desk) choose(j *job, room []*mirror, now clock.Micros) (*mirror, []peer.TaskID, bool) {
-	var fit, with []*mirror
+	var with, bare []*mirror
 	for _, m := range room {
 		if !j.Need.Fits(m.free) || now < j.failedOn[m.ID] || !j.allowed(m) {
 			continue
@@ -822,41 +832,54 @@
 		if slices.Contains(m.Images, j.Image) {
 			with = append(with, m)
 		} else {
-			fit = append(fit, m)
+			bare = append(bare, m)
 		}
 	}
-	if len(fit)+len(with) == 0 {
+	if len(with)+len(bare) == 0 {
 		if j.stalled != 0 && now >= j.stalled+d.timing.PreemptAfter {
 			return d.preempt(j, room, now)
 		}
 		return nil, nil, false
 	}
-	if len(with) == 0 && d.hurried(j, fit[0], now) {
+	if len(with) == 0 && d.hurried(j, bare[0], now) {
 		// The fetch alone would make the task late: room on a machine that has
 		// the image is worth a task that has hardly begun.
 		if m, victims, over := d.preempt(j, imaged(room, j.Image), now); m != nil && !over {
 			return m, victims, over
 		}
 	}
-	sample := d.draw(with, d.timing.Sample)
-	if len(sample) < d.timing.Sample {
-		sample = append(sample, d.draw(fit, d.timing.Sample-len(sample))...)
+	if len(with) == 0 {
+		with = bare
 	}
 	var best *mirror
-	var bestScore float64
-	for _, m := range sample {
-		left := m.free.Minus(j.Need)
-		score := float64(left.CPU) / float64(max(m.Cap.CPU, 1))
-		if !slices.Contains(m.Images, j.Image) {
-			score += 1
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = m, score
+	for _, m := range d.draw(with, d.timing.Sample) {
+		if best == nil || d.better(j, m, best) {
+			best = m
 		}
 	}
 	return best, nil, false
 }
 
+// better compares two machines for a task. Small tasks gather on the same
+// machines, in a fixed order, so that the others empty as a whole and large
+// tasks find them; those take what is left with least room, from the other end.
+func (d *Desk) better(j *job, a, b *mirror) bool {
+	small := j.Need.CPU*2 <= a.Cap.CPU && j.Need.CPU*2 <= b.Cap.CPU
+	if !small {
+		if x, y := a.free.Minus(j.Need).CPU, b.free.Minus(j.Need).CPU; x != y {
+			return x < y
+		}
+		return a.ID > b.ID
+	}
+	if a.Spot != b.Spot {
+		return a.Spot == d.timing.Economy // thrift empties the dear machines
+	}
+	if a.Cap.CPU != b.Cap.CPU {
+		return a.Cap.CPU > b.Cap.CPU
+	}
+	return a.ID < b.ID
+}
+
 // hurried tells that a task can start in time on a machine that has its image,
 // and not on one that must fetch it.
 func (d *Desk) hurried(j *job, m *mirror, now clock.Micros) bool {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -362,7 +362,8 @@
 			p.mu.Lock()
 			p.desk.DropJob(j.ID)
 			p.mu.Unlock()
-			p.log.Info("job is over", "job", j.ID, "phase", phase)
+			p.log.Info("job is over", "job", j.ID, "class", j.Class, "phase", phase, "tasks", j.Tasks,
+				"after_s", (p.clock.Now() - j.since).Seconds(), "last_start_s", (j.lastStart - j.since).Seconds(), "again", j.again)
 			return nil
 		}
 		if try%32 == 0 { // once in a while: an outage lasts many tries
