--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -1,7 +1,8 @@
 package fakes
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -43,13 +44,22 @@
 	w.Tick++
 	r := wire.Report{Machine: w.ID, Addr: "10.0.0.9:9000", Type: w.Type, Zone: w.Zone, Spot: w.Spot,
 		Session: w.Session, Tick: w.Tick, Token: w.Token}
-	for _, t := range w.Tasks {
+	for _, t := range w.InOrder() {
 		r.Tasks = append(r.Tasks, *t)
 	}
-	sort.Slice(r.Tasks, func(a, b int) bool { return r.Tasks[a].Task < r.Tasks[b].Task })
 	return r
 }
 
+// InOrder lists the worker's tasks in a fixed order.
+func (w *Worker) InOrder() []*wire.TaskReport {
+	keys := slices.Sorted(maps.Keys(w.Tasks))
+	out := make([]*wire.TaskReport, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, w.Tasks[k])
+	}
+	return out
+}
+
 // Take takes the answer to a report that was sent at a time.
 func (w *Worker) Take(a wire.ReportAnswer, sent clock.Micros) bool {
 	if a.Token < w.Token {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -5,6 +5,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
@@ -330,6 +332,21 @@
 	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.sick && now >= m.shunUntil
 }
 
+// inOrder lists a machine's tasks by age.
+func (m *machine) inOrder() []*task {
+	out := make([]*task, 0, len(m.tasks))
+	for _, k := range m.tasks {
+		out = append(out, k)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].since != out[b].since {
+			return out[a].since < out[b].since
+		}
+		return out[a].id.String() < out[b].id.String()
+	})
+	return out
+}
+
 // over tells that nothing of a task's job may run any more. For a task that
 // was found, its job not being active is proof: the record was there before
 // the task's start, and the replica is as new as this owner's claim. For one that was
@@ -358,19 +375,7 @@
 // earlier answer can arrive after the forget and start the attempt once more.
 func (t *Table) orders(m *machine, inReport bool, now clock.Micros) []wire.Order {
 	out := []wire.Order{}
-	ids := make([]*task, 0, len(m.tasks))
-	for _, k := range m.tasks {
-		ids = append(ids, k)
-	}
-	sort.Slice(ids, func(a, b int) bool {
-		if ids[a].since != ids[b].since {
-			return ids[a].since < ids[b].since
-		}
-		if ids[a].id.Job != ids[b].id.Job {
-			return ids[a].id.Job < ids[b].id.Job
-		}
-		return ids[a].id.N < ids[b].id.N
-	})
+	ids := m.inOrder()
 	for _, k := range ids {
 		if len(out) >= maxOrders {
 			return out
@@ -543,7 +548,7 @@
 		ans.Refused[i] = !t.lease(a, in.Terms[a.Team], now)
 		shown[a.Machine] = true
 	}
-	for id := range shown {
+	for _, id := range slices.Sorted(maps.Keys(shown)) {
 		if m := t.machines[id]; m != nil {
 			ans.Machines = append(ans.Machines, t.view(m, now))
 		}
@@ -771,7 +776,7 @@
 	if len(m.tasks) == 0 {
 		v.Idle = now - m.idleSince
 	}
-	for _, k := range m.tasks {
+	for _, k := range m.inOrder() {
 		v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
 			Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since})
 	}
@@ -789,8 +794,8 @@
 	for p, part := range t.parts {
 		out.Parts[p] = part.term
 	}
-	for _, m := range t.machines {
-		if m.version > after {
+	for _, id := range slices.Sorted(maps.Keys(t.machines)) {
+		if m := t.machines[id]; m.version > after {
 			out.Machines = append(out.Machines, t.view(m, now))
 		}
 	}
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -268,19 +268,38 @@
 		return
 	}
 	delete(d.registry, id)
-	if m := d.machines[id]; m != nil && m.Silent {
-		d.forgetMachine(m)
+	if m := d.machines[id]; m != nil {
+		d.forgetSilent(m)
 	}
 }
 
-// forgetMachine drops a machine that is gone for certain.
+// forgetSilent drops a machine that fell silent and has no record any more.
+// An ask that has no answer yet stays bound: the machine may come back with a
+// new session, and the ask be granted then.
+func (d *Desk) forgetSilent(m *mirror) {
+	if m.Silent && !d.registry[m.ID] && len(m.bound) == 0 {
+		delete(d.machines, m.ID)
+	}
+}
+
+// forgetMachine drops a machine that is gone for certain, with all asks for it.
 func (d *Desk) forgetMachine(m *mirror) {
-	for _, b := range m.bound {
+	for _, b := range m.inOrder() {
 		d.release(b)
 	}
 	delete(d.machines, m.ID)
 }
 
+// inOrder lists a machine's bindings in a fixed order.
+func (m *mirror) inOrder() []*binding {
+	out := make([]*binding, 0, len(m.bound))
+	for _, b := range m.bound {
+		out = append(out, b)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].id.Attempt < out[b].id.Attempt })
+	return out
+}
+
 func (j *job) isDone(n int) bool { return j.done[n/64]&(1<<(n%64)) != 0 }
 
 func (j *job) markDone(n int) {
@@ -443,9 +462,7 @@
 		d.reconcile(o, m, now)
 	}
 	d.refree(m)
-	if v.Silent && !d.registry[v.ID] {
-		d.forgetMachine(m)
-	}
+	d.forgetSilent(m)
 }
 
 // reconcile compares the tasks on an accounted machine with what is known of them.
@@ -485,8 +502,8 @@
 			b.phase, b.stopping = tv.Phase, tv.Stopping
 		}
 	}
-	for id, b := range m.bound {
-		if listed[id] {
+	for _, b := range m.inOrder() {
+		if listed[b.id] {
 			continue
 		}
 		// Not there. That is certain when the view is newer than the grant, or
@@ -637,7 +654,8 @@
 }
 
 // order sorts the jobs that have tasks to place: what can still meet its
-// deadline first, then rank, guarantee, deadline, age.
+// deadline first, by rank, guarantee, deadline and age; then what is late, the
+// longest tasks first.
 func (d *Desk) order(now clock.Micros) []*job {
 	var out []*job
 	for _, tm := range d.teams {
@@ -650,9 +668,13 @@
 	}
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
-		if lx, ly := x.late(now), y.late(now); lx != ly {
+		lx, ly := x.late(now), y.late(now)
+		if lx != ly {
 			return ly
 		}
+		if lx && x.EstimateS != y.EstimateS {
+			return x.EstimateS > y.EstimateS // nothing is left to be in time for but the end of all
+		}
 		if x.Level != y.Level {
 			return x.Level > y.Level
 		}
@@ -912,6 +934,10 @@
 	return from[:n]
 }
 
+// preemptStep is how much lost work makes a difference: below it, small tasks
+// gather where they do otherwise.
+const preemptStep = 5 * clock.Second
+
 // preempt looks for room that tasks of lower rank hold or, for a job within
 // its team's guarantee, tasks that other teams run beyond theirs; the least
 // work is lost. Work that is late already takes no room from others: it would
@@ -960,7 +986,8 @@
 		if over {
 			cost += 1000 * clock.Second // lower ranks first
 		}
-		if j.Need.Fits(free) && len(victims) > 0 && (best == nil || cost < bestCost) {
+		if j.Need.Fits(free) && len(victims) > 0 && (best == nil || cost/preemptStep < bestCost/preemptStep ||
+			cost/preemptStep == bestCost/preemptStep && d.better(j, m, best)) {
 			best, bestVictims, bestCost, bestOver = m, victims, cost, over
 		}
 	}
@@ -1041,8 +1068,16 @@
 			b.version = v.Version
 		}
 	}
-	for _, v := range views {
-		d.see(host, o, v, now)
+	for i := range ans.Machines {
+		d.see(host, o, &ans.Machines[i], now)
+	}
+	// A poll may have shown a machine already as it was after the grant, with
+	// the task gone again: no newer view would come to release it.
+	for _, a := range r.Asks {
+		if m := d.machines[a.Machine]; m != nil && m.Accounted && m.instance == ans.Incarnation {
+			d.reconcile(o, m, now)
+			d.refree(m)
+		}
 	}
 	for _, id := range r.Cancels {
 		if d.acks[id] != nil {
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -294,7 +294,7 @@
 // Whatever is lost, late or repeated, and whoever crashes: no task on two
 // machines, no team over its limit, and in the end every job is done.
 func TestRulesHoldWhateverFails(t *testing.T) {
-	seeds := uint64(120)
+	seeds := uint64(300)
 	if testing.Short() {
 		seeds = 20
 	}
@@ -330,7 +330,7 @@
 					}
 				}
 			case 12:
-				for _, k := range w.workers[id].Tasks {
+				for _, k := range w.workers[id].InOrder() {
 					if k.Phase != wire.TaskExited && rng.IntN(2) == 0 {
 						k.Phase, k.Cause = wire.TaskExited, []string{wire.CauseDone, wire.CauseDone, wire.CauseError}[rng.IntN(3)]
 					}
@@ -373,6 +373,42 @@
 	}
 }
 
+// The answer to a round comes late, after a poll that shows the machine without
+// the task again. The task must not stay bound for ever.
+func TestAGrantThatIsOverAlreadyIsReleased(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settle(8)
+	w.addJob("job-1", 1, nil)
+	w.desk.Place(w.now)
+	h := w.hosts[0]
+	r := w.desk.Send(h.name)
+	ans := h.table.Round(*r, h.instance, w.now)
+	w.now += 5 * sec
+	h.table.Tick(w.now) // the lease lapses unused
+	w.poll(h, false)
+	w.desk.Answered(h.name, r, &ans, w.now)
+	require.Empty(t, w.desk.teams[red].jobs["job-1"].bound)
+	w.settle(8)
+	require.Equal(t, 1, w.running())
+}
+
+// An ask has no answer, and its machine falls silent for a lease. The machine
+// may come back, and the repeated round be granted then.
+func TestSilenceDoesNotReleaseAnUnansweredAsk(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settle(8)
+	w.addJob("job-1", 1, nil)
+	w.desk.Place(w.now)
+	w.send(w.hosts[0], false, false)
+	w.now += 2 * lease
+	w.tick()
+	w.poll(w.hosts[0], false)
+	require.Empty(t, w.registry)
+	require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 1)
+	w.settle(12)
+	require.Equal(t, 1, w.running())
+}
+
 // A task is on a machine whose controller crashes with its start under way:
 // its place is not given to another machine until that one is accounted for.
 func TestAnAskWithoutAnswerIsNotMadeElsewhere(t *testing.T) {
