--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -666,6 +666,7 @@
 			}
 		}
 	}
+	over := d.overloaded(out, now)
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
 		lx, ly := x.late(now), y.late(now)
@@ -681,6 +682,9 @@
 		if x.covered != y.covered {
 			return x.covered
 		}
+		if u, v := x.remaining(), y.remaining(); over && x.DueS != nil && y.DueS != nil && u != v {
+			return u < v
+		}
 		if x.due() != y.due() {
 			return x.due() < y.due()
 		}
@@ -689,6 +693,30 @@
 	return out
 }
 
+// overloaded tells that not all jobs can be in time: what waits is more than
+// the machines can do in the time that is left. Then the smallest rests go
+// first, so that most jobs are in time. Other placers' teams are taken to wait alike.
+func (d *Desk) overloaded(list []*job, now clock.Micros) bool {
+	var work, slack, room float64
+	for _, j := range list {
+		if j.DueS != nil && !j.late(now) {
+			work += j.remaining()
+			slack += j.remaining() * (j.due() - now).Seconds()
+		}
+	}
+	for _, m := range d.machines {
+		if m.Usable {
+			room += m.Cap.CPUs()
+		}
+	}
+	return work*float64(len(d.known)) > room*slack/max(work, 1)*float64(len(d.teams))
+}
+
+// remaining is the work of a job that waits, in CPU seconds.
+func (j *job) remaining() float64 {
+	return float64(j.waiting()) * j.Need.CPUs() * max(j.EstimateS, 1)
+}
+
 // late tells that a job can't meet its deadline any more.
 func (j *job) late(now clock.Micros) bool {
 	return j.DueS != nil && now+clock.FromSeconds(j.EstimateS*0.7) > j.due()
