--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -682,7 +682,10 @@
 		if x.covered != y.covered {
 			return x.covered
 		}
-		if u, v := x.remaining(), y.remaining(); over && x.DueS != nil && y.DueS != nil && u != v {
+		if hx, hy := d.fresh(x, now), d.fresh(y, now); over[x.Level] && hx != hy {
+			return hx
+		}
+		if u, v := x.remaining(), y.remaining(); over[x.Level] && x.DueS != nil && y.DueS != nil && u != v {
 			return u < v
 		}
 		if x.due() != y.due() {
@@ -693,23 +696,34 @@
 	return out
 }
 
-// overloaded tells that not all jobs can be in time: what waits is more than
-// the machines can do in the time that is left. Then the smallest rests go
-// first, so that most jobs are in time. Other placers' teams are taken to wait alike.
-func (d *Desk) overloaded(list []*job, now clock.Micros) bool {
-	var work, slack, room float64
+// overloaded tells the ranks of which not all jobs can be in time: what waits
+// is more than the machines can do in the time that is left. There, what can
+// still start in time goes first and then the smallest rests, so that most
+// jobs are in time. Other placers' teams are taken to wait alike.
+func (d *Desk) overloaded(list []*job, now clock.Micros) (over [4]bool) {
+	var work, slack [4]float64
 	for _, j := range list {
 		if j.DueS != nil && !j.late(now) {
-			work += j.remaining()
-			slack += j.remaining() * (j.due() - now).Seconds()
+			work[j.Level] += j.remaining()
+			slack[j.Level] += j.remaining() * (j.due() - now).Seconds()
 		}
 	}
+	room := 0.0
 	for _, m := range d.machines {
 		if m.Usable {
 			room += m.Cap.CPUs()
 		}
 	}
-	return work*float64(len(d.known)) > room*slack/max(work, 1)*float64(len(d.teams))
+	for l := range over {
+		over[l] = work[l]*work[l]*float64(len(d.known)) > room*slack[l]*float64(len(d.teams))
+	}
+	return over
+}
+
+// fresh tells that the tasks of a job can still start within their class's time.
+func (d *Desk) fresh(j *job, now clock.Micros) bool {
+	within, ok := d.timing.Waits[j.Class]
+	return ok && now <= j.since+within
 }
 
 // remaining is the work of a job that waits, in CPU seconds.
