--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,6 +162,12 @@
 	}
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.others.Views(), Demands: f.others.Demands(ctx),
 		Refused: f.refused, Knobs: f.knobs, MaxCount: 20}
+	for _, v := range in.Views {
+		if r, ok := f.rented[v.ID]; ok && v.Accounted && !r.Up {
+			r.Up = true
+			f.rented[v.ID] = r
+		}
+	}
 	hires, returns := Plan(in)
 	if now > f.told+10*clock.Second {
 		f.told = now
@@ -239,10 +245,11 @@
 				continue
 			}
 			since := began - clock.FromSeconds(r.AgeS)
-			if old, ok := f.rented[r.ID]; ok {
+			old, ok := f.rented[r.ID]
+			if ok {
 				since = min(old.Since, since)
 			}
-			f.rented[r.ID] = Rented{Kind: Kind{r.Type, r.Zone, r.Spot}, ID: r.ID, Phase: r.Phase, Since: since}
+			f.rented[r.ID] = Rented{Kind: Kind{r.Type, r.Zone, r.Spot}, ID: r.ID, Phase: r.Phase, Since: since, Up: old.Up}
 			f.listedAt[r.ID] = began
 		}
 		if !page.More || len(page.Hosts) == 0 {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -28,6 +28,7 @@
 	ID    string
 	Phase string
 	Since clock.Micros // of the rental request, on our clock
+	Up    bool         // its worker has reported
 }
 
 // Knobs of the plan.
@@ -96,7 +97,7 @@
 		}
 	}
 	for _, r := range in.Rented {
-		if t, ok := types[r.Type]; ok && !viewed[r.ID] && r.Phase != wire.MachineFailed {
+		if t, ok := types[r.Type]; ok && !viewed[r.ID] && !r.Up && r.Phase != wire.MachineFailed {
 			bins = append(bins, &bin{kind: r.Kind, free: res.Have(t.CPUs, t.GPUs, t.MemGB)})
 			have += bins[len(bins)-1].free.CPU
 		}
@@ -262,6 +263,8 @@
 		age := in.Now - r.Since
 		if r.Phase == wire.MachineFailed {
 			out = append(out, Return{r.ID, "failed"})
+		} else if r.Up {
+			out = append(out, Return{r.ID, "its worker is gone"})
 		} else if t, ok := types[r.Type]; ok && age.Seconds() > max(t.BootS, 5)*in.Knobs.BootPatience {
 			out = append(out, Return{r.ID, "never came up"})
 		}
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -928,15 +928,17 @@
 // machines, in a fixed order, so that the others empty as a whole and large
 // tasks find them; those take what is left with least room, from the other end.
 func (d *Desk) better(j *job, a, b *mirror) bool {
-	small := j.Need.CPU*2 <= a.Cap.CPU && j.Need.CPU*2 <= b.Cap.CPU
-	if !small {
+	if d.timing.Economy && a.Spot != b.Spot {
+		return a.Spot // thrift empties the dear machines
+	}
+	if j.Need.CPU*2 >= a.Cap.CPU || j.Need.CPU*2 >= b.Cap.CPU {
 		if x, y := a.free.Minus(j.Need).CPU, b.free.Minus(j.Need).CPU; x != y {
 			return x < y
 		}
 		return a.ID > b.ID
 	}
 	if a.Spot != b.Spot {
-		return a.Spot == d.timing.Economy // thrift empties the dear machines
+		return b.Spot
 	}
 	if a.Cap.CPU != b.Cap.CPU {
 		return a.Cap.CPU > b.Cap.CPU
