--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -289,12 +289,19 @@
 func (f *Fleet) giveBack(ctx context.Context, list []Return) {
 	why := map[string]string{}
 	ids := make([]string, 0, len(list))
+	var failed []string
 	for _, r := range list {
+		if f.rented[r.ID].Phase == wire.MachineFailed {
+			failed = append(failed, r.ID)
+		}
 		if len(ids) < 100 {
 			ids = append(ids, r.ID)
 			why[r.ID] = r.Why
 		}
 	}
+	if len(failed) > 0 {
+		f.others.Gone(ctx, failed) // the cloud's own word that they have stopped
+	}
 	ready := f.others.Drain(ctx, ids)
 	if len(ready) == 0 {
 		return
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -242,14 +242,16 @@
 	for i := range in.Views {
 		v := &in.Views[i]
 		viewed[v.ID] = true
-		_, listed := in.Rented[v.ID]
+		r, listed := in.Rented[v.ID]
 		switch {
+		case r.Phase == wire.MachineFailed:
+			out = append(out, Return{v.ID, "failed"})
 		case v.Silent:
 			if listed {
 				out = append(out, Return{v.ID, "silent for its whole lease"})
 			}
 		case v.Sick && len(v.Tasks) == 0:
-			out = append(out, Return{v.ID, "several jobs failed on it"})
+			out = append(out, Return{v.ID, "several jobs failed on it, or it is slow"})
 		case v.Draining && len(v.Tasks) == 0:
 			out = append(out, Return{v.ID, "set aside for return"})
 		case v.Accounted && len(v.Tasks) == 0 && v.Idle > in.Knobs.IdleReturn && !(demand && v.Usable):
