--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -48,7 +48,6 @@
 	sent     bool         // a run was sent, at least once
 	sentTick uint64       // report whose answer carried the last run
 	risk     uint64       // token of an unanswered /orders that carried a run; 0: none
-	running  clock.Micros // when it was first seen running
 	lastSend clock.Micros // by /orders; not repeated at once
 	seen     bool
 	found    bool // not asked for here: a former owner's
@@ -86,8 +85,6 @@
 	shunUntil  clock.Micros
 	errors     int
 	errJobs    map[string]bool
-	pace       float64 // run times against those of the same jobs elsewhere, a moving mean
-	paced      int
 	images     []string
 	idleSince  clock.Micros
 	version    uint64
@@ -111,14 +108,6 @@
 	rounds    map[string]lastRound
 	cancelled map[string]clock.Micros
 	failing   map[string]map[string]bool // job: machines on which it failed
-	runs      map[string]*runTimes       // by job
-}
-
-// runTimes adds up how long tasks of a job ran.
-type runTimes struct {
-	n    int
-	sum  clock.Micros
-	last clock.Micros
 }
 
 type lastRound struct {
@@ -130,7 +119,7 @@
 func NewTable(t Timing, j Jobs) *Table {
 	return &Table{timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]partition{},
 		machines: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
-		cancelled: map[string]clock.Micros{}, failing: map[string]map[string]bool{}, runs: map[string]*runTimes{}}
+		cancelled: map[string]clock.Micros{}, failing: map[string]map[string]bool{}}
 }
 
 // SetTypes tells what the machine types offer.
@@ -266,9 +255,6 @@
 		}
 		if !k.seen || k.phase != tr.Phase {
 			changed = true
-			if tr.Phase == wire.TaskRunning {
-				k.running = now
-			}
 			if tr.Phase == wire.TaskExited {
 				t.exit(m, k, tr.Cause, now)
 			}
@@ -302,7 +288,6 @@
 func (t *Table) exit(m *machine, k *task, cause string, now clock.Micros) {
 	switch cause {
 	case wire.CauseDone:
-		t.measure(m, k, now)
 		m.errors = 0
 		clear(m.errJobs)
 		delete(t.failing, k.id.Job)
@@ -325,38 +310,6 @@
 	}
 }
 
-// A machine is slow when its tasks take so many times as long as others of the
-// same jobs, over so many tasks. Machines differ by a tenth, tasks by more.
-const (
-	slowPace  = 1.5
-	slowTasks = 12
-)
-
-// measure compares a task's run time with those of its job's tasks elsewhere,
-// and sets a machine aside that is much slower than others.
-func (t *Table) measure(m *machine, k *task, now clock.Micros) {
-	if k.running == 0 || k.found {
-		return
-	}
-	took := now - k.running
-	r := t.runs[k.id.Job]
-	if r == nil {
-		r = &runTimes{}
-		t.runs[k.id.Job] = r
-	}
-	if r.n >= 4 {
-		ratio := min(took.Seconds()/max((r.sum/clock.Micros(r.n)).Seconds(), 0.1), 4)
-		if m.paced == 0 {
-			m.pace = 1
-		}
-		m.pace += (ratio - m.pace) / 8
-		if m.paced++; m.paced >= slowTasks && m.pace > slowPace {
-			m.sick = true
-		}
-	}
-	r.n, r.sum, r.last = r.n+1, r.sum+took, now
-}
-
 // inUse is what the machine's tasks take that are there, or may be, and what
 // is spoken for. A task that was told to stop is still there, but its room may
 // be leased already: the lease waits for its end.
@@ -591,6 +544,12 @@
 			}
 		}
 	}
+	for _, id := range in.Slow {
+		if m := t.machines[id]; m != nil && !m.sick {
+			m.sick = true
+			t.touch(m)
+		}
+	}
 	for i, a := range in.Asks {
 		ans.Refused[i] = !t.lease(a, in.Terms[a.Team], now)
 		shown[a.Machine] = true
@@ -712,11 +671,6 @@
 			delete(t.machines, id)
 		}
 	}
-	for job, r := range t.runs {
-		if now > r.last+600*clock.Second {
-			delete(t.runs, job)
-		}
-	}
 	for job, at := range t.cancelled {
 		if now > at+600*clock.Second {
 			delete(t.cancelled, job)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -98,6 +98,7 @@
 	Stops   []Stop
 	Settles []Settle
 	Cancels []string // jobs of which nothing may run any more
+	Slow    []string // machines on which tasks take much longer than elsewhere
 }
 
 // RoundAnswer answers a round.
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -64,6 +64,7 @@
 	stalled    clock.Micros
 	covered    bool // fits its team's guarantee together with the team's earlier jobs
 	since      clock.Micros
+	runs       []runTime
 	errors     int
 	again      int          // tasks placed once more
 	lastStart  clock.Micros // when its last task was first seen running
@@ -85,6 +86,13 @@
 	stray    bool // ran although not wanted here: only counted, and stopped
 	stopping bool
 	since    clock.Micros
+	running  clock.Micros // when it was first seen running
+}
+
+// runTime is how long a task ran, and where.
+type runTime struct {
+	machine string
+	took    clock.Micros
 }
 
 // ending is where a task has ended.
@@ -97,6 +105,9 @@
 	free     res.Amounts // what it shows, less what was asked for since
 	bound    map[peer.TaskID]*binding
 	seenAt   clock.Micros
+	pace     float64 // sum of run times against those of the same jobs elsewhere
+	paced    int
+	slow     bool
 }
 
 type ownerState struct {
@@ -243,6 +254,7 @@
 	for _, tm := range d.teams {
 		if j := tm.jobs[id]; j != nil {
 			delete(tm.jobs, id)
+			d.judge(j)
 			for _, b := range j.bound {
 				b.stray = true
 			}
@@ -497,7 +509,7 @@
 		}
 		if b != nil {
 			if tv.Phase == wire.TaskRunning && b.phase != wire.TaskRunning {
-				b.job.lastStart = now
+				b.job.lastStart, b.running = now, now
 			}
 			b.phase, b.stopping = tv.Phase, tv.Stopping
 		}
@@ -533,6 +545,9 @@
 	if tv.Cause == wire.CauseDone {
 		if !j.isDone(n) {
 			d.counts.Done++
+			if b != nil && b.running != 0 && len(j.runs) < 500 {
+				j.runs = append(j.runs, runTime{m.ID, now - b.running})
+			}
 		}
 		j.markDone(n)
 		j.errors = 0
@@ -565,6 +580,48 @@
 	}
 }
 
+// A machine is slow when its tasks take so many times as long as others of the
+// same jobs, over so many tasks. Machines differ by a tenth, tasks by more.
+const (
+	slowPace  = 1.6
+	slowTasks = 5
+)
+
+// judge compares how long a finished job's tasks ran on each machine with how
+// long they ran on the others, and has a machine set aside on which tasks take much
+// longer. A job is judged only as a whole: those of its tasks that are done
+// first are the short ones.
+func (d *Desk) judge(j *job) {
+	if len(j.runs) < 4 || j.doneCount < j.Tasks {
+		return
+	}
+	var all clock.Micros
+	sum, count := map[string]clock.Micros{}, map[string]int{}
+	for _, r := range j.runs {
+		all += r.took
+		sum[r.machine] += r.took
+		count[r.machine]++
+	}
+	for _, r := range j.runs {
+		m := d.machines[r.machine]
+		others := len(j.runs) - count[r.machine]
+		if m == nil || m.slow || others < 2 {
+			continue
+		}
+		mean := max(((all - sum[r.machine]) / clock.Micros(others)).Seconds(), 0.1)
+		if m.paced == 20 { // old news fade
+			m.pace, m.paced = m.pace/2, 10
+		}
+		m.pace += min(r.took.Seconds()/mean, 4)
+		m.paced++
+		if m.paced >= slowTasks && m.pace > slowPace*float64(m.paced) {
+			m.slow = true
+			o := d.owners[m.host]
+			o.next.Slow = append(o.next.Slow, m.ID)
+		}
+	}
+}
+
 // fail lets a job that fails keep off the machine, and back off by itself when
 // it fails on many: it must not keep drawing the room that it frees.
 func (j *job) fail(machine string, now clock.Micros) {
@@ -1047,7 +1104,7 @@
 	}
 	d.abandon(o)
 	r := o.next
-	if o.instance == "" || len(r.Asks)+len(r.Stops)+len(r.Settles)+len(r.Cancels) == 0 {
+	if o.instance == "" || len(r.Asks)+len(r.Stops)+len(r.Settles)+len(r.Cancels)+len(r.Slow) == 0 {
 		return nil
 	}
 	o.seq++
@@ -1072,7 +1129,7 @@
 func (d *Desk) Waiting(host string) bool {
 	o := d.owners[host]
 	n := &o.next
-	return o.sending != nil || len(n.Asks)+len(n.Stops)+len(n.Settles)+len(n.Cancels) > 0
+	return o.sending != nil || len(n.Asks)+len(n.Stops)+len(n.Settles)+len(n.Cancels)+len(n.Slow) > 0
 }
 
 // Answered takes the answer to a round.
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -608,3 +608,35 @@
 	require.True(t, w.workers["m-0"].Running("job-3/0"))
 	require.Equal(t, 4, w.running())
 }
+
+// Tasks take twice as long on one machine as on others: it is set aside. Where
+// run times only vary, none is.
+func TestSlowMachinesAreSetAside(t *testing.T) {
+	for _, slow := range []bool{true, false} {
+		w := newWorldOf(t, 1, 2, 0)
+		w.settle(8)
+		for i := range 6 {
+			w.addJob(fmt.Sprintf("job-%d", i), 12, nil)
+		}
+		began := map[string]int{}
+		for step := range 200 {
+			w.settle(1)
+			for _, id := range w.names {
+				for _, k := range w.workers[id].InOrder() {
+					if _, ok := began[k.Task]; !ok {
+						began[k.Task] = step
+					}
+					lasts := 7 + step%4
+					if slow && id == "m-1" {
+						lasts = 18
+					}
+					if k.Phase != wire.TaskExited && step-began[k.Task] >= lasts {
+						k.Phase, k.Cause = wire.TaskExited, wire.CauseDone
+					}
+				}
+			}
+		}
+		require.Equal(t, slow, w.desk.machines["m-1"].Sick)
+		require.False(t, w.desk.machines["m-0"].Sick)
+	}
+}
