--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -117,7 +117,7 @@
 
 // Run does the duty while it is held, until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	tick := time.NewTicker(time.Second)
+	tick := time.NewTicker(400 * time.Millisecond)
 	defer tick.Stop()
 	for {
 		select {
@@ -176,11 +176,20 @@
 	if f.log.Enabled(ctx, slog.LevelDebug) {
 		f.log.Debug("fleet", "rented", len(f.rented), "views", len(in.Views), "demands", in.Demands, "hires", hires, "returns", returns)
 	}
-	for _, hire := range hires {
-		if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
-			return
+	// What one kind could not give is asked of the next at once.
+	for pass := 0; pass < 4 && len(hires) > 0; pass++ {
+		short := false
+		for _, hire := range hires {
+			if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
+				return
+			}
+			short = f.hire(ctx, hire) || short
+		}
+		if !short {
+			break
 		}
-		f.hire(ctx, hire)
+		in.Now = f.clock.Now()
+		hires, _ = Plan(in)
 	}
 	if len(returns) > 0 {
 		f.giveBack(ctx, returns)
@@ -266,8 +275,9 @@
 	return nil
 }
 
-// hire rents. Its request's name is never used again: the term and a counter.
-func (f *Fleet) hire(ctx context.Context, h Hire) {
+// hire rents, and tells whether fewer came than were asked for. Its request's
+// name is never used again: the term and a counter.
+func (f *Fleet) hire(ctx context.Context, h Hire) (short bool) {
 	f.counter++
 	req := wire.Hire{Name: fmt.Sprintf("r-%d-%d", f.term, f.counter), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: h.Count}
 	sent := f.clock.Now()
@@ -283,6 +293,7 @@
 		f.rented[id] = Rented{Kind: h.Kind, ID: id, Phase: wire.MachineBooting, Since: sent}
 		f.listedAt[id] = sent
 	}
+	return len(got.Hosts) < h.Count
 }
 
 // giveBack returns machines that their owners have set aside.
