--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -137,6 +137,21 @@
 	})
 }
 
+// An outage that all share is told apart from being cut off alone.
+func TestSharedOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a := start(t, st, "a")
+		time.Sleep(10 * time.Second)
+		require.False(t, a.SharedOutage())
+		st.SetDown(true)
+		time.Sleep(6 * time.Second)
+		require.True(t, a.SharedOutage())
+		a.Hear(clock.Second)
+		require.False(t, a.SharedOutage(), "a peer has contact")
+	})
+}
+
 // A claim's write is held up and arrives when the claim has moved on.
 func TestALateClaimFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -37,11 +37,13 @@
 	book     *Book
 	lastOK   clock.Micros // when the last confirmed renewal was sent
 	resigned string       // the last incarnation given up for good
+	peerOK   clock.Micros // when a peer last said that it has contact
 }
 
 // NewKeeper makes a keeper around a book.
 func NewKeeper(book *Book, store Store, c clock.Clock, t Timing, log *slog.Logger) *Keeper {
-	return &Keeper{book: book, store: store, clock: c, timing: t, log: log, wake: make(chan struct{}, 1)}
+	return &Keeper{book: book, store: store, clock: c, timing: t, log: log, wake: make(chan struct{}, 1),
+		lastOK: c.Now(), peerOK: c.Now()}
 }
 
 // Apply takes events of the replica.
@@ -104,6 +106,9 @@
 func (k *Keeper) Hear(peerAgo clock.Micros) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if peerAgo < k.timing.ResignAfter/2 {
+		k.peerOK = k.clock.Now()
+	}
 	if inc, _ := k.book.Incarnation(); inc != "" && k.clock.Now()-k.lastOK > k.timing.ResignAfter && peerAgo < k.timing.ResignAfter/2 {
 		k.resigned = k.book.Resign()
 		k.log.Info("cut off from the state service while a peer is not: duties given up", "incarnation", inc)
@@ -111,6 +116,16 @@
 	}
 }
 
+// SharedOutage tells that neither this process nor any peer that it hears has
+// contact with the state service. Then no controller is better placed than
+// this one to answer users.
+func (k *Keeper) SharedOutage() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	return now-k.lastOK > k.timing.Renew*3/2 && now-k.peerOK > k.timing.ResignAfter/2
+}
+
 // Bury removes the registration of a peer's incarnation that has resigned.
 func (k *Keeper) Bury(ctx context.Context, host, incarnation string) {
 	k.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,7 +229,13 @@
 	return httpx.Response{Status: status, Body: b}
 }
 
+// ready tells whether users should come here. In an outage of the state service
+// that all controllers share they should: they are told at once when to come
+// back, and need not wait for the load balancer to take the controllers back in.
 func (n *Node) ready() httpx.Response {
+	if n.keeper.SharedOutage() {
+		return httpx.Response{Status: 200, Body: []byte(`{"ready":true}`)}
+	}
 	select {
 	case <-n.loaded:
 	default:
