--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -190,7 +190,7 @@
 		for _, d := range in.Demands {
 			h := limit
 			if d.Slack > 0 {
-				h = min(limit, max(d.Slack.Seconds(), t.BootS+10))
+				h = min(limit, max(d.Slack.Seconds()-t.BootS*1.5, t.BootS+10))
 			}
 			rate += d.Need.CPUs() * max(d.RunFor.Seconds(), 5) * float64(d.Waiting) / h
 		}
