--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -143,6 +143,7 @@
 	acks     map[string]map[string]bool // job: hosts that took its cancellation
 	wall     func() int64               // time of day in ms, good to the settings' bound
 	fetch    map[string]float64         // GB a second by machine type
+	big      int64                      // CPUs of the largest task about
 	counts   Counts
 }
 
@@ -802,6 +803,7 @@
 		waiting += j.waiting()
 	}
 	batch := d.timing.Batch + waiting/4
+	d.big = d.largestTask(list)
 	room := d.withRoom()
 	for _, j := range list {
 		if placed >= batch {
@@ -972,6 +974,9 @@
 	if len(with) == 0 {
 		with = bare
 	}
+	if h := d.harmless(j, with); len(h) > 0 {
+		with = h
+	}
 	var best *mirror
 	for _, m := range d.draw(with, d.timing.Sample) {
 		if best == nil || d.better(j, m, best) {
@@ -981,6 +986,33 @@
 	return best, nil, false
 }
 
+// harmless picks the machines where a small task takes no place from a large
+// one: as many large tasks fit there with it as without.
+func (d *Desk) harmless(j *job, list []*mirror) (out []*mirror) {
+	if d.big == 0 || j.Need.CPU*2 > d.big {
+		return nil
+	}
+	for _, m := range list {
+		if m.free.CPU/d.big == (m.free.CPU-j.Need.CPU)/d.big {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// largestTask is the most CPUs that any task takes that waits or is seen running.
+func (d *Desk) largestTask(list []*job) (big int64) {
+	for _, j := range list {
+		big = max(big, j.Need.CPU)
+	}
+	for _, m := range d.machines {
+		for i := range m.Tasks {
+			big = max(big, m.Tasks[i].Need.CPU)
+		}
+	}
+	return big
+}
+
 // better compares two machines for a task. Small tasks gather on the same
 // machines, in a fixed order, so that the others empty as a whole and large
 // tasks find them; those take what is left with least room, from the other end.
