--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -122,7 +122,7 @@
 		st := fakes.NewState()
 		a, b := start(t, st, "a"), start(t, st, "b")
 		time.Sleep(10 * time.Second)
-		a.view.Cut = true
+		a.view.SetCut(true)
 		time.Sleep(6 * time.Second)
 		a.Hear(0)
 		require.False(t, a.has("one"))
@@ -131,7 +131,7 @@
 		time.Sleep(4 * time.Second)
 		require.True(t, b.has("one"))
 		require.False(t, a.has("one"))
-		a.view.Cut = false
+		a.view.SetCut(false)
 		time.Sleep(2 * time.Second)
 		require.True(t, b.has("one") != a.has("one"))
 	})
@@ -156,11 +156,11 @@
 func TestALateClaimFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fakes.NewState()
-		st.Capture = true
+		st.SetCapture(true)
 		a := start(t, st, "a")
 		time.Sleep(time.Second)
 		a.stop()
-		st.Capture = false
+		st.SetCapture(false)
 		b := start(t, st, "a")
 		time.Sleep(time.Second)
 		before, ok := b.Mine("one")
--- a/internal/fakes/state.go
+++ b/internal/fakes/state.go
@@ -30,9 +30,9 @@
 	next    uint64
 	changed chan struct{}
 
-	Down    bool // answers 503 to all
-	Mute    bool // executes transactions and gives no answer
-	Capture bool // keeps transactions back, gives no answer; see Release
+	down    bool // answers 503 to all
+	mute    bool // executes transactions and gives no answer
+	capture bool // keeps transactions back, gives no answer
 	late    []wire.Multi
 }
 
@@ -44,7 +44,28 @@
 // View is one controller's way to the state service; it can be cut off alone.
 type View struct {
 	*State
-	Cut bool
+	cut bool
+}
+
+// SetCut lets this controller alone be refused, or served again.
+func (v *View) SetCut(cut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cut = cut
+}
+
+// SetMute lets transactions be executed without an answer.
+func (s *State) SetMute(mute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = mute
+}
+
+// SetCapture keeps transactions back, without an answer, until Release.
+func (s *State) SetCapture(capture bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.capture = capture
 }
 
 func (s *State) expire() {
@@ -82,16 +103,16 @@
 func (s *State) SetDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.Down && !down {
+	if s.down && !down {
 		for _, h := range s.holds {
 			h.until = time.Now().Add(h.ttl)
 		}
 	}
-	s.Down = down
+	s.down = down
 }
 
 func (v *View) refused() error {
-	if v.Cut || v.Down {
+	if v.cut || v.down {
 		return fmt.Errorf("%w: status 503", state.ErrRefused)
 	}
 	return nil
@@ -164,12 +185,12 @@
 	if err := v.refused(); err != nil {
 		return 0, err
 	}
-	if v.Capture {
+	if v.capture {
 		v.late = append(v.late, m)
 		return 0, state.ErrUnknown
 	}
 	rev, err := v.apply(m)
-	if v.Mute {
+	if v.mute {
 		return 0, state.ErrUnknown
 	}
 	return rev, err
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -70,11 +70,11 @@
 // finds the job accepted.
 func TestAcceptanceWithALostAnswer(t *testing.T) {
 	s := newScene(t)
-	s.view.Mute = true
+	s.view.SetMute(true)
 	r := s.do("POST", "", good)
 	require.Equal(t, 503, r.Status)
 	require.Equal(t, 1, r.RetryAfter)
-	s.view.Mute = false
+	s.view.SetMute(false)
 	require.Equal(t, 200, s.do("POST", "", good).Status)
 }
 
@@ -111,11 +111,11 @@
 	s.do("POST", "", good)
 	it, _, _ := s.view.Get(t.Context(), state.Active+"job-000412")
 	rev, _ := s.view.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Claims + "team-red", Value: 1}}})
-	s.view.Capture = true
+	s.view.SetCapture(true)
 	_, err := s.view.Commit(t.Context(), wire.Multi{When: []wire.Cond{{Key: state.Claims + "team-red", Stamp: rev}, {Key: it.Key, Stamp: it.Stamp}},
 		Then: []wire.Op{{Drop: it.Key}}})
 	require.ErrorIs(t, err, state.ErrUnknown)
-	s.view.Capture = false
+	s.view.SetCapture(false)
 	_, err = s.view.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Claims + "team-red", Value: 2}}})
 	require.NoError(t, err)
 	require.Zero(t, s.view.Release())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,35 +34,56 @@
 // partsPerController is how many partitions there are for each controller.
 const partsPerController = 4
 
+// Store is the state service as all the duties together need it.
+type Store interface {
+	claim.Store
+	placer.Store
+	state.Source
+}
+
+// Peer calls another controller.
+type Peer interface {
+	Call(method string, in, out any, timeout time.Duration) error
+}
+
 // Node is one controller.
 type Node struct {
 	set    *config.Settings
 	log    *slog.Logger
-	store  *state.Client
+	store  Store
 	keeper *claim.Keeper
 	book   *jobs.Book
 	owner  *owner.Owner
 	placer *placer.Placer
 	front  *front.Front
 	fleet  *fleet.Fleet
-	peers  map[string]*peer.Client
+	peers  map[string]Peer
 	loaded chan struct{}
 
 	mu      sync.Mutex
 	catalog wire.Catalog
 }
 
-// New makes a controller from its settings.
+// New makes a controller from its settings, with clients for the services and
+// peers that they name.
 func New(ctx context.Context, set *config.Settings, knobs *policy.Knobs, log *slog.Logger) *Node {
 	p := &set.Params
-	n := &Node{set: set, log: log, book: jobs.NewBook(), peers: map[string]*peer.Client{}, loaded: make(chan struct{})}
+	peers := map[string]Peer{}
+	for _, o := range set.Peers {
+		peers[o.Host] = peer.NewClient(o.Addr)
+	}
+	return assemble(ctx, set, knobs, state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count), peers, log)
+}
+
+// assemble wires a controller to a state service and to peers.
+func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store Store, peers map[string]Peer, log *slog.Logger) *Node {
+	p := &set.Params
+	n := &Node{set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, loaded: make(chan struct{})}
 	c := clock.NewSteady()
 	instance := uuid.NewString()
-	n.store = state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count)
 	hosts := []string{set.Host}
 	for _, o := range set.Peers {
 		hosts = append(hosts, o.Host)
-		n.peers[o.Host] = peer.NewClient(o.Addr)
 	}
 	parts := partsPerController * p.Count
 	duties, partDuties := []string{}, []string{}
@@ -116,18 +137,25 @@
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	srv := httpx.NewServer(n.handle, max(16, n.set.Params.Limits.Sockets*2/3), 90*time.Second, n.log)
-	replica := state.NewReplica(n.store, n.apply, n.log)
-	g.Go(func() error { return replica.Run(ctx, n.loaded) })
 	g.Go(func() error { return srv.Run(ctx, n.set.Listen) })
 	g.Go(func() error { return peer.Serve(ctx, n.set.PeerListen, &service{n}) })
+	g.Go(func() error { return n.fleet.Run(ctx) })
+	g.Go(func() error { return n.duties(ctx) })
+	n.log.Info("merlinlatch is up", "listen", n.set.Listen)
+	return g.Wait()
+}
+
+// duties runs all that needs the state service and the peers only.
+func (n *Node) duties(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	replica := state.NewReplica(n.store, n.apply, n.log)
+	g.Go(func() error { return replica.Run(ctx, n.loaded) })
 	g.Go(func() error { return n.keeper.Run(ctx) })
 	g.Go(func() error { return n.owner.Run(ctx) })
 	g.Go(func() error { return n.placer.Run(ctx) })
-	g.Go(func() error { return n.fleet.Run(ctx) })
 	for h, c := range n.peers {
 		g.Go(func() error { return n.greet(ctx, h, c) })
 	}
-	n.log.Info("merlinlatch is up", "host", n.set.Host, "listen", n.set.Listen)
 	return g.Wait()
 }
 
@@ -179,7 +207,7 @@
 
 // greet exchanges a word with a peer once a second: it tells whether a peer can
 // reach the state service while this controller can't, and which incarnations resigned.
-func (n *Node) greet(ctx context.Context, host string, c *peer.Client) error {
+func (n *Node) greet(ctx context.Context, host string, c Peer) error {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
@@ -323,7 +351,7 @@
 func (l localOwner) Round(in peer.Round) (peer.RoundAnswer, error) { return l.o.Round(in), nil }
 func (l localOwner) Poll(in peer.Poll) (peer.PollAnswer, error)    { return l.o.Poll(in), nil }
 
-type remoteOwner struct{ c *peer.Client }
+type remoteOwner struct{ c Peer }
 
 func (r remoteOwner) Round(in peer.Round) (out peer.RoundAnswer, err error) {
 	err = r.c.Call("Round", in, &out, 1500*time.Millisecond)
--- /dev/null
+++ b/internal/node/story_test.go
@@ -0,0 +1,375 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/policy"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+var hosts = []string{"a", "b", "c"}
+
+// process is one life of a controller.
+type process struct {
+	*Node
+	view *fakes.View
+	kill context.CancelFunc
+}
+
+// cluster is three controllers, a state service and workers, in a test's bubble
+// where time is virtual. Connections are calls; cut ones fail.
+type cluster struct {
+	t       *testing.T
+	st      *fakes.State
+	clock   clock.Clock
+	workers []*fakes.Worker
+	at      map[string]string // the controller that a worker reports to
+
+	mu  sync.Mutex
+	up  map[string]*process
+	cut map[string]bool // hosts that no peer reaches
+}
+
+// reach gives the process that a peer reaches at a host, nil for none.
+func (c *cluster) reach(from, to string) *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut[to] || c.cut[from] {
+		return nil
+	}
+	return c.up[to]
+}
+
+func (c *cluster) setCut(host string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[host] = cut
+}
+
+// line is a controller's connection to a peer.
+type line struct {
+	c    *cluster
+	to   string
+	from string
+}
+
+var errCut = errors.New("cut")
+
+func (l line) Call(method string, in, out any, _ time.Duration) error {
+	p := l.c.reach(l.from, l.to)
+	if p == nil {
+		time.Sleep(50 * time.Millisecond)
+		return errCut
+	}
+	s := &service{p.Node}
+	switch method {
+	case "Round":
+		return s.Round(in.(peer.Round), out.(*peer.RoundAnswer))
+	case "Poll":
+		return s.Poll(in.(peer.Poll), out.(*peer.PollAnswer))
+	case "Hello":
+		return s.Hello(in.(peer.Hello), out.(*peer.Hello))
+	case "Status":
+		return s.Status(in.(peer.JobQuery), out.(*peer.JobAnswer))
+	case "Withdraw":
+		return s.Withdraw(in.(peer.JobQuery), out.(*peer.JobAnswer))
+	}
+	return fmt.Errorf("no such method: %s", method)
+}
+
+func newCluster(t *testing.T, workers int) *cluster {
+	c := &cluster{t: t, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, at: map[string]string{}}
+	_, err := (&fakes.View{State: c.st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
+		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
+	require.NoError(t, err)
+	for _, h := range hosts {
+		c.start(h)
+	}
+	for i := range workers {
+		c.workers = append(c.workers, fakes.NewWorker(fmt.Sprintf("m-%06d", i), 16*clock.Second, c.clock.Now()))
+		c.at[c.workers[i].ID] = hosts[i%3]
+	}
+	t.Cleanup(func() {
+		for _, p := range c.up {
+			p.kill()
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(host string) {
+	set := &config.Settings{Host: host}
+	set.Params.Count = 3
+	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 12}, {Name: "blue"}}
+	set.Params.Workers.LeaseS = 16
+	set.Params.State.TxnOps = 12
+	set.Params.Cloud.RPS = 1
+	peers := map[string]Peer{}
+	for _, h := range hosts {
+		if h != host {
+			set.Peers = append(set.Peers, config.Peer{Host: h})
+			peers[h] = line{c, h, host}
+		}
+	}
+	knobs, err := policy.Parse("", set)
+	require.NoError(c.t, err)
+	ctx, kill := context.WithCancel(c.t.Context())
+	p := &process{view: &fakes.View{State: c.st}, kill: kill}
+	p.Node = assemble(ctx, set, knobs, p.view, peers, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.mu.Lock()
+	c.up[host] = p
+	c.mu.Unlock()
+	go p.duties(ctx) //nolint:errcheck // ends with the context
+}
+
+func (c *cluster) crash(host string) {
+	c.up[host].kill()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up[host] = nil
+}
+
+func (c *cluster) do(host, method, path, body string) httpx.Response {
+	if c.up[host] == nil {
+		return httpx.Response{}
+	}
+	return c.up[host].handle(c.t.Context(), &httpx.Request{Method: method, Path: path, Body: []byte(body)})
+}
+
+// run lets time pass while workers report every second, and finishes tasks
+// after lasts. It holds the rules against what runs.
+func (c *cluster) run(d, lasts time.Duration) {
+	began := map[string]clock.Micros{}
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		now := c.clock.Now()
+		on := map[string]string{}
+		red := 0.0
+		for _, w := range c.workers {
+			for _, k := range w.InOrder() {
+				if began[k.Task] == 0 {
+					began[k.Task] = now
+				}
+				if lasts > 0 && k.Phase != wire.TaskExited && now > began[k.Task]+clock.FromDuration(lasts) {
+					k.Phase, k.Cause = wire.TaskExited, wire.CauseDone
+				}
+			}
+			c.report(w)
+			for _, k := range w.InOrder() {
+				if k.Phase != wire.TaskExited {
+					require.Empty(c.t, on[k.Task], "%s runs on two machines", k.Task)
+					on[k.Task] = w.ID
+					red += 2
+				}
+			}
+		}
+		require.LessOrEqual(c.t, red, 12.0, "the team's limit")
+	}
+}
+
+func (c *cluster) report(w *fakes.Worker) {
+	sent := c.clock.Now()
+	r := w.Report(sent)
+	r.Addr = "" // no way to the worker but by its reports
+	b, err := json.Marshal(r)
+	require.NoError(c.t, err)
+	host := c.at[w.ID]
+	resp := c.do(host, "POST", wire.PathReport, string(b))
+	var a wire.ReportAnswer
+	var e wire.Error
+	switch {
+	case resp.Status == 200:
+		require.NoError(c.t, json.Unmarshal(resp.Body, &a))
+		w.Take(a, sent)
+		return
+	case resp.Status == 421 && json.Unmarshal(resp.Body, &e) == nil && e.Steward != "":
+		c.at[w.ID] = e.Steward
+	default:
+		for i, h := range hosts {
+			if h == host {
+				c.at[w.ID] = hosts[(i+1)%3]
+			}
+		}
+	}
+}
+
+func (c *cluster) running() (n int) {
+	for _, w := range c.workers {
+		for _, k := range w.InOrder() {
+			if k.Phase != wire.TaskExited {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (c *cluster) phase(host, id string) string {
+	r := c.do(host, "GET", wire.PathJobs+"/"+id, "")
+	var s wire.JobState
+	if r.Status != 200 || json.Unmarshal(r.Body, &s) != nil {
+		return fmt.Sprint(r.Status)
+	}
+	return s.Phase
+}
+
+func submission(id string, tasks int) string {
+	return fmt.Sprintf(`{"id":%q,"jobclass":"x","owner":"red","shape":"array","rank":"normal","shards":%d,"cpus":2,"accelerators":0,
+	"mem_gb":1,"bundle":"img","size_gb":1,"loaners":true,"guess_s":5,"snap_every_s":0,"snap_s":0}`, id, tasks)
+}
+
+// A job is submitted at one controller, placed by another, run, and told as
+// done by a third.
+func TestAQuietDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		c.run(5*time.Second, 0)
+		require.Equal(t, 200, c.do("a", "GET", wire.PathReady, "").Status)
+		require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, submission("job-1", 9)).Status)
+		c.run(4*time.Second, 0)
+		require.Equal(t, 6, c.running(), "as many as the limit of 12 CPUs allows")
+		require.Equal(t, wire.Running, c.phase("b", "job-1"))
+		c.run(20*time.Second, 4*time.Second)
+		for _, h := range hosts {
+			require.Equal(t, wire.Done, c.phase(h, "job-1"))
+		}
+		require.Zero(t, c.running())
+		for _, w := range c.workers {
+			require.Empty(t, w.Tasks, "ended tasks are forgotten")
+		}
+	})
+}
+
+// Every controller ends at once and comes back: what runs goes on, what was
+// accepted is done, nothing runs twice.
+func TestAllControllersDownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		c.run(5*time.Second, 0)
+		c.do("a", "POST", wire.PathJobs, submission("job-1", 10))
+		c.run(3*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		for _, h := range hosts {
+			c.crash(h)
+		}
+		c.run(5*time.Second, 0)
+		require.Equal(t, 6, c.running(), "leases last")
+		for _, h := range hosts {
+			c.start(h)
+		}
+		c.run(8*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		for _, w := range c.workers {
+			for task, n := range w.Starts {
+				require.Equal(t, 1, n, task)
+			}
+		}
+		c.run(30*time.Second, 4*time.Second)
+		require.Equal(t, wire.Done, c.phase("c", "job-1"))
+	})
+}
+
+// The state service is out for 20 s: what runs goes on and more is started;
+// submissions are refused at once; what ended is told as done afterwards.
+func TestAnOutageOfTheStateService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		c.run(5*time.Second, 0)
+		c.do("a", "POST", wire.PathJobs, submission("job-1", 12))
+		c.run(2*time.Second, 0)
+		c.st.SetDown(true)
+		r := c.do("b", "POST", wire.PathJobs, submission("job-2", 1))
+		require.Equal(t, 503, r.Status)
+		require.Positive(t, r.RetryAfter)
+		c.run(20*time.Second, 4*time.Second)
+		require.NotEqual(t, wire.Done, c.phase("a", "job-1"), "not durable yet")
+		c.st.SetDown(false)
+		c.run(4*time.Second, 4*time.Second)
+		require.Equal(t, wire.Done, c.phase("a", "job-1"))
+		require.Equal(t, 201, c.do("b", "POST", wire.PathJobs, submission("job-2", 1)).Status)
+	})
+}
+
+// A withdrawal is told only when every owner has taken it; until then the user
+// is told at once to come back. Afterwards nothing of the job runs.
+func TestAWithdrawalWaitsForEveryOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(5*time.Second, 0)
+		c.do("a", "POST", wire.PathJobs, submission("job-1", 6))
+		c.run(3*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		placer, ok := c.up["a"].keeper.Holder("team-red")
+		require.True(t, ok)
+		other := map[string]string{"a": "b", "b": "c", "c": "a"}[placer]
+		c.setCut(other, true)
+		r := c.do(placer, "POST", wire.PathJobs+"/job-1/withdraw", "")
+		require.Equal(t, 503, r.Status)
+		require.Positive(t, r.RetryAfter)
+		require.NotEqual(t, wire.Cancelled, c.phase(placer, "job-1"))
+		c.setCut(other, false)
+		c.run(2*time.Second, 0)
+		r = c.do(placer, "POST", wire.PathJobs+"/job-1/withdraw", "")
+		require.Equal(t, 200, r.Status, string(r.Body))
+		c.run(2*time.Second, 0)
+		require.Zero(t, c.running())
+		for _, h := range hosts {
+			require.Equal(t, wire.Cancelled, c.phase(h, "job-1"))
+		}
+	})
+}
+
+// One controller alone is refused by the state service: it gives its duties up
+// when a peer tells that it is not, and the others go on with them.
+func TestACutOffControllerIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(5*time.Second, 0)
+		c.do("a", "POST", wire.PathJobs, submission("job-1", 12))
+		c.run(2*time.Second, 0)
+		holder, _ := c.up["a"].keeper.Holder("team-red")
+		c.up[holder].view.SetCut(true)
+		c.run(16*time.Second, 0)
+		next, ok := c.up[map[string]string{"a": "b", "b": "c", "c": "a"}[holder]].keeper.Holder("team-red")
+		require.True(t, ok)
+		require.NotEqual(t, holder, next)
+		require.Equal(t, 503, c.do(holder, "GET", wire.PathReady, "").Status)
+		c.run(40*time.Second, 4*time.Second)
+		require.Equal(t, wire.Done, c.phase(next, "job-1"))
+	})
+}
+
+func TestPathsAndMethods(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 0)
+		c.run(3*time.Second, 0)
+		for _, x := range []struct {
+			method, path, body string
+			status             int
+		}{
+			{"GET", "/", "", 404}, {"GET", "/api/jobsx", "", 404}, {"POST", wire.PathReady, "", 405},
+			{"GET", wire.PathReport, "", 405}, {"POST", wire.PathReport, "{", 400}, {"POST", wire.PathReport, `{"host":""}`, 400},
+			{"GET", wire.PathJobs, "", 405}, {"GET", wire.PathJobs + "/job-7", "", 404}, {"POST", wire.PathJobs + "/job-7/withdraw", "", 404},
+		} {
+			r := c.do("a", x.method, x.path, x.body)
+			require.Equal(t, x.status, r.Status, "%s %s", x.method, x.path)
+			require.True(t, json.Valid(r.Body))
+		}
+	})
+}
