--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -20,19 +20,22 @@
 	gnet.BuiltinEventEngine
 	handler Handler
 	max     int64
+	budget  int64
 	idle    time.Duration
 	log     *slog.Logger
 
 	ctx   context.Context
 	open  atomic.Int64
+	held  atomic.Int64 // bytes of requests that are not complete yet
 	eng   gnet.Engine
 	ready chan struct{}
 	wg    sync.WaitGroup
 }
 
-// NewServer makes a server that holds at most max connections.
-func NewServer(handler Handler, max int, idle time.Duration, log *slog.Logger) *Server {
-	return &Server{handler: handler, max: int64(max), idle: idle, log: log, ready: make(chan struct{})}
+// NewServer makes a server that holds at most max connections and budget bytes
+// of requests that are not complete, and closes connections that are idle.
+func NewServer(handler Handler, max int, budget int64, idle time.Duration, log *slog.Logger) *Server {
+	return &Server{handler: handler, max: int64(max), budget: budget, idle: idle, log: log, ready: make(chan struct{})}
 }
 
 // conn is the inbox between the event loop and the connection's goroutine.
@@ -95,6 +98,8 @@
 	if k, ok := c.Context().(*conn); ok {
 		k.mu.Lock()
 		k.gone = true
+		s.held.Add(-int64(len(k.buf)))
+		k.buf = nil
 		k.mu.Unlock()
 		k.poke()
 	}
@@ -113,17 +118,23 @@
 		return gnet.Close
 	}
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.buf = append(k.buf, b...)
-	over := len(k.buf) > 4*bodyLimit
-	k.mu.Unlock()
-	if over {
+	held := s.held.Add(int64(len(b)))
+	// One request at a time: whoever sends much more, or reads no answers, is
+	// cut off, and so is everyone who adds to what can't be held.
+	if len(k.buf) > bodyLimit+maxHead+1024 || c.OutboundBuffered() > maxUnread || held > s.budget {
 		return gnet.Close
 	}
 	k.poke()
 	return gnet.None
 }
 
-const bodyLimit = 64 << 10
+// Limits of a connection.
+const (
+	bodyLimit = 64 << 10
+	maxUnread = 256 << 10 // bytes of answers that the peer has not read
+)
 
 func (k *conn) poke() {
 	select {
@@ -149,6 +160,7 @@
 			r, used, err = ParseRequest(k.buf, bodyLimit)
 		}
 		if r != nil {
+			s.held.Add(-int64(used))
 			k.buf = append(k.buf[:0], k.buf[used:]...)
 			if len(k.buf) == 0 && cap(k.buf) > 16<<10 {
 				k.buf = nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,8 @@
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	srv := httpx.NewServer(n.handle, max(16, n.set.Params.Limits.Sockets*2/3), 90*time.Second, n.log)
+	limits := n.set.Params.Limits
+	srv := httpx.NewServer(n.handle, max(16, limits.Sockets*2/3), int64(limits.MemoryMB*(1<<20)/8), 90*time.Second, n.log)
 	g.Go(func() error { return srv.Run(ctx, n.set.Listen) })
 	g.Go(func() error { return peer.Serve(ctx, n.set.PeerListen, &service{n}) })
 	g.Go(func() error { return n.fleet.Run(ctx) })
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -79,7 +79,7 @@
 func New(desk *Desk, o Options, claims Claims, store Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
 	p := &Placer{teams: o.Teams, parts: o.PartDuties, owners: o.Owners, claims: claims, store: store, book: book, clock: c,
 		txnOps: o.TxnOps, progress: o.ProgressEvery, log: log, desk: desk, wake: make(chan struct{}, 1),
-		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), acked: make(chan struct{})}
+		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), acked: make(chan struct{}), running: context.Background()}
 	for h := range o.Owners {
 		p.senders[h] = make(chan struct{}, 1)
 	}
@@ -154,7 +154,7 @@
 			p.log.Info("team given up", "team", t.Name, "term", term)
 		}
 	}
-	if gained && p.running != nil {
+	if gained {
 		for h := range p.owners {
 			go p.poll(h, 0) //nolint:errcheck // the loop polls again
 		}
