Duties go back to their preferred controller

Ruled out: handing over by message (a lost answer would leave two holders); the holder stops acting first, whatever becomes of the write.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -46,6 +46,9 @@
 	nodes  map[string]registered
 	claims map[string]Held
 	freeAt map[string]clock.Micros
+	seen   map[string]string // incarnations as last looked at, and since when
+	since  map[string]clock.Micros
+	giving map[string]uint64 // duties being handed over: the stamp of their claim
 
 	incarnation string
 	hold        uint64
@@ -57,7 +60,8 @@
 	hosts = append([]string(nil), hosts...)
 	sort.Strings(hosts)
 	return &Book{host: host, hosts: hosts, duties: duties, nodes: map[string]registered{},
-		claims: map[string]Held{}, freeAt: map[string]clock.Micros{}}
+		claims: map[string]Held{}, freeAt: map[string]clock.Micros{}, seen: map[string]string{},
+		since: map[string]clock.Micros{}, giving: map[string]uint64{}}
 }
 
 // Apply takes one event of the replica.
@@ -115,10 +119,39 @@
 // Mine gives the term and stamp of a claim that this incarnation holds and may act on.
 func (b *Book) Mine(duty string, now clock.Micros) (Held, bool) {
 	h, ok := b.claims[duty]
-	ok = ok && b.Confirmed(now) && h.Incarnation == b.incarnation && h.Holder == b.host
+	ok = ok && b.Confirmed(now) && h.Incarnation == b.incarnation && h.Holder == b.host && b.giving[duty] != h.Stamp
 	return h, ok
 }
 
+// HandOver picks a duty held here whose preferred controller has been back for
+// a while, and gives the write that frees it. From now on this controller does
+// not act on the duty, whether the write succeeds or not: should its answer
+// be lost, another may hold the duty already.
+func (b *Book) HandOver(now, after clock.Micros) (duty string, m wire.Multi, ok bool) {
+	for _, h := range b.hosts {
+		if inc := b.nodes[h].Incarnation; b.seen[h] != inc {
+			b.seen[h], b.since[h] = inc, now
+		}
+	}
+	if !b.registeredMe() || !b.Confirmed(now) {
+		return "", m, false
+	}
+	for i, d := range b.duties {
+		h := b.claims[d]
+		if h.Holder != b.host || h.Incarnation != b.incarnation {
+			continue
+		}
+		to := b.hosts[i%len(b.hosts)]
+		if b.giving[d] != h.Stamp && (to == b.host || b.seen[to] == "" || now < b.since[to]+after) {
+			continue
+		}
+		b.giving[d] = h.Stamp
+		return d, wire.Multi{When: []wire.Cond{{Key: state.Claims + d, Stamp: h.Stamp}},
+			Then: []wire.Op{{Put: state.Claims + d, Value: Record{Term: h.Term}}}}, true
+	}
+	return "", m, false
+}
+
 // Holder names the controller whose registered incarnation holds a duty.
 func (b *Book) Holder(duty string) (string, bool) {
 	h, ok := b.claims[duty]
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -17,7 +17,7 @@
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-var timing = Timing{TTL: 27 * clock.Second, Renew: 2 * clock.Second, Grace: 3 * clock.Second, ResignAfter: 5 * clock.Second}
+var timing = Timing{TTL: 27 * clock.Second, Renew: 2 * clock.Second, Grace: 3 * clock.Second, ResignAfter: 5 * clock.Second, Settle: 15 * clock.Second}
 
 // process is a controller's keeper and replica in a test's bubble.
 type process struct {
@@ -137,6 +137,30 @@
 	})
 }
 
+// A controller that was away for long finds its duties with others; they come
+// back to it once it has stayed, each under a new term, and never with two holders.
+func TestDutiesComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a, b := start(t, st, "a"), start(t, st, "b")
+		start(t, st, "c")
+		time.Sleep(10 * time.Second)
+		a.stop()
+		time.Sleep(40 * time.Second)
+		held, ok := b.Mine("one")
+		require.True(t, ok)
+		again := start(t, st, "a")
+		for range 400 {
+			time.Sleep(100 * time.Millisecond)
+			require.False(t, again.has("one") && b.has("one"))
+		}
+		back, ok := again.Mine("one")
+		require.True(t, ok)
+		require.Greater(t, back.Term, held.Term)
+		require.True(t, b.has("two"), "what is meant for b stays")
+	})
+}
+
 // An outage that all share is told apart from being cut off alone.
 func TestSharedOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -23,7 +23,7 @@
 }
 
 // Timing is how long things last.
-type Timing struct{ TTL, Renew, Grace, ResignAfter clock.Micros }
+type Timing struct{ TTL, Renew, Grace, ResignAfter, Settle clock.Micros }
 
 // Keeper keeps this controller registered and takes free claims.
 type Keeper struct {
@@ -38,6 +38,7 @@
 	lastOK   clock.Micros // when the last confirmed renewal was sent
 	resigned string       // the last incarnation given up for good
 	peerOK   clock.Micros // when a peer last said that it has contact
+	gaveAt   clock.Micros // when a duty was last handed over
 }
 
 // NewKeeper makes a keeper around a book.
@@ -214,6 +215,14 @@
 	}
 	due := now-k.lastOK >= k.timing.Renew
 	wanted := k.book.Wanted(now, k.timing.Grace)
+	var duty string
+	var give wire.Multi
+	giving := false
+	if !lapsed && now >= k.gaveAt+clock.Second {
+		if duty, give, giving = k.book.HandOver(now, k.timing.Settle); giving {
+			k.gaveAt = now
+		}
+	}
 	k.mu.Unlock()
 	if lapsed {
 		k.log.Info("the hold could not be confirmed in time: duties given up", "incarnation", inc)
@@ -243,6 +252,10 @@
 			return
 		}
 	}
+	if giving {
+		_, err := k.store.Commit(ctx, give)
+		k.log.Info("handed a duty over to the controller that it is meant for", "duty", duty, "err", err)
+	}
 	var wg sync.WaitGroup
 	for _, w := range wanted {
 		wg.Add(1)
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -7,6 +7,7 @@
 hold_renew_s = 2       # how often it asks
 resign_after_s = 5     # cut off for so long while a peer is not: give duties up
 hold_grace_s = 3       # free duties wait so long for their preferred controller
+hand_over_s = 15       # duties go back to their preferred controller when it has been back so long
 sample = 12            # machines drawn for each placement
 batch = 40             # tasks placed in one round when little waits
 lease_ttl_s = 12       # an unused lease lapses
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -20,6 +20,7 @@
 // Knobs is what the script sets.
 type Knobs struct {
 	HoldTTL, HoldRenew, ResignAfter, HoldGrace clock.Micros
+	HandOver                                   clock.Micros
 	Sample, Batch                              int
 	LeaseTTL, ProgressEvery, PreemptAfter      clock.Micros
 	IdleReturn, HireBackoff, Catchup           clock.Micros
@@ -111,6 +112,7 @@
 		{"hold_renew_s", 0.1, 60, func(v float64) { k.HoldRenew = clock.FromSeconds(v) }},
 		{"resign_after_s", 0.5, 600, func(v float64) { k.ResignAfter = clock.FromSeconds(v) }},
 		{"hold_grace_s", 0, 60, func(v float64) { k.HoldGrace = clock.FromSeconds(v) }},
+		{"hand_over_s", 0, 86400, func(v float64) { k.HandOver = clock.FromSeconds(v) }},
 		{"sample", 1, 1000, func(v float64) { k.Sample = int(v) }},
 		{"batch", 1, 10000, func(v float64) { k.Batch = int(v) }},
 		{"lease_ttl_s", 1, 600, func(v float64) { k.LeaseTTL = clock.FromSeconds(v) }},
