--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -108,6 +108,9 @@
 		if x.due() != y.due() {
 			return x.due() < y.due()
 		}
+		if fx, fy := d.finish(x), d.finish(y); fx != fy {
+			return fx < fy
+		}
 		return x.Stamp < y.Stamp
 	})
 	return out
@@ -137,6 +140,16 @@
 	return over
 }
 
+// finish is when a job's tasks should start so that it is finished within its
+// class's time: of jobs without a deadline, those with long tasks can wait least.
+func (d *Desk) finish(j *job) clock.Micros {
+	within, ok := d.timing.Finishes[j.Class]
+	if !ok {
+		return math.MaxInt64
+	}
+	return j.since + within - clock.FromSeconds(j.EstimateS)
+}
+
 // fresh tells that the tasks of a job can still start within their class's time.
 func (d *Desk) fresh(j *job, now clock.Micros) bool {
 	within, ok := d.timing.Waits[j.Class]
