Nothing grows for ever; terms grow over all duties

What was kept of machines, processes and cancelled jobs that are gone is dropped in time. With another number of controllers partitions are others; their tokens must still be above what workers have seen (TestTermsGrowOverAllDuties).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -179,6 +179,13 @@
 	if !b.registeredMe() || !b.Confirmed(now) {
 		return nil
 	}
+	// Terms grow over all claims, also those of duties that are no longer in use:
+	// when the number of controllers, and so of partitions, has changed, the new
+	// partitions' tokens are still above what any worker has seen.
+	term := uint64(0)
+	for _, h := range b.claims {
+		term = max(term, h.Term)
+	}
 	var out []Take
 	for i, d := range b.duties {
 		if _, held := b.Holder(d); held {
@@ -202,7 +209,7 @@
 			when = append(when, wire.Cond{Key: state.Nodes + h.Holder, Stamp: b.nodes[h.Holder].stamp})
 		}
 		out = append(out, Take{d, wire.Multi{When: when, Then: []wire.Op{
-			{Put: state.Claims + d, Value: Record{b.host, b.incarnation, h.Term + 1}}}}})
+			{Put: state.Claims + d, Value: Record{b.host, b.incarnation, term + 1}}}}})
 	}
 	return out
 }
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -13,6 +13,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fakes"
 	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -161,6 +162,22 @@
 	})
 }
 
+// The number of controllers was changed, and with it the partitions. A new
+// duty's term is above those of the duties that were there before.
+func TestTermsGrowOverAllDuties(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		_, err := (&fakes.View{State: st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{
+			{Put: state.Claims + "part-of-old", Value: Record{"a", "gone", 41}}}})
+		require.NoError(t, err)
+		a := start(t, st, "a")
+		time.Sleep(time.Second)
+		h, ok := a.Mine("one")
+		require.True(t, ok)
+		require.EqualValues(t, 42, h.Term)
+	})
+}
+
 // An outage that all share is told apart from being cut off alone.
 func TestSharedOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -266,6 +266,11 @@
 		}
 	}
 	f.listed = began
+	for id, at := range f.gone {
+		if began > at+600*clock.Second {
+			delete(f.gone, id) // no list is as old as that
+		}
+	}
 	for id := range f.rented {
 		if began > f.listedAt[id]+3*f.lag+2*clock.Second {
 			delete(f.rented, id)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -251,6 +251,12 @@
 			o.mu.Lock()
 			before := o.table.Version()
 			drop := o.table.Tick(o.clock.Now())
+			for id, c := range o.clients {
+				if _, here := o.table.PartOf(id); !here {
+					c.Close()
+					delete(o.clients, id)
+				}
+			}
 			if o.table.Version() != before {
 				o.notify()
 			}
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -113,6 +113,7 @@
 type lastRound struct {
 	seq    uint64
 	answer peer.RoundAnswer
+	at     clock.Micros
 }
 
 // NewTable makes an empty table.
@@ -559,7 +560,7 @@
 			ans.Machines = append(ans.Machines, t.view(m, now))
 		}
 	}
-	t.rounds[in.From] = lastRound{in.Seq, ans}
+	t.rounds[in.From] = lastRound{in.Seq, ans, now}
 	return ans
 }
 
@@ -671,6 +672,11 @@
 			delete(t.machines, id)
 		}
 	}
+	for from, r := range t.rounds {
+		if now > r.at+3600*clock.Second {
+			delete(t.rounds, from) // of a process long gone
+		}
+	}
 	for job, at := range t.cancelled {
 		if now > at+600*clock.Second {
 			delete(t.cancelled, job)
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -232,6 +232,7 @@
 // DropJob takes note that a job is final.
 func (d *Desk) DropJob(id string) {
 	delete(d.progress, id)
+	delete(d.acks, id)
 	for _, tm := range d.teams {
 		if j := tm.jobs[id]; j != nil {
 			delete(tm.jobs, id)
