--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,6 +142,9 @@
 			return fmt.Errorf("field %s must be more than 0", field)
 		}
 	}
+	if p.State.ValueKB < 6 {
+		return errors.New("field params.state.value_kb must be at least 6: a record of progress takes that")
+	}
 	if p.State.TxnOps < 4 {
 		return errors.New("field params.state.txn_ops must be at least 4")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -33,6 +33,8 @@
 		{`"cpus_max": 20`, `"cpus_max": 5`, "params.teams[0]"},
 		{`"name": "blue"`, `"name": "red"`, "params.teams[1].name"},
 		{`"host_name": "beta"`, `"host_name": "alpha"`, "others[0].host_name"},
+		{`"value_kb": 8`, `"value_kb": 4`, "params.state.value_kb"},
+		{`"txn_ops": 12`, `"txn_ops": 3`, "params.state.txn_ops"},
 		{`{`, ``, "settings"},
 	} {
 		text := strings.Replace(sample(t), c.old, c.new, 1)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,6 +37,7 @@
 	placers Placers
 	book    *jobs.Book
 	limits  map[string]res.Amounts
+	most    int // bytes of a record
 	wall    func() time.Time
 	log     *slog.Logger
 
@@ -44,9 +45,10 @@
 	types []wire.MachineType
 }
 
-// New makes a front; limits holds each team's limit, an amount of 0 meaning none.
-func New(store Store, placers Placers, book *jobs.Book, limits map[string]res.Amounts, wall func() time.Time, log *slog.Logger) *Front {
-	return &Front{store: store, placers: placers, book: book, limits: limits, wall: wall, log: log}
+// New makes a front; limits holds each team's limit, an amount of 0 meaning none;
+// most is how large a record may be.
+func New(store Store, placers Placers, book *jobs.Book, limits map[string]res.Amounts, most int, wall func() time.Time, log *slog.Logger) *Front {
+	return &Front{store: store, placers: placers, book: book, limits: limits, most: most, wall: wall, log: log}
 }
 
 // SetTypes tells the machine types.
@@ -151,6 +153,9 @@
 		return refuse(503, "the machine types are not known yet")
 	}
 	rec := jobs.Record{Job: spec, AcceptedMS: f.wall().UnixMilli()}
+	if b, err := json.Marshal(rec); err != nil || len(b) > f.most {
+		return refuse(400, "the job takes more than a record can hold")
+	}
 	if why := f.canRun(jobs.New(rec, 0)); why != "" {
 		return refuse(422, why)
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,7 +47,7 @@
 
 func newScene(t *testing.T) *scene {
 	s := &scene{t: t, view: &fakes.View{State: fakes.NewState()}, pl: &placers{err: errors.New("nobody")}, book: jobs.NewBook()}
-	s.Front = New(s.view, s.pl, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, func() time.Time { return time.UnixMilli(5) },
+	s.Front = New(s.view, s.pl, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, 4096, func() time.Time { return time.UnixMilli(5) },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	s.SetTypes([]wire.MachineType{{Name: "big", CPUs: 32, MemGB: 128, Zones: []string{"a"}}})
 	return s
@@ -154,6 +155,7 @@
 		{"an unknown shape", replace(`"array"`, `"heap"`), 400},
 		{"an unknown rank", replace(`"high"`, `"highest"`), 400},
 		{"a string for a number", replace(`8.0`, `"8"`), 400},
+		{"a list that no record holds", replace(`"hulls":null`, `"hulls":["`+strings.Repeat("x", 5000)+`"]`), 400},
 		{"an unknown team", replace(`"red"`, `"blue"`), 422},
 		{"over the limit", replace(`"cpus":8.0`, `"cpus":65`), 422},
 		{"fits nothing", replace(`"cpus":8.0`, `"cpus":33`), 422},
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -120,6 +120,7 @@
 	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 12}, {Name: "blue"}}
 	set.Params.Workers.LeaseS = 16
 	set.Params.State.TxnOps = 12
+	set.Params.State.ValueKB = 8
 	set.Params.Cloud.RPS = 1
 	peers := map[string]Peer{}
 	for _, h := range hosts {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -349,8 +349,13 @@
 		j.uncertain = true
 		m := wire.Multi{When: []wire.Cond{cond, {Key: state.Active + j.ID, Stamp: j.Stamp}}, Then: []wire.Op{
 			{Put: state.Final + j.ID, Value: jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks}}, {Drop: state.Active + j.ID}}}
+		var rest []wire.Op // more records of progress than the transaction takes
 		for c := range p.desk.progress[j.ID] {
-			m.Then = append(m.Then, wire.Op{Drop: progressKey(j.ID, c)})
+			if op := (wire.Op{Drop: progressKey(j.ID, c)}); len(m.Then) < p.txnOps {
+				m.Then = append(m.Then, op)
+			} else {
+				rest = append(rest, op)
+			}
 		}
 		p.mu.Unlock()
 		if gone {
@@ -362,6 +367,11 @@
 			p.mu.Lock()
 			p.desk.DropJob(j.ID)
 			p.mu.Unlock()
+			if len(rest) > 0 {
+				if _, err := p.store.Commit(ctx, wire.Multi{When: []wire.Cond{cond}, Then: rest}); err != nil {
+					p.log.Info("dropping progress", "job", j.ID, "err", err)
+				}
+			}
 			p.log.Info("job is over", "job", j.ID, "class", j.Class, "phase", phase, "tasks", j.Tasks,
 				"after_s", (p.clock.Now() - j.since).Seconds(), "last_start_s", (j.lastStart - j.since).Seconds(), "again", j.again)
 			return nil
