--- /dev/null
+++ b/internal/state/client_test.go
@@ -0,0 +1,74 @@
+package state_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// answering serves each connection with one raw answer, on loopback; an empty
+// one closes without a word.
+func answering(t *testing.T, answers ...string) *state.Client {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for _, a := range answers {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			for line := "x"; strings.TrimSpace(line) != "" && err == nil; {
+				line, err = r.ReadString('\n')
+			}
+			fmt.Fprint(c, a)
+			c.Close()
+		}
+	}()
+	return state.NewClient(l.Addr().String(), 1000, 1000, 1)
+}
+
+func raw(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", status, len(body), body)
+}
+
+// What surely was not executed is told apart from what may have been.
+func TestWhatAnAnswerProves(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		want   error
+	}{
+		{raw(503, `{}`), state.ErrRefused},
+		{raw(429, `{}`), state.ErrRefused},
+		{raw(409, `{"failed":["a"],"ledger_rev":3}`), state.ErrConflict},
+		{raw(500, `{}`), state.ErrUnknown},
+		{raw(200, `not JSON`), state.ErrUnknown},
+		{"HTTP/1.1 nonsense\r\n\r\n", state.ErrUnknown},
+		{"", state.ErrUnknown},
+	} {
+		_, err := answering(t, c.answer).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Drop: "k"}}})
+		require.ErrorIs(t, err, c.want, "%q", c.answer)
+	}
+	rev, err := answering(t, raw(200, `{"ledger_rev":7}`)).Commit(t.Context(), wire.Multi{})
+	require.NoError(t, err)
+	require.EqualValues(t, 7, rev)
+}
+
+// A key is absent only by the service's own word.
+func TestAbsence(t *testing.T) {
+	_, found, err := answering(t, raw(404, `{"ledger_rev":4}`)).Get(t.Context(), "k")
+	require.NoError(t, err)
+	require.False(t, found)
+	for _, odd := range []string{raw(404, `{}`), raw(404, `gone`), raw(200, `{"k":"another","stamp":1}`), raw(503, `{}`)} {
+		_, _, err := answering(t, odd).Get(t.Context(), "k")
+		require.Error(t, err, "%q", odd)
+	}
+}
--- /dev/null
+++ b/internal/state/replica_test.go
@@ -0,0 +1,83 @@
+package state_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// forgetful is a state service that now and then no longer keeps the watched revision.
+type forgetful struct {
+	*fakes.View
+	every int
+	calls int
+}
+
+func (f *forgetful) Watch(ctx context.Context, prefix string, rev uint64, block time.Duration) (wire.Changes, error) {
+	if f.calls++; f.calls%f.every == 0 {
+		return wire.Changes{}, state.ErrTooOld
+	}
+	return f.View.Watch(ctx, prefix, rev, block)
+}
+
+// Whatever the watch forgets or repeats, the listener ends up with what the
+// service holds, and never hears an older value of a key after a newer one.
+func TestReplicaFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		v := &fakes.View{State: st}
+		known, last := map[string]string{}, map[string]uint64{}
+		tell := func(evs []state.Event) {
+			for _, e := range evs {
+				require.GreaterOrEqual(t, e.Stamp, last[e.Key], e.Key)
+				last[e.Key] = e.Stamp
+				if e.Value == nil {
+					delete(known, e.Key)
+				} else {
+					known[e.Key] = string(e.Value)
+				}
+			}
+		}
+		r := state.NewReplica(&forgetful{View: v, every: 5}, tell, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, stop := context.WithCancel(t.Context())
+		loaded := make(chan struct{})
+		go r.Run(ctx, loaded) //nolint:errcheck // ends with the context
+		<-loaded
+		rng := fakes.Rand(7)
+		for i := range 300 {
+			key := fmt.Sprintf("%s%d", state.Active, rng.IntN(8))
+			op := wire.Op{Put: key, Value: i}
+			if rng.IntN(3) == 0 {
+				op = wire.Op{Drop: key}
+			}
+			_, err := v.Commit(ctx, wire.Multi{Then: []wire.Op{op}})
+			require.NoError(t, err)
+			if i == 100 {
+				st.SetDown(true)
+				time.Sleep(5 * time.Second)
+				st.SetDown(false)
+			}
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		}
+		time.Sleep(30 * time.Second)
+		items, _, err := v.List(ctx, state.Active)
+		require.NoError(t, err)
+		want := map[string]string{}
+		for _, it := range items {
+			want[it.Key] = string(it.Value)
+		}
+		stop()
+		synctest.Wait()
+		require.Equal(t, want, known)
+	})
+}
