--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -142,14 +142,17 @@
 
 // Run keeps the registration and takes claims until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for tries := 0; ctx.Err() == nil; {
 		if inc, _ := k.current(); inc == "" {
 			if err := k.register(ctx); err != nil {
-				k.log.Info("registering", "err", err)
+				if tries++; tries%32 == 1 { // once in a while: an outage lasts many tries
+					k.log.Info("registering", "tries", tries, "err", err)
+				}
 				k.sleep(ctx, 300*time.Millisecond)
 			}
 			continue
 		}
+		tries = 0
 		k.step(ctx)
 		k.sleep(ctx, 200*time.Millisecond)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -262,14 +262,14 @@
 // that all controllers share they should: they are told at once when to come
 // back, and need not wait for the load balancer to take the controllers back in.
 func (n *Node) ready() httpx.Response {
-	if n.keeper.SharedOutage() {
-		return httpx.Response{Status: 200, Body: []byte(`{"ready":true}`)}
-	}
 	select {
 	case <-n.loaded:
 	default:
 		return text(503, "reading the state service")
 	}
+	if n.keeper.SharedOutage() {
+		return httpx.Response{Status: 200, Body: []byte(`{"ready":true}`)}
+	}
 	if !n.front.Decisive() {
 		return text(503, "the machine types are not known yet")
 	}
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -62,6 +62,7 @@
 func (r *Replica) Run(ctx context.Context, loadedOnce chan<- struct{}) error {
 	fresh := false
 	first := true
+	tries := 0
 	pause := func(d time.Duration) {
 		select {
 		case <-time.After(d):
@@ -71,11 +72,13 @@
 	for ctx.Err() == nil {
 		if !fresh {
 			if err := r.load(ctx); err != nil {
-				r.log.Info("reading the state service", "err", err)
+				if tries++; tries%32 == 1 { // once in a while: an outage lasts many tries
+					r.log.Info("reading the state service", "tries", tries, "err", err)
+				}
 				pause(300 * time.Millisecond)
 				continue
 			}
-			fresh = true
+			fresh, tries = true, 0
 			if first {
 				close(loadedOnce)
 				first = false
