--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -102,7 +102,6 @@
 			have += bins[len(bins)-1].free.CPU
 		}
 	}
-	known := len(bins)
 	wants := map[Kind]int{}
 	open := kinds(in)
 	add := func(d *peer.Demand) *bin {
@@ -163,7 +162,7 @@
 	sort.Slice(hires, func(a, b int) bool {
 		return hires[a].Type+hires[a].Zone < hires[b].Type+hires[b].Zone || hires[a].Spot && !hires[b].Spot
 	})
-	return hires, giveBack(in, types, bins[:known])
+	return hires, giveBack(in, types)
 }
 
 // trim keeps thrifty deployments from renting machines for work that those at
@@ -236,7 +235,7 @@
 }
 
 // giveBack decides which machines are of no more use.
-func giveBack(in Input, types map[string]wire.MachineType, _ []*bin) (out []Return) {
+func giveBack(in Input, types map[string]wire.MachineType) (out []Return) {
 	viewed := map[string]bool{}
 	demand := len(in.Demands) > 0
 	for i := range in.Views {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -31,6 +31,14 @@
 	return &Job{Record: spec, Stamp: stamp, Need: res.Need(spec.CPUs, spec.GPUs, spec.MemGB), Level: wire.RankLevel(spec.Rank)}
 }
 
+// Grace is how long a task of the job may save when it is stopped.
+func (j *Job) Grace() float64 {
+	if j.SaveEveryS > 0 {
+		return j.SaveS + 0.1
+	}
+	return 0
+}
+
 // Final is the record of a job that is over.
 type Final struct {
 	Phase string `json:"phase"`
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -612,8 +612,8 @@
 }
 
 func (t *Table) graceOf(k *task) float64 {
-	if j, ok := t.jobs.Find(k.id.Job); ok && j.SaveEveryS > 0 {
-		return j.SaveS + 0.1
+	if j, ok := t.jobs.Find(k.id.Job); ok {
+		return j.Grace()
 	}
 	return 0
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -124,7 +124,6 @@
 	Full        bool
 	Parts       map[int]uint64 // partitions held, with terms
 	Machines    []MachineView
-	Gone        []string
 }
 
 // Hello is what controllers tell each other once a second.
@@ -133,7 +132,6 @@
 	Incarnation string
 	Contact     clock.Micros // how long ago the state service confirmed its hold
 	Resigned    string       // its last incarnation that gave up for good
-	Ready       bool
 }
 
 // Demand is work that waits for room, or runs, as the fleet needs to know it.
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -285,18 +285,10 @@
 		}
 		used = used.Minus(b.job.Need)
 		d.counts.Preempted++
-		d.stop(b, b.job.grace())
+		d.stop(b, b.job.Grace())
 	}
 }
 
-// grace is how long a task may save when it is stopped.
-func (j *job) grace() float64 {
-	if j.SaveEveryS > 0 {
-		return j.SaveS + 0.1
-	}
-	return 0
-}
-
 // allowed tells whether a machine may take one more task of a job, given where
 // the others are or may be.
 func (j *job) allowed(m *mirror) bool {
