--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -98,16 +98,18 @@
 	kept    func() wire.Catalog
 	log     *slog.Logger
 
-	term     uint64
-	counter  uint64
-	rented   map[string]Rented
-	listedAt map[string]clock.Micros // when a machine was last on the list, or was rented
-	gone     map[string]clock.Micros
-	refused  map[Kind]clock.Micros
-	catalog  wire.Catalog
-	fetched  clock.Micros
-	listed   clock.Micros
-	told     clock.Micros
+	term      uint64
+	counter   uint64
+	rented    map[string]Rented
+	listedAt  map[string]clock.Micros // when a machine was last on the list, or was rented
+	gone      map[string]clock.Micros
+	refused   map[Kind]clock.Micros
+	catalog   wire.Catalog
+	fetched   clock.Micros
+	listed    clock.Micros
+	told      clock.Micros
+	unlisted  int // lists that failed in a row
+	listAgain clock.Micros
 }
 
 // New makes a fleet.
@@ -134,7 +136,7 @@
 			f.term, f.counter = h.Term, 0
 			f.rented, f.listedAt = map[string]Rented{}, map[string]clock.Micros{}
 			f.gone, f.refused = map[string]clock.Micros{}, map[Kind]clock.Micros{}
-			f.fetched, f.listed = 0, 0
+			f.fetched, f.listed, f.unlisted, f.listAgain = 0, 0, 0, 0
 			f.log.Info("fleet taken over", "term", h.Term)
 		}
 		f.step(ctx, h)
@@ -152,14 +154,19 @@
 			return
 		}
 	}
-	if f.listed == 0 || now > f.listed+3*clock.Second {
+	if (f.listed == 0 || now > f.listed+3*clock.Second) && now >= f.listAgain {
 		if err := f.list(ctx); err != nil {
-			f.log.Info("listing machines", "err", err)
-			if f.listed == 0 {
-				return // nothing is known of what is rented
+			if f.unlisted++; f.unlisted%20 == 1 { // once in a while: an outage lasts many tries
+				f.log.Info("listing machines", "tries", f.unlisted, "err", err)
 			}
+			f.listAgain = now + clock.Second
+		} else {
+			f.unlisted = 0
 		}
 	}
+	if f.listed == 0 {
+		return // nothing is known of what is rented
+	}
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.others.Views(), Demands: f.others.Demands(ctx),
 		Refused: f.refused, Knobs: f.knobs, MaxCount: 20}
 	for _, v := range in.Views {
