--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -143,10 +143,23 @@
 	return httpx.Response{Status: status, Body: b, RetryAfter: retry}
 }
 
+// validMachine tells whether a name can be part of a key of the state service.
+func validMachine(name string) bool {
+	if name == "" || len(name) > 150 {
+		return false
+	}
+	for _, c := range name {
+		if c <= ' ' || c > '~' || c == '/' {
+			return false
+		}
+	}
+	return true
+}
+
 // HandleReport answers a worker's report.
 func (o *Owner) HandleReport(body []byte) httpx.Response {
 	var r wire.Report
-	if err := json.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 || r.Tick == 0 {
+	if err := json.Unmarshal(body, &r); err != nil || !validMachine(r.Machine) || r.Session == 0 || r.Tick == 0 {
 		return refuse(400, "not a report", "", 0)
 	}
 	part := Partition(r.Machine, o.parts)
