--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -454,10 +454,10 @@
 		var cand []*peer.TaskView
 		for i := range m.Tasks {
 			t := &m.Tasks[i]
-			if t.Phase == wire.TaskExited || t.Stopping || t.Team == "" || t.Covered && !(j.covered && t.Rank < j.Level) {
+			if t.Phase == wire.TaskExited || t.Stopping || t.Team == "" || t.Covered && t.Rank >= j.Level {
 				continue
 			}
-			if t.Rank < j.Level || j.covered && t.Team != j.team.Name {
+			if t.Rank < j.Level || j.covered && t.Rank == j.Level && t.Team != j.team.Name {
 				cand = append(cand, t)
 			}
 		}
@@ -465,6 +465,9 @@
 			if cand[a].Rank != cand[b].Rank {
 				return cand[a].Rank < cand[b].Rank
 			}
+			if cand[a].Covered != cand[b].Covered {
+				return cand[b].Covered
+			}
 			return cand[a].Since < cand[b].Since
 		})
 		free := m.free
@@ -479,6 +482,9 @@
 			victims = append(victims, t.ID)
 			cost += t.Since + (now - m.seenAt) + clock.Second
 			over = over || t.Rank >= j.Level
+			if t.Covered {
+				cost += 100 * clock.Second // what is guaranteed goes last
+			}
 		}
 		if over {
 			cost += 1000 * clock.Second // lower ranks first
