A guarantee is put off for higher rank for 3/5 of its objective only

Cause: rank before guarantee let guaranteed work of lower rank wait without end beside another team's surplus.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,7 +105,8 @@
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps,
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
 	wall := time.Now
-	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished")},
+	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"),
+		Guarantee: spans(p.Objectives, "guarantee")[""]},
 		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
 	owners := map[string]placer.OwnerCaller{set.Host: localOwner{n.owner}}
 	for h, pc := range n.peers {
@@ -121,12 +122,13 @@
 	return n
 }
 
-// spans gives the shortest time that objectives of a kind set for each class.
+// spans gives the shortest time that objectives of a kind set for each class;
+// those for no class in particular are under the empty name.
 func spans(objectives []config.Objective, kind string) map[string]clock.Micros {
 	out := map[string]clock.Micros{}
 	for _, o := range objectives {
 		within := clock.FromSeconds(o.WithinS)
-		if o.Kind == kind && o.Class != "" && (out[o.Class] == 0 || within < out[o.Class]) {
+		if o.Kind == kind && within > 0 && (out[o.Class] == 0 || within < out[o.Class]) {
 			out[o.Class] = within
 		}
 	}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -443,6 +443,8 @@
 	if j.late(now) {
 		return nil, nil, false
 	}
+	// Work of higher rank goes first, but a guarantee is not put off for long.
+	owed := d.timing.Guarantee > 0 && j.stalled != 0 && now >= j.stalled+d.timing.Guarantee*3/5
 	var best *mirror
 	var bestVictims []peer.TaskID
 	var bestCost clock.Micros
@@ -457,7 +459,7 @@
 			if t.Phase == wire.TaskExited || t.Stopping || t.Team == "" || t.Covered && t.Rank >= j.Level {
 				continue
 			}
-			if t.Rank < j.Level || j.covered && t.Rank == j.Level && t.Team != j.team.Name {
+			if t.Rank < j.Level || j.covered && t.Team != j.team.Name && (t.Rank == j.Level || owed) {
 				cand = append(cand, t)
 			}
 		}
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -22,6 +22,7 @@
 	PreemptAfter  clock.Micros
 	Economy       bool
 	Waits         map[string]clock.Micros // classes whose tasks should start within so long
+	Guarantee     clock.Micros            // guaranteed work should start within so long; 0: nothing is said
 	Finishes      map[string]clock.Micros // classes whose jobs should be finished within so long
 }
 
