--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -133,16 +133,21 @@
 			continue
 		}
 		if h.Term != f.term {
-			f.term, f.counter = h.Term, 0
-			f.rented, f.listedAt = map[string]Rented{}, map[string]clock.Micros{}
-			f.gone, f.refused = map[string]clock.Micros{}, map[Kind]clock.Micros{}
-			f.fetched, f.listed, f.unlisted, f.listAgain = 0, 0, 0, 0
+			f.begin(h.Term)
 			f.log.Info("fleet taken over", "term", h.Term)
 		}
 		f.step(ctx, h)
 	}
 }
 
+// begin starts the duty under a term, knowing nothing of what is rented.
+func (f *Fleet) begin(term uint64) {
+	f.term, f.counter = term, 0
+	f.rented, f.listedAt = map[string]Rented{}, map[string]clock.Micros{}
+	f.gone, f.refused = map[string]clock.Micros{}, map[Kind]clock.Micros{}
+	f.fetched, f.listed, f.unlisted, f.listAgain = 0, 0, 0, 0
+}
+
 func (f *Fleet) step(ctx context.Context, h claim.Held) {
 	now := f.clock.Now()
 	if f.fetched == 0 || now > f.fetched+30*clock.Second {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// cloud answers as the protocol's page says, on loopback.
+type cloud struct {
+	mu       sync.Mutex
+	names    []string
+	returned []string
+	listed   []wire.Rental
+	answer   func(wire.Hire) (int, any)
+}
+
+func (c *cloud) handle(_ context.Context, r *httpx.Request) httpx.Response {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	status, v := 200, any(nil)
+	switch {
+	case r.Path == wire.PathCatalog:
+		v = wire.Catalog{Types: []wire.MachineType{{Name: "big", CPUs: 32, MemGB: 128, Price: 1.2, SpotPrice: 0.4, BootS: 30, Zones: []string{"a"}}}}
+	case r.Path == wire.PathReturn:
+		var h wire.Hosts
+		json.Unmarshal(r.Body, &h) //nolint:errcheck // a bad one returns nothing
+		c.returned = append(c.returned, h.Hosts...)
+		v = h
+	case r.Method == "GET":
+		v = wire.Rentals{Hosts: c.listed}
+	default:
+		var h wire.Hire
+		json.Unmarshal(r.Body, &h) //nolint:errcheck // a bad one has no name
+		c.names = append(c.names, h.Name)
+		status, v = c.answer(h)
+	}
+	b, _ := json.Marshal(v)
+	return httpx.Response{Status: status, Body: b}
+}
+
+// with reads or changes the cloud between calls.
+func (c *cloud) with(do func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	do()
+}
+
+// others stands for the controllers.
+type others struct {
+	demands []peer.Demand
+	views   []peer.MachineView
+	ready   []string
+	gone    []string
+}
+
+func (o *others) Demands(context.Context) []peer.Demand          { return o.demands }
+func (o *others) Views() []peer.MachineView                      { return o.views }
+func (o *others) Drain(_ context.Context, ids []string) []string { return o.ready }
+func (o *others) Gone(_ context.Context, ids []string)           { o.gone = append(o.gone, ids...) }
+
+type held struct{ term uint64 }
+
+func (h *held) Mine(string) (claim.Held, bool) {
+	return claim.Held{Record: claim.Record{Term: h.term}}, h.term > 0
+}
+
+func newFleet(t *testing.T) (*Fleet, *cloud, *others, *held) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	c := &cloud{answer: func(h wire.Hire) (int, any) { return 200, wire.Hosts{Hosts: []string{"m-" + h.Name}} }}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	srv := httpx.NewServer(c.handle, 8, 1<<20, time.Minute, quiet)
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan error, 1)
+	go func() { over <- srv.Run(ctx, addr) }()
+	t.Cleanup(func() {
+		stop()
+		<-over
+	})
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp4", addr)
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil
+	}, time.Minute, 5*time.Millisecond)
+	o, h := &others{}, &held{term: 3}
+	f := New(NewCloud(addr, 10_000), h, &fakes.View{State: fakes.NewState()}, o, clock.NewSteady(),
+		Knobs{IdleReturn: 60 * clock.Second, BootPatience: 3}, 12*clock.Second, 8*clock.Second, func() wire.Catalog { return wire.Catalog{} }, quiet)
+	f.begin(3)
+	return f, c, o, h
+}
+
+// A rental request's name is never used again, not by the next holder either.
+func TestRequestNamesAreNeverReused(t *testing.T) {
+	f, c, o, h := newFleet(t)
+	o.demands = waiting(2, nil)
+	for term := uint64(3); term < 5; term++ {
+		h.term = term
+		f.begin(term)
+		for range 3 {
+			f.rented = map[string]Rented{} // as if none had come
+			f.step(t.Context(), claim.Held{Record: claim.Record{Term: term}})
+		}
+	}
+	c.with(func() {
+		seen := map[string]bool{}
+		for _, n := range c.names {
+			require.False(t, seen[n], n)
+			seen[n] = true
+		}
+		require.GreaterOrEqual(t, len(c.names), 6)
+	})
+}
+
+// What the cloud can't give is asked of another kind at once, and not again for a while.
+func TestNoCapacity(t *testing.T) {
+	f, c, o, _ := newFleet(t)
+	o.demands = waiting(2, nil)
+	kinds := []bool{}
+	c.with(func() {
+		c.answer = func(h wire.Hire) (int, any) {
+			kinds = append(kinds, h.Spot)
+			if h.Spot {
+				return 503, wire.Error{Error: "no capacity"}
+			}
+			return 200, wire.Hosts{Hosts: []string{"m-1"}}
+		}
+	})
+	f.step(t.Context(), claim.Held{Record: claim.Record{Term: 3}})
+	c.with(func() { require.Equal(t, []bool{true, false}, kinds) })
+	f.step(t.Context(), claim.Held{Record: claim.Record{Term: 3}})
+	c.with(func() {
+		require.Equal(t, []bool{true, false}, kinds, "the machine is on its way, though the list lags")
+	})
+}
+
+// A machine that nobody expected is on the list: it is given back when it is idle,
+// but only once its owner has set it aside.
+func TestUnexpectedMachines(t *testing.T) {
+	f, c, o, _ := newFleet(t)
+	c.with(func() {
+		c.listed = []wire.Rental{{ID: "m-7", Type: "big", Zone: "a", Phase: wire.MachineRunning, AgeS: 500}}
+	})
+	o.views = []peer.MachineView{{ID: "m-7", Type: "big", Zone: "a", Accounted: true, Usable: true, Idle: 90 * clock.Second}}
+	f.step(t.Context(), claim.Held{Record: claim.Record{Term: 3}})
+	c.with(func() { require.Empty(t, c.returned, "its owner has not set it aside") })
+	o.ready = []string{"m-7"}
+	f.step(t.Context(), claim.Held{Record: claim.Record{Term: 3}})
+	c.with(func() { require.Equal(t, []string{"m-7"}, c.returned) })
+	require.Equal(t, []string{"m-7"}, o.gone)
+}
+
+// Odd answers of the cloud lead to nothing but another try.
+func TestOddAnswersOfTheCloud(t *testing.T) {
+	f, c, o, _ := newFleet(t)
+	o.demands = waiting(2, nil)
+	for _, a := range []func(wire.Hire) (int, any){
+		func(wire.Hire) (int, any) { return 429, nil },
+		func(wire.Hire) (int, any) { return 503, wire.Error{Error: "trouble"} },
+		func(wire.Hire) (int, any) { return 200, "what?" },
+		func(wire.Hire) (int, any) { return 500, strings.Repeat("x", 300) },
+	} {
+		c.with(func() { c.answer = a })
+		f.refused = map[Kind]clock.Micros{}
+		f.step(t.Context(), claim.Held{Record: claim.Record{Term: 3}})
+		require.Empty(t, f.rented)
+	}
+}
