--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,11 +72,13 @@
 	for _, o := range set.Peers {
 		peers[o.Host] = peer.NewClient(o.Addr)
 	}
-	return assemble(ctx, set, knobs, state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count), peers, log)
+	client := state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count)
+	return assemble(ctx, set, knobs, client, state.Urgent{Client: client}, peers, log)
 }
 
-// assemble wires a controller to a state service and to peers.
-func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store Store, peers map[string]Peer, log *slog.Logger) *Node {
+// assemble wires a controller to a state service and to peers. What users or
+// other controllers wait for, accepted jobs and claims, goes the urgent way.
+func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, peers map[string]Peer, log *slog.Logger) *Node {
 	p := &set.Params
 	n := &Node{set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, loaded: make(chan struct{})}
 	c := clock.NewSteady()
@@ -100,7 +102,7 @@
 		duties = append(duties, placer.Duty(t.Name))
 	}
 	duties = append(duties, fleet.Duty)
-	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), n.store, c,
+	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), urgent, c,
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps,
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
@@ -114,7 +116,7 @@
 	}
 	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
 		ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, n.book, c, log)
-	n.front = front.New(n.store, n, n.book, limits, int(p.State.ValueKB*1024), wall, log)
+	n.front = front.New(urgent, n, n.book, limits, int(p.State.ValueKB*1024), wall, log)
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
 			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -37,6 +37,15 @@
 	http   *httpx.Client
 	reqs   *rate.Limiter
 	writes *rate.Limiter
+	urgent *rate.Limiter // changes that users or other controllers wait for
+}
+
+// Urgent is a client whose changes have a part of the budget to themselves.
+type Urgent struct{ *Client }
+
+// Commit carries out a transaction that must not queue behind others.
+func (u Urgent) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
+	return u.commit(ctx, m, u.Client.urgent)
 }
 
 // NewClient makes a client that keeps to one of share parts of the budget.
@@ -45,7 +54,8 @@
 	return &Client{
 		http:   httpx.NewClient(addr, 8, 8<<20),
 		reqs:   rate.NewLimiter(rate.Limit(rps/n*0.95), max(1, int(rps/n*0.9))),
-		writes: rate.NewLimiter(rate.Limit(writes/n*0.95), max(13, int(writes/n))),
+		writes: rate.NewLimiter(rate.Limit(writes/n*0.65), max(13, int(writes/n))),
+		urgent: rate.NewLimiter(rate.Limit(writes/n*0.3), max(8, int(writes/n/2))),
 	}
 }
 
@@ -138,10 +148,14 @@
 
 // Commit carries out a transaction and gives its revision.
 func (c *Client) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
+	return c.commit(ctx, m, c.writes)
+}
+
+func (c *Client) commit(ctx context.Context, m wire.Multi, budget *rate.Limiter) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if n := len(m.Then); n > 0 {
-		if err := c.writes.WaitN(ctx, n); err != nil {
+		if err := budget.WaitN(ctx, n); err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrRefused, ErrBudget)
 		}
 	}
