Read again: dead state removed, twins made one, what holds for a round reckoned once

Dead: a bin's mark, a binding's host, a partition's stamp, the names in a greeting. One piece now: an empty round, the wait before room is taken, a machine's partition. Uncleared machines are counted once a round, not for each job.

--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -85,14 +85,6 @@
 	return k.book.Confirmed(k.clock.Now())
 }
 
-// Incarnation is the present incarnation.
-func (k *Keeper) Incarnation() string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	inc, _ := k.book.Incarnation()
-	return inc
-}
-
 // Contact tells how long ago the state service last confirmed the hold, and
 // the last incarnation that resigned.
 func (k *Keeper) Contact() (ago clock.Micros, resigned string) {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -67,7 +67,6 @@
 type bin struct {
 	kind Kind
 	free res.Amounts
-	new  bool
 }
 
 func (b *bin) takes(d *peer.Demand) bool {
@@ -110,7 +109,7 @@
 			full := res.Have(t.CPUs, t.GPUs, t.MemGB)
 			if allows(d, k) && d.Need.Fits(full) && wants[k] < in.MaxCount {
 				wants[k]++
-				b := &bin{kind: k, free: full, new: true}
+				b := &bin{kind: k, free: full}
 				bins = append(bins, b)
 				return b
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,7 +235,7 @@
 
 func (n *Node) hello() peer.Hello {
 	ago, resigned := n.keeper.Contact()
-	return peer.Hello{Host: n.set.Host, Incarnation: n.keeper.Incarnation(), Contact: ago, Resigned: resigned}
+	return peer.Hello{Contact: ago, Resigned: resigned}
 }
 
 // handle answers a request of a user, a worker or the load balancer.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -115,16 +115,16 @@
 	changed := false
 	for p := range o.parts {
 		h, mine := o.claims.Mine(Duty(p))
-		term, _, have := o.table.Part(p)
+		term, have := o.table.Part(p)
 		switch {
 		case mine && (!have || term != h.Term):
 			machines := map[string]Registered{}
 			for id, r := range o.registry {
-				if Partition(id, o.parts) == p {
+				if o.partition(id) == p {
 					machines[id] = r
 				}
 			}
-			o.table.Gain(p, h.Term, h.Stamp, machines, now)
+			o.table.Gain(p, h.Term, machines, now)
 			o.log.Info("partition taken over", "part", p, "term", h.Term, "machines", len(machines))
 			changed = true
 		case !mine && have:
@@ -162,7 +162,7 @@
 	if err := json.Unmarshal(body, &r); err != nil || !validMachine(r.Machine) || r.Session == 0 || r.Tick == 0 {
 		return refuse(400, "not a report", "", 0)
 	}
-	part := Partition(r.Machine, o.parts)
+	part := o.partition(r.Machine)
 	h, mine := o.claims.Mine(Duty(part))
 	if !mine {
 		if holder, ok := o.claims.Holder(Duty(part)); ok && holder != o.host {
@@ -171,7 +171,7 @@
 		return refuse(503, "no controller has this machine now", "", 1)
 	}
 	o.mu.Lock()
-	term, _, have := o.table.Part(part)
+	term, have := o.table.Part(part)
 	if !have || term != h.Term {
 		o.mu.Unlock()
 		return refuse(503, "taking over", "", 1)
@@ -232,12 +232,15 @@
 	}
 }
 
+// partition gives the partition of a machine.
+func (o *Owner) partition(id string) int { return Partition(id, o.parts) }
+
 // Drain keeps machines free for their return.
 func (o *Owner) Drain(ids []string) []string {
 	o.Reconcile()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ready := o.table.Drain(ids, func(id string) int { return Partition(id, o.parts) }, o.clock.Now())
+	ready := o.table.Drain(ids, o.partition, o.clock.Now())
 	o.notify()
 	return ready
 }
@@ -246,7 +249,7 @@
 func (o *Owner) Gone(ids []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Gone(ids, func(id string) int { return Partition(id, o.parts) }, o.clock.Now())
+	o.table.Gone(ids, o.partition, o.clock.Now())
 	o.notify()
 }
 
@@ -292,11 +295,11 @@
 func (o *Owner) record(ctx context.Context, fresh map[string]Registered, drop []string) {
 	ops := map[int][]wire.Op{}
 	for id, r := range fresh {
-		p := Partition(id, o.parts)
+		p := o.partition(id)
 		ops[p] = append(ops[p], wire.Op{Put: state.Machines + id, Value: r})
 	}
 	for _, id := range drop {
-		p := Partition(id, o.parts)
+		p := o.partition(id)
 		ops[p] = append(ops[p], wire.Op{Drop: state.Machines + id})
 	}
 	for p, list := range ops {
@@ -312,7 +315,7 @@
 				break
 			}
 			o.mu.Lock()
-			if term, _, have := o.table.Part(p); have && term == h.Term {
+			if term, have := o.table.Part(p); have && term == h.Term {
 				for _, op := range list[:n] {
 					if op.Put != "" {
 						o.table.Registered(strings.TrimPrefix(op.Put, state.Machines), true)
@@ -333,7 +336,7 @@
 	now := o.clock.Now()
 	for _, id := range o.table.Pending(now) {
 		part, _ := o.table.PartOf(id)
-		term, _, _ := o.table.Part(part)
+		term, _ := o.table.Part(part)
 		if h, mine := o.claims.Mine(Duty(part)); !mine || h.Term != term {
 			continue
 		}
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -91,17 +91,12 @@
 	tasks      map[peer.TaskID]*task
 }
 
-type partition struct {
-	term  uint64
-	stamp uint64
-}
-
 // Table holds the machines of the partitions that this controller owns.
 type Table struct {
 	timing    Timing
 	jobs      Jobs
 	types     map[string]res.Amounts
-	parts     map[int]partition
+	parts     map[int]uint64 // partitions held, with terms
 	machines  map[string]*machine
 	version   uint64
 	teamTerms map[string]uint64
@@ -118,7 +113,7 @@
 
 // NewTable makes an empty table.
 func NewTable(t Timing, j Jobs) *Table {
-	return &Table{timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]partition{},
+	return &Table{timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]uint64{},
 		machines: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
 		cancelled: map[string]clock.Micros{}, failing: map[string]map[string]bool{}}
 }
@@ -143,9 +138,9 @@
 // Gain takes a partition over. Every machine registered for it may hold tasks
 // of the former owner's until a report shows a token of this term, or it was
 // not answered by anybody for its lease, counted from now at the latest.
-func (t *Table) Gain(part int, term, stamp uint64, machines map[string]Registered, now clock.Micros) {
+func (t *Table) Gain(part int, term uint64, machines map[string]Registered, now clock.Micros) {
 	t.Lose(part)
-	t.parts[part] = partition{term, stamp}
+	t.parts[part] = term
 	for id, r := range machines {
 		m := t.add(id, part, r, now)
 		m.registered = true
@@ -168,7 +163,7 @@
 }
 
 func (t *Table) add(id string, part int, r Registered, now clock.Micros) *machine {
-	m := &machine{id: id, part: part, Registered: r, cap: t.types[r.Type], token: baseToken(t.parts[part].term) + 1,
+	m := &machine{id: id, part: part, Registered: r, cap: t.types[r.Type], token: baseToken(t.parts[part]) + 1,
 		answered: now, idleSince: now, tasks: map[peer.TaskID]*task{}, errJobs: map[string]bool{}, session: 1}
 	t.machines[id] = m
 	t.touch(m)
@@ -185,14 +180,12 @@
 	if m.gone || r.Session < m.session && m.heard || m.silent && m.heard && r.Session <= m.session {
 		return ans, false
 	}
-	if r.Token > m.token && r.Token>>32 > t.parts[part].term {
+	if r.Token > m.token && r.Token>>32 > t.parts[part] {
 		return ans, false // a later term than ours: not ours to command
 	}
 	fresh := !m.heard || r.Session > m.session || r.Tick > m.tick
 	if fresh {
-		if m.Addr != r.Addr {
-			m.Addr = r.Addr
-		}
+		m.Addr = r.Addr
 		t.absorb(m, r, true, now)
 		m.quietUntil = 0
 	}
@@ -232,7 +225,7 @@
 	}
 	m.heard, m.session, m.tick = true, r.Session, r.Tick
 	m.seenToken = max(m.seenToken, r.Token)
-	if !m.accounted && r.Token >= baseToken(t.parts[m.part].term) {
+	if !m.accounted && r.Token >= baseToken(t.parts[m.part]) {
 		m.accounted, changed = true, true
 	}
 	if n := r.NoticeS != nil; n != m.noticed {
@@ -454,8 +447,7 @@
 			job, n, _ := wire.SplitTask(or.Task)
 			m.tasks[peer.TaskID{Job: job, N: n, Attempt: or.Attempt}].risk = m.token
 		}
-	}
-	if !m.accounted {
+	} else {
 		if now < m.probedAt+500*clock.Millisecond {
 			return "", nil
 		}
@@ -468,7 +460,7 @@
 // Answered takes the answer to /orders: the worker's report after it.
 func (t *Table) Answered(id string, sent *wire.Orders, r *wire.Report, now clock.Micros) {
 	m := t.machines[id]
-	if m == nil || !m.inflight || sent.Token>>32 != t.parts[m.part].term {
+	if m == nil || !m.inflight || sent.Token>>32 != t.parts[m.part] {
 		return
 	}
 	m.inflight = false
@@ -485,7 +477,7 @@
 		if m.session != r.Session {
 			m.session, m.probedAt = r.Session, 0 // the next try names the right one
 		}
-		if r.Token < baseToken(t.parts[m.part].term) {
+		if r.Token < baseToken(t.parts[m.part]) {
 			return
 		}
 	}
@@ -496,7 +488,7 @@
 // the worker shows a higher token. Orders go with reports for a while.
 func (t *Table) Unanswered(id string, sent *wire.Orders, now clock.Micros) {
 	m := t.machines[id]
-	if m == nil || sent.Token>>32 != t.parts[m.part].term {
+	if m == nil || sent.Token>>32 != t.parts[m.part] {
 		return
 	}
 	m.inflight = false
@@ -576,7 +568,7 @@
 func (t *Table) lease(a peer.Ask, term uint64, now clock.Micros) bool {
 	m := t.machines[a.Machine]
 	if m == nil || term == 0 || term < t.teamTerms[a.Team] || a.ID.Attempt>>32 != term ||
-		t.parts[m.part].term != a.Term || !m.usable(now) || t.cancelled[a.ID.Job] > 0 {
+		t.parts[m.part] != a.Term || !m.usable(now) || t.cancelled[a.ID.Job] > 0 {
 		return false
 	}
 	for id, k := range m.tasks {
@@ -745,10 +737,10 @@
 	return out
 }
 
-// Part gives the term and the claim's stamp of a partition that is owned.
-func (t *Table) Part(part int) (term, stamp uint64, ok bool) {
-	p, ok := t.parts[part]
-	return p.term, p.stamp, ok
+// Part gives the term of a partition that is owned.
+func (t *Table) Part(part int) (term uint64, ok bool) {
+	term, ok = t.parts[part]
+	return term, ok
 }
 
 // PartOf gives the partition of a machine in the table.
@@ -782,7 +774,7 @@
 
 func (t *Table) view(m *machine, now clock.Micros) peer.MachineView {
 	_, all := m.inUse()
-	v := peer.MachineView{ID: m.id, Part: m.part, Term: t.parts[m.part].term, Version: m.version, Type: m.Type, Zone: m.Zone,
+	v := peer.MachineView{ID: m.id, Part: m.part, Term: t.parts[m.part], Version: m.version, Type: m.Type, Zone: m.Zone,
 		Spot: m.Spot, Cap: m.cap, Free: m.cap.Minus(all), Accounted: m.accounted || m.silent || m.gone, Usable: m.usable(now),
 		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick, Images: append([]string(nil), m.images...)}
 	if len(m.tasks) == 0 {
@@ -803,9 +795,7 @@
 	if in.Incarnation != incarnation {
 		after, out.Full = 0, true
 	}
-	for p, part := range t.parts {
-		out.Parts[p] = part.term
-	}
+	maps.Copy(out.Parts, t.parts)
 	for _, id := range slices.Sorted(maps.Keys(t.machines)) {
 		if m := t.machines[id]; m.version > after {
 			out.Machines = append(out.Machines, t.view(m, now))
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -49,7 +49,7 @@
 	s := &scene{t: t, now: 100 * sec, jobs: jobList{map[string]*jobs.Job{"job-1": jobs.New(jobs.Record{Job: spec}, 5)}, map[string]jobs.Final{}}}
 	s.table = newTable(s.jobs)
 	s.w = fakes.NewWorker("m-1", lease, s.now)
-	s.table.Gain(0, 1, 1, nil, s.now)
+	s.table.Gain(0, 1, nil, s.now)
 	s.report()
 	s.table.Registered("m-1", true)
 	s.report()
@@ -99,7 +99,7 @@
 	require.Len(t, late.Orders, 1)
 
 	next := newTable(s.jobs)
-	next.Gain(0, 2, 9, map[string]Registered{"m-1": {Addr: "10.0.0.9:9000", Type: "big", Zone: "a"}}, s.now)
+	next.Gain(0, 2, map[string]Registered{"m-1": {Addr: "10.0.0.9:9000", Type: "big", Zone: "a"}}, s.now)
 	s.now += sec
 	s.reportTo(next)
 	require.False(t, next.machines["m-1"].accounted, "the report was made before the new token was seen")
@@ -254,7 +254,7 @@
 // An ask made to the former owner of a partition reaches the next one.
 func TestAnAskUnderAFormerTermIsRefused(t *testing.T) {
 	s := newScene(t)
-	s.table.Gain(0, 2, 9, map[string]Registered{"m-1": {Addr: "x", Type: "big"}}, s.now)
+	s.table.Gain(0, 2, map[string]Registered{"m-1": {Addr: "x", Type: "big"}}, s.now)
 	s.report()
 	s.report()
 	require.True(t, s.table.machines["m-1"].usable(s.now))
@@ -319,7 +319,7 @@
 	s.report()
 	delete(s.jobs.active, "job-1")
 	next := newTable(s.jobs)
-	next.Gain(0, 2, 9, map[string]Registered{"m-1": {Addr: "x", Type: "big"}}, s.now)
+	next.Gain(0, 2, map[string]Registered{"m-1": {Addr: "x", Type: "big"}}, s.now)
 	for range 4 {
 		s.now += sec
 		s.reportTo(next)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -101,6 +101,11 @@
 	Slow    []string // machines on which tasks take much longer than elsewhere
 }
 
+// Empty tells that a round carries nothing.
+func (r *Round) Empty() bool {
+	return len(r.Asks)+len(r.Stops)+len(r.Settles)+len(r.Cancels)+len(r.Slow) == 0
+}
+
 // RoundAnswer answers a round.
 type RoundAnswer struct {
 	Incarnation string
@@ -128,10 +133,8 @@
 
 // Hello is what controllers tell each other once a second.
 type Hello struct {
-	Host        string
-	Incarnation string
-	Contact     clock.Micros // how long ago the state service confirmed its hold
-	Resigned    string       // its last incarnation that gave up for good
+	Contact  clock.Micros // how long ago the state service confirmed its hold
+	Resigned string       // its last incarnation that gave up for good
 }
 
 // Demand is work that waits for room, or runs, as the fleet needs to know it.
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -170,6 +170,9 @@
 // the owners' next rounds. The batch widens with what waits.
 func (d *Desk) Place(now clock.Micros) (placed int) {
 	list := d.order(now)
+	for _, tm := range d.teams {
+		tm.unknown, tm.held = d.uncleared(tm)
+	}
 	waiting := 0
 	for _, j := range list {
 		waiting += j.waiting()
@@ -205,13 +208,12 @@
 }
 
 func (d *Desk) placeJob(j *job, room []*mirror, most int, now clock.Micros) (placed int) {
-	n, held := d.uncleared(j.team)
-	if j.old && n > 0 {
+	if j.old && j.team.unknown > 0 {
 		return 0 // its tasks may be on a machine that is not accounted for
 	}
 	for placed < most {
-		if !within(j.team.used.Plus(held).Plus(j.Need), j.team.Limit) {
-			d.makeWay(j, held, now)
+		if !within(j.team.used.Plus(j.team.held).Plus(j.Need), j.team.Limit) {
+			d.makeWay(j, now)
 			return placed
 		}
 		t := j.take()
@@ -230,7 +232,7 @@
 		j.team.counter++
 		d.counts.Placed++
 		d.counts.Preempted += len(victims)
-		b := &binding{id: peer.TaskID{Job: j.ID, N: t, Attempt: j.team.term<<32 | j.team.counter}, job: j, machine: m.ID, host: m.host,
+		b := &binding{id: peer.TaskID{Job: j.ID, N: t, Attempt: j.team.term<<32 | j.team.counter}, job: j, machine: m.ID,
 			zone: m.Zone, term: m.Term, asked: true, instance: m.instance, since: now}
 		d.bind(b, m)
 		m.free = m.free.Minus(j.Need)
@@ -253,14 +255,14 @@
 
 // makeWay stops tasks of lower rank of the job's own team, where the team's
 // limit leaves no room for it. It is placed once they are gone for certain.
-func (d *Desk) makeWay(j *job, held res.Amounts, now clock.Micros) {
+func (d *Desk) makeWay(j *job, now clock.Micros) {
 	if j.stalled == 0 {
 		j.stalled = now
 	}
-	if j.late(now) || now < j.stalled+d.timing.PreemptAfter {
+	if j.late(now) || !d.waitedOut(j, now) {
 		return
 	}
-	used := j.team.used.Plus(held)
+	used := j.team.used.Plus(j.team.held)
 	var cand []*binding
 	for _, o := range j.team.jobs {
 		for _, b := range o.bound {
@@ -289,6 +291,11 @@
 	}
 }
 
+// waitedOut tells that a job has waited long enough to take room from others.
+func (d *Desk) waitedOut(j *job, now clock.Micros) bool {
+	return j.stalled != 0 && now >= j.stalled+d.timing.PreemptAfter
+}
+
 // allowed tells whether a machine may take one more task of a job, given where
 // the others are or may be.
 func (j *job) allowed(m *mirror) bool {
@@ -309,7 +316,8 @@
 }
 
 // choose draws a small sample of the machines that showed room and takes the
-// best fit: one that has the image, then the one that is left with least room.
+// best fit: of those that have the image, if any, one where a small task takes no
+// place from a large one, if any, and of these the one that is better.
 func (d *Desk) choose(j *job, room []*mirror, now clock.Micros) (*mirror, []peer.TaskID, bool) {
 	var with, bare []*mirror
 	for _, m := range room {
@@ -323,7 +331,7 @@
 		}
 	}
 	if len(with)+len(bare) == 0 {
-		if j.stalled != 0 && now >= j.stalled+d.timing.PreemptAfter {
+		if d.waitedOut(j, now) {
 			return d.preempt(j, room, now)
 		}
 		return nil, nil, false
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -41,6 +41,8 @@
 	used    res.Amounts
 	jobs    map[string]*job
 	cleared map[string]bool // machines known to hold no task unknown here
+	unknown int             // machines that are not cleared, as of this round
+	held    res.Amounts     // and what they could hold
 }
 
 type job struct {
@@ -57,7 +59,7 @@
 	uncertain  bool // its final record may have been written
 	finishing  bool
 	dirty      map[int]bool           // chunks to be written
-	unsettled  map[peer.TaskID]ending // ended as done, not written yet
+	unsettled  map[peer.TaskID]string // ended as done, not written yet: on which machine
 	acked      map[peer.TaskID]uint64 // ends settled with the owner of that term
 	stalled    clock.Micros
 	covered    bool // fits its team's guarantee together with the team's earlier jobs
@@ -74,7 +76,6 @@
 	id       peer.TaskID
 	job      *job
 	machine  string
-	host     string
 	zone     string
 	term     uint64 // of the machine's partition when asked
 	asked    bool   // no answer yet
@@ -213,7 +214,7 @@
 func (d *Desk) addJob(tm *team, spec *jobs.Job, now clock.Micros) {
 	j := &job{Job: spec, team: tm, old: spec.Stamp < tm.stamp, done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
 		zones: map[string]int{}, dirty: map[int]bool{}, failedOn: map[string]clock.Micros{},
-		unsettled: map[peer.TaskID]ending{}, acked: map[peer.TaskID]uint64{}, since: now}
+		unsettled: map[peer.TaskID]string{}, acked: map[peer.TaskID]uint64{}, since: now}
 	if spec.AcceptedMS > 0 {
 		j.since = now - clock.Micros(max(0, d.wall()-spec.AcceptedMS))*clock.Millisecond
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -401,7 +401,7 @@
 	type write struct {
 		j     *job
 		chunk int
-		ends  map[peer.TaskID]ending
+		ends  map[peer.TaskID]string
 	}
 	p.mu.Lock()
 	byTeam := map[*team][]write{}
@@ -415,7 +415,7 @@
 			}
 			if len(j.dirty) == 0 {
 				for id, e := range j.unsettled {
-					p.desk.settle(j, id, e.machine)
+					p.desk.settle(j, id, e)
 				}
 				clear(j.unsettled)
 			}
@@ -442,7 +442,7 @@
 				m.When = append(m.When, wire.Cond{Key: state.Active + w.j.ID, Stamp: w.j.Stamp})
 				m.Then = append(m.Then, wire.Op{Put: progressKey(w.j.ID, w.chunk), Value: base64.StdEncoding.EncodeToString(w.j.chunk(w.chunk))})
 				delete(w.j.dirty, w.chunk)
-				w.ends = map[peer.TaskID]ending{}
+				w.ends = map[peer.TaskID]string{}
 				for id, e := range w.j.unsettled {
 					if id.N/ChunkTasks == w.chunk {
 						w.ends[id] = e
@@ -459,7 +459,7 @@
 				}
 				for id, e := range w.ends {
 					delete(w.j.unsettled, id)
-					p.desk.settle(w.j, id, e.machine)
+					p.desk.settle(w.j, id, e)
 				}
 			}
 			p.mu.Unlock()
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -14,9 +14,6 @@
 	took    clock.Micros
 }
 
-// ending is where a task has ended.
-type ending struct{ machine string }
-
 // forgetSilent drops a machine that fell silent and has no record any more.
 // An ask that has no answer yet stays bound: the machine may come back with a
 // new session, and the ask be granted then.
@@ -182,7 +179,7 @@
 				continue // the owner ends what belongs to no active job
 			}
 			if tv.Phase != wire.TaskExited {
-				b = &binding{id: tv.ID, job: j, machine: m.ID, host: m.host, zone: m.Zone, term: m.Term, version: m.Version,
+				b = &binding{id: tv.ID, job: j, machine: m.ID, zone: m.Zone, term: m.Term, version: m.Version,
 					instance: m.instance, since: now - tv.Since}
 				b.stray = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
 				d.bind(b, m)
@@ -240,7 +237,7 @@
 		j.markDone(n)
 		j.errors = 0
 		if j.acked[tv.ID] != m.Term {
-			j.unsettled[tv.ID] = ending{m.ID}
+			j.unsettled[tv.ID] = m.ID
 		}
 		if other := j.bound[n]; other != nil && other != b {
 			other.stray = true
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -27,7 +27,7 @@
 	}
 	d.abandon(o)
 	r := o.next
-	if o.instance == "" || len(r.Asks)+len(r.Stops)+len(r.Settles)+len(r.Cancels)+len(r.Slow) == 0 {
+	if o.instance == "" || r.Empty() {
 		return nil
 	}
 	o.seq++
@@ -51,8 +51,7 @@
 // Waiting tells whether there is something to send to an owner.
 func (d *Desk) Waiting(host string) bool {
 	o := d.owners[host]
-	n := &o.next
-	return o.sending != nil || len(n.Asks)+len(n.Stops)+len(n.Settles)+len(n.Cancels)+len(n.Slow) > 0
+	return o.sending != nil || !o.next.Empty()
 }
 
 // Answered takes the answer to a round.
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -115,7 +115,7 @@
 			found[id] = r
 		}
 	}
-	w.hosts[to].table.Gain(p, w.partTerm[p], w.stamp, found, w.now)
+	w.hosts[to].table.Gain(p, w.partTerm[p], found, w.now)
 }
 
 // newDesk replaces the placer: the former one is gone, and with it its memory.
