--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -65,16 +65,8 @@
 	return len(f.types) > 0
 }
 
-func answer(status int, v any) httpx.Response {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return httpx.Response{Status: 503, Body: []byte(`{"error":"no answer"}`), RetryAfter: 1}
-	}
-	return httpx.Response{Status: status, Body: b}
-}
-
 func refuse(status int, text string) httpx.Response {
-	r := answer(status, wire.Error{Error: text})
+	r := httpx.JSON(status, wire.Error{Error: text})
 	if status == 503 {
 		r.RetryAfter = 1
 	}
@@ -144,7 +136,7 @@
 		return refuse(400, err.Error())
 	}
 	if s, ok := f.book.Final(spec.ID); ok {
-		return answer(200, s.State(spec.ID))
+		return httpx.JSON(200, s.State(spec.ID))
 	}
 	if _, ok := f.book.Find(spec.ID); ok {
 		return f.get(ctx, spec.ID)
@@ -164,7 +156,7 @@
 		Then: []wire.Op{{Put: state.Active + spec.ID, Value: rec}}})
 	switch {
 	case err == nil:
-		return answer(201, map[string]string{"id": spec.ID, "phase": wire.Pending})
+		return httpx.JSON(201, map[string]string{"id": spec.ID, "phase": wire.Pending})
 	case errors.Is(err, state.ErrConflict):
 		return f.get(ctx, spec.ID) // known already
 	}
@@ -175,7 +167,7 @@
 // get tells a job's state.
 func (f *Front) get(ctx context.Context, id string) httpx.Response {
 	if s, ok := f.book.Final(id); ok {
-		return answer(200, s.State(id))
+		return httpx.JSON(200, s.State(id))
 	}
 	if j, ok := f.book.Find(id); ok {
 		a, err := f.placers.Status(ctx, peer.JobQuery{Team: j.Team, ID: id})
@@ -183,7 +175,7 @@
 			if a.Retry {
 				return refuse(503, "the job's end is being written")
 			}
-			return answer(200, a.State)
+			return httpx.JSON(200, a.State)
 		}
 	}
 	return f.read(ctx, id)
@@ -224,9 +216,9 @@
 	case err != nil:
 		return refuse(503, "the job's state can't be read now")
 	case final != nil:
-		return answer(200, final.State(id))
+		return httpx.JSON(200, final.State(id))
 	case active != nil:
-		return answer(200, wire.JobState{ID: id, Phase: wire.Pending})
+		return httpx.JSON(200, wire.JobState{ID: id, Phase: wire.Pending})
 	}
 	return refuse(404, "no such job")
 }
@@ -234,7 +226,7 @@
 // withdraw ends a job.
 func (f *Front) withdraw(ctx context.Context, id string) httpx.Response {
 	if s, ok := f.book.Final(id); ok {
-		return answer(200, map[string]string{"id": id, "phase": s.Phase})
+		return httpx.JSON(200, map[string]string{"id": id, "phase": s.Phase})
 	}
 	team := ""
 	if j, ok := f.book.Find(id); ok {
@@ -245,7 +237,7 @@
 		case err != nil:
 			return refuse(503, "the job's state can't be read now")
 		case final != nil:
-			return answer(200, map[string]string{"id": id, "phase": final.Phase})
+			return httpx.JSON(200, map[string]string{"id": id, "phase": final.Phase})
 		case active == nil:
 			return refuse(404, "no such job")
 		}
@@ -255,5 +247,5 @@
 	if err != nil || !a.Known || !a.Found || a.Retry {
 		return refuse(503, "the job is not cancelled yet, ask again")
 	}
-	return answer(200, map[string]string{"id": id, "phase": a.State.Phase})
+	return httpx.JSON(200, map[string]string{"id": id, "phase": a.State.Phase})
 }
--- a/internal/httpx/parse.go
+++ b/internal/httpx/parse.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -37,6 +38,15 @@
 	Close      bool
 }
 
+// JSON makes a response with v as its body.
+func JSON(status int, v any) Response {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return Response{Status: 503, Body: []byte(`{"error":"no answer"}`), RetryAfter: 1}
+	}
+	return Response{Status: status, Body: b}
+}
+
 type head struct {
 	first   string
 	length  int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,8 @@
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps,
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
 	wall := time.Now
-	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"),
+	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
+		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"),
 		Guarantee: spans(p.Objectives, "guarantee")[""]},
 		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
 	owners := map[string]placer.OwnerCaller{set.Host: localOwner{n.owner}}
@@ -258,8 +259,7 @@
 }
 
 func text(status int, msg string) httpx.Response {
-	b, _ := json.Marshal(wire.Error{Error: msg})
-	return httpx.Response{Status: status, Body: b}
+	return httpx.JSON(status, wire.Error{Error: msg})
 }
 
 // ready tells whether users should come here. In an outage of the state service
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -139,8 +139,9 @@
 }
 
 func refuse(status int, text, steward string, retry int) httpx.Response {
-	b, _ := json.Marshal(wire.Error{Error: text, Steward: steward})
-	return httpx.Response{Status: status, Body: b, RetryAfter: retry}
+	r := httpx.JSON(status, wire.Error{Error: text, Steward: steward})
+	r.RetryAfter = retry
+	return r
 }
 
 // validMachine tells whether a name can be part of a key of the state service.
@@ -185,11 +186,7 @@
 	if !ok {
 		return refuse(503, "an old report", "", 0)
 	}
-	b, err := json.Marshal(ans)
-	if err != nil {
-		return refuse(503, "no answer", "", 1)
-	}
-	return httpx.Response{Status: 200, Body: b}
+	return httpx.JSON(200, ans)
 }
 
 // Round carries out a placing controller's round.
