A restart in an outage claims no contact with the state service

Cause, found on reading the change again: a fresh process counted its contact from its own start, so for 2.5 s it told peers that it reached the state service; in a shared outage they then gave their duties up. TestARestartInAnOutageClaimsNoContact failed before and passes now.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -178,6 +178,29 @@
 	})
 }
 
+// A controller that restarts in an outage has had no contact at all: it must
+// not make its peers believe that they alone are cut off.
+func TestARestartInAnOutageClaimsNoContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a := start(t, st, "a")
+		time.Sleep(10 * time.Second)
+		st.SetDown(true)
+		time.Sleep(8 * time.Second)
+		b := start(t, st, "b")
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			ago, _ := b.Contact()
+			a.Hear(ago)
+			require.True(t, a.has("one"), "the outage is shared: duties go on")
+		}
+		st.SetDown(false)
+		time.Sleep(2 * time.Second)
+		ago, _ := b.Contact()
+		require.Less(t, ago, 3*clock.Second)
+	})
+}
+
 // An outage that all share is told apart from being cut off alone.
 func TestSharedOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -43,8 +44,7 @@
 
 // NewKeeper makes a keeper around a book.
 func NewKeeper(book *Book, store Store, c clock.Clock, t Timing, log *slog.Logger) *Keeper {
-	return &Keeper{book: book, store: store, clock: c, timing: t, log: log, wake: make(chan struct{}, 1),
-		lastOK: c.Now(), peerOK: c.Now()}
+	return &Keeper{book: book, store: store, clock: c, timing: t, log: log, wake: make(chan struct{}, 1)}
 }
 
 // Apply takes events of the replica.
@@ -90,6 +90,9 @@
 func (k *Keeper) Contact() (ago clock.Micros, resigned string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.lastOK == 0 {
+		return math.MaxInt64, k.resigned // never in this process's life
+	}
 	return k.clock.Now() - k.lastOK, k.resigned
 }
 
