Owners tell placers what changed; room is indexed by free CPUs and image

Read from the code: every change of a task sent its machine with all tasks to every placer, and every placement and every search for victims went over all machines, each wake of an owner over all tasks. Ruled out: the state service's budget (0 of 17,449 requests refused). Change: a poll's answer holds the tasks that changed since its cursor; a placer keeps machines by levels of free CPUs, and by image, and draws from there; owners keep a list of changes and a set of machines that have something to be sent.

--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -5,9 +5,11 @@
 package owner
 
 import (
+	"cmp"
+	"container/list"
 	"maps"
 	"slices"
-	"sort"
+	"strings"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
@@ -56,7 +58,8 @@
 	stop     bool
 	grace    float64
 	settled  bool
-	covered  bool // its job is within its team's guarantee
+	covered  bool   // its job is within its team's guarantee
+	version  uint64 // of the view that first shows it as it is
 }
 
 func (t *task) exited() bool { return t.phase == wire.TaskExited }
@@ -89,8 +92,20 @@
 	idleSince  clock.Micros
 	version    uint64
 	tasks      map[peer.TaskID]*task
+	left       []departed // tasks gone lately, the oldest first
+	floor      uint64     // who knows the machine as of an earlier version is told of all its tasks
+	place      *list.Element
 }
 
+// departed is a task that is on its machine no more.
+type departed struct {
+	id      peer.TaskID
+	version uint64
+}
+
+// maxLeft bounds how many departed tasks a machine remembers.
+const maxLeft = 256
+
 // Table holds the machines of the partitions that this controller owns.
 type Table struct {
 	timing    Timing
@@ -98,6 +113,8 @@
 	types     map[string]res.Amounts
 	parts     map[int]uint64 // partitions held, with terms
 	machines  map[string]*machine
+	changes   *list.List          // machines, the latest changed last: a poll costs what changed
+	due       map[string]*machine // machines that may have something to be sent
 	version   uint64
 	teamTerms map[string]uint64
 	rounds    map[string]lastRound
@@ -114,7 +131,7 @@
 // NewTable makes an empty table.
 func NewTable(t Timing, j Jobs) *Table {
 	return &Table{timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]uint64{},
-		machines: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
+		machines: map[string]*machine{}, changes: list.New(), due: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
 		cancelled: map[string]clock.Micros{}, failing: map[string]map[string]bool{}}
 }
 
@@ -130,6 +147,39 @@
 func (t *Table) touch(m *machine) {
 	t.version++
 	m.version = t.version
+	t.changes.MoveToBack(m.place)
+}
+
+// show has the next views tell of a task.
+func (t *Table) show(m *machine, k *task) {
+	t.touch(m)
+	k.version = t.version
+	t.due[m.id] = m
+}
+
+// remove takes a task off its machine.
+func (t *Table) remove(m *machine, k *task) {
+	delete(m.tasks, k.id)
+	t.touch(m)
+	m.left = append(m.left, departed{k.id, t.version})
+	if len(m.left) > maxLeft {
+		m.floor = m.left[maxLeft/2-1].version
+		m.left = slices.Delete(m.left, 0, maxLeft/2)
+	}
+}
+
+// showAll has the next views tell of all tasks.
+func (t *Table) showAll(m *machine) {
+	t.touch(m)
+	m.floor, m.left = t.version, nil
+	t.due[m.id] = m
+}
+
+// drop takes a machine out of the table.
+func (t *Table) drop(m *machine) {
+	t.changes.Remove(m.place)
+	delete(t.machines, m.id)
+	delete(t.due, m.id)
 }
 
 // baseToken is the lowest token of a term.
@@ -154,9 +204,9 @@
 		return
 	}
 	delete(t.parts, part)
-	for id, m := range t.machines {
+	for _, m := range t.machines {
 		if m.part == part {
-			delete(t.machines, id)
+			t.drop(m)
 		}
 	}
 	t.version++
@@ -166,7 +216,8 @@
 	m := &machine{id: id, part: part, Registered: r, cap: t.types[r.Type], token: baseToken(t.parts[part]) + 1,
 		answered: now, idleSince: now, tasks: map[peer.TaskID]*task{}, errJobs: map[string]bool{}, session: 1}
 	t.machines[id] = m
-	t.touch(m)
+	m.place = t.changes.PushBack(m)
+	t.showAll(m)
 	return m
 }
 
@@ -213,9 +264,9 @@
 	if m.heard && r.Session > m.session {
 		// A new session: whatever ran in an earlier one was killed, and no
 		// order that names an earlier one is executed.
-		for id, k := range m.tasks {
+		for _, k := range m.tasks {
 			if k.sent || k.seen {
-				delete(m.tasks, id)
+				t.remove(m, k)
 			}
 		}
 		changed = true
@@ -226,12 +277,13 @@
 	m.heard, m.session, m.tick = true, r.Session, r.Tick
 	m.seenToken = max(m.seenToken, r.Token)
 	if !m.accounted && r.Token >= baseToken(t.parts[m.part]) {
-		m.accounted, changed = true, true
+		m.accounted = true
+		t.showAll(m) // who did not believe its tasks so far looks at all of them now
 	}
 	if n := r.NoticeS != nil; n != m.noticed {
 		m.noticed, changed = n, true
 	}
-	listed := map[peer.TaskID]bool{}
+	listed := make(map[peer.TaskID]bool, len(r.Tasks))
 	for _, tr := range r.Tasks {
 		job, n, ok := wire.SplitTask(tr.Task)
 		if !ok {
@@ -248,25 +300,25 @@
 			m.tasks[id] = k
 		}
 		if !k.seen || k.phase != tr.Phase {
-			changed = true
+			t.show(m, k)
 			if tr.Phase == wire.TaskExited {
 				t.exit(m, k, tr.Cause, now)
 			}
 		}
 		k.seen, k.sent, k.phase, k.cause = true, true, tr.Phase, tr.Cause
 	}
-	for id, k := range m.tasks {
-		if listed[id] || !k.sent {
-			continue
-		}
-		switch {
-		case k.seen:
-			delete(m.tasks, id) // forgotten
-			changed = true
-		case k.stop && isReport && r.Tick > k.sentTick && (k.risk == 0 || m.seenToken > k.risk):
-			// Never started, and no copy of its run can arrive any more.
-			delete(m.tasks, id)
-			changed = true
+	if len(listed) < len(m.tasks) {
+		for id, k := range m.tasks {
+			if listed[id] || !k.sent {
+				continue
+			}
+			switch {
+			case k.seen:
+				t.remove(m, k) // forgotten
+			case k.stop && isReport && r.Tick > k.sentTick && (k.risk == 0 || m.seenToken > k.risk):
+				// Never started, and no copy of its run can arrive any more.
+				t.remove(m, k)
+			}
 		}
 	}
 	if len(m.tasks) > 0 {
@@ -274,6 +326,7 @@
 	}
 	if changed {
 		t.touch(m)
+		t.due[m.id] = m
 	}
 }
 
@@ -332,11 +385,9 @@
 	for _, k := range m.tasks {
 		out = append(out, k)
 	}
-	sort.Slice(out, func(a, b int) bool {
-		if out[a].since != out[b].since {
-			return out[a].since < out[b].since
-		}
-		return out[a].id.String() < out[b].id.String()
+	slices.SortFunc(out, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.id.Attempt, b.id.Attempt),
+			cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.N, b.id.N))
 	})
 	return out
 }
@@ -379,6 +430,7 @@
 			k.settled = true
 			if !k.exited() && !k.stop {
 				k.stop, k.grace = true, 0
+				t.show(m, k)
 			}
 		}
 		switch {
@@ -502,7 +554,7 @@
 	if in.Seq == last.seq && in.Seq != 0 {
 		return last.answer
 	}
-	ans := peer.RoundAnswer{Incarnation: incarnation, Refused: make([]bool, len(in.Asks))}
+	ans := peer.RoundAnswer{Incarnation: incarnation, Refused: make([]bool, len(in.Asks)), Versions: make([]uint64, len(in.Asks))}
 	if in.Seq < last.seq {
 		for i := range ans.Refused {
 			ans.Refused[i] = true
@@ -510,14 +562,12 @@
 		return ans
 	}
 	t.fence(in.Terms)
-	shown := map[string]bool{}
 	for _, job := range in.Cancels {
 		t.cancelled[job] = now
 		for _, m := range t.machines {
 			for id, k := range m.tasks {
 				if id.Job == job {
 					t.end(m, k, 0)
-					shown[m.id] = true
 				}
 			}
 		}
@@ -526,7 +576,6 @@
 		if m := t.machines[s.Machine]; m != nil {
 			if k := m.tasks[s.ID]; k != nil {
 				t.end(m, k, s.GraceS)
-				shown[m.id] = true
 			}
 		}
 	}
@@ -545,12 +594,7 @@
 	}
 	for i, a := range in.Asks {
 		ans.Refused[i] = !t.lease(a, in.Terms[a.Team], now)
-		shown[a.Machine] = true
-	}
-	for _, id := range slices.Sorted(maps.Keys(shown)) {
-		if m := t.machines[id]; m != nil {
-			ans.Machines = append(ans.Machines, t.view(m, now))
-		}
+		ans.Versions[i] = t.version
 	}
 	t.rounds[in.From] = lastRound{in.Seq, ans, now}
 	return ans
@@ -596,10 +640,11 @@
 	for _, v := range victims {
 		t.end(m, v, t.graceOf(v))
 	}
-	m.tasks[a.ID] = &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, image: a.Image, covered: a.Covered, since: now}
+	k := &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, image: a.Image, covered: a.Covered, since: now}
+	m.tasks[a.ID] = k
 	m.note(a.Image)
 	m.idleSince = now
-	t.touch(m)
+	t.show(m, k)
 	return true
 }
 
@@ -625,15 +670,12 @@
 func (t *Table) end(m *machine, k *task, grace float64) {
 	switch {
 	case !k.sent:
-		delete(m.tasks, k.id)
+		t.remove(m, k)
 	case k.exited():
-		return
 	case !k.stop || grace < k.grace:
 		k.stop, k.grace, k.lastSend = true, grace, 0
-	default:
-		return
+		t.show(m, k)
 	}
-	t.touch(m)
 }
 
 // Tick lets leases lapse and machines fall silent. It gives the machines whose
@@ -645,12 +687,11 @@
 			// the worker has killed and forgotten all that it had.
 			m.silent, m.accounted = true, m.accounted && m.heard
 			clear(m.tasks)
-			t.touch(m)
+			t.showAll(m)
 		}
-		for tid, k := range m.tasks {
+		for _, k := range m.tasks {
 			if !k.sent && now > k.since+t.timing.LeaseTTL {
-				delete(m.tasks, tid)
-				t.touch(m)
+				t.remove(m, k)
 			}
 		}
 		if m.shunUntil != 0 && now >= m.shunUntil {
@@ -661,7 +702,7 @@
 			drop = append(drop, id)
 		}
 		if m.gone && now > m.answered+600*clock.Second {
-			delete(t.machines, id)
+			t.drop(m)
 		}
 	}
 	for from, r := range t.rounds {
@@ -689,7 +730,7 @@
 		}
 		m.gone, m.answered = true, now
 		clear(m.tasks)
-		t.touch(m)
+		t.showAll(m)
 	}
 }
 
@@ -752,37 +793,58 @@
 	return m.part, true
 }
 
-// Pending lists machines that should be sent to now, or probed.
+// Pending lists machines that should be sent to now, or probed. Those that want
+// nothing any more are looked at again when something about them changes.
 func (t *Table) Pending(now clock.Micros) []string {
 	var out []string
-	for id, m := range t.machines {
-		if m.inflight || m.silent || m.gone || m.Addr == "" || now < m.quietUntil {
+	for id, m := range t.due {
+		if m.inflight || now < m.quietUntil {
 			continue
 		}
-		want := !m.accounted && !m.draining
-		for _, k := range m.tasks {
-			if !k.seen || k.stop && !k.exited() && k.phase != wire.TaskSaving {
-				want = true
-			}
-		}
-		if want {
-			out = append(out, id)
+		if m.silent || m.gone || m.Addr == "" || !m.wants() {
+			delete(t.due, id)
+			continue
 		}
+		out = append(out, id)
 	}
+	slices.Sort(out)
 	return out
 }
 
-func (t *Table) view(m *machine, now clock.Micros) peer.MachineView {
+// wants tells that a machine is to be probed, or has a task whose start or stop
+// its worker has not shown yet.
+func (m *machine) wants() bool {
+	if !m.accounted && !m.draining {
+		return true
+	}
+	for _, k := range m.tasks {
+		if !k.seen || k.stop && !k.exited() && k.phase != wire.TaskSaving {
+			return true
+		}
+	}
+	return false
+}
+
+// view shows a machine to who knows it as of a version.
+func (t *Table) view(m *machine, after uint64, now clock.Micros) peer.MachineView {
 	_, all := m.inUse()
 	v := peer.MachineView{ID: m.id, Part: m.part, Term: t.parts[m.part], Version: m.version, Type: m.Type, Zone: m.Zone,
 		Spot: m.Spot, Cap: m.cap, Free: m.cap.Minus(all), Accounted: m.accounted || m.silent || m.gone, Usable: m.usable(now),
-		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick, Images: append([]string(nil), m.images...)}
+		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick, Images: append([]string(nil), m.images...),
+		Count: len(m.tasks), Whole: after < m.floor}
 	if len(m.tasks) == 0 {
 		v.Idle = now - m.idleSince
 	}
 	for _, k := range m.inOrder() {
-		v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
-			Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since})
+		if v.Whole || k.version > after {
+			v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
+				Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since})
+		}
+	}
+	for _, d := range m.left {
+		if !v.Whole && d.version > after {
+			v.Left = append(v.Left, d.id)
+		}
 	}
 	return v
 }
@@ -790,17 +852,19 @@
 // Poll gives what changed after a cursor.
 func (t *Table) Poll(in peer.Poll, incarnation string, now clock.Micros) peer.PollAnswer {
 	t.fence(in.Terms)
-	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: map[int]uint64{}}
+	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: maps.Clone(t.parts)}
 	after := in.Cursor
 	if in.Incarnation != incarnation {
 		after, out.Full = 0, true
 	}
-	maps.Copy(out.Parts, t.parts)
-	for _, id := range slices.Sorted(maps.Keys(t.machines)) {
-		if m := t.machines[id]; m.version > after {
-			out.Machines = append(out.Machines, t.view(m, now))
+	for e := t.changes.Back(); e != nil; e = e.Prev() {
+		m := e.Value.(*machine)
+		if m.version <= after {
+			break
 		}
+		out.Machines = append(out.Machines, t.view(m, after, now))
 	}
+	slices.SortFunc(out.Machines, func(a, b peer.MachineView) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -87,7 +87,7 @@
 }
 
 func (s *scene) tasks() []peer.TaskView {
-	return s.table.view(s.table.machines["m-1"], s.now).Tasks
+	return s.table.view(s.table.machines["m-1"], 0, s.now).Tasks
 }
 
 // A controller dies with /orders on their way; they arrive after its successor
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,7 +39,8 @@
 	Since    clock.Micros // age of the lease when the view was made
 }
 
-// MachineView is a machine as its owner sees it.
+// MachineView is a machine as its owner sees it. Of its tasks it lists those
+// that changed since the asker's cursor, or all of them.
 type MachineView struct {
 	ID        string
 	Part      int
@@ -58,7 +59,10 @@
 	Sick      bool
 	Images    []string
 	Idle      clock.Micros // how long without tasks
+	Count     int          // how many tasks there are
+	Whole     bool         // Tasks lists all of them
 	Tasks     []TaskView
+	Left      []TaskID // tasks that are there no more, since the asker's cursor
 }
 
 // Ask asks for a lease on a machine's room for one task, and hands the task over.
@@ -109,8 +113,8 @@
 // RoundAnswer answers a round.
 type RoundAnswer struct {
 	Incarnation string
-	Refused     []bool // one for each ask
-	Machines    []MachineView
+	Refused     []bool   // one for each ask
+	Versions    []uint64 // of the machine's view that first shows the lease, one for each ask
 }
 
 // Poll asks for the machines that changed after a cursor, waiting for a change.
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -8,15 +9,11 @@
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
-	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 // uncleared lists how much of a team's work machines could hold that are not accounted for.
 func (d *Desk) uncleared(tm *team) (n int, room res.Amounts) {
-	for id := range d.registry {
-		if tm.cleared[id] {
-			continue
-		}
+	for id := range tm.strange {
 		n++
 		if m := d.machines[id]; m != nil && m.Cap.CPU > 0 {
 			room = room.Plus(m.Cap)
@@ -128,12 +125,7 @@
 			slack[j.Level] += j.remaining() * (j.due() - now).Seconds()
 		}
 	}
-	room := 0.0
-	for _, m := range d.machines {
-		if m.Usable {
-			room += m.Cap.CPUs()
-		}
-	}
+	room := float64(d.usable) / 1e6
 	for l := range over {
 		over[l] = work[l]*work[l]*float64(len(d.known)) > room*slack[l]*float64(len(d.teams))
 	}
@@ -179,35 +171,17 @@
 	}
 	batch := d.timing.Batch + waiting/4
 	d.big = d.largestTask(list)
-	room := d.withRoom()
+	d.full = full{}
 	for _, j := range list {
 		if placed >= batch {
 			break
 		}
-		placed += d.placeJob(j, room, batch-placed, now)
+		placed += d.placeJob(j, batch-placed, now)
 	}
 	return placed
 }
 
-// withRoom lists the machines that last showed room.
-func (d *Desk) withRoom() []*mirror {
-	var out []*mirror
-	for _, m := range d.machines {
-		o := d.owners[m.host]
-		if m.Usable && o.up && o.instance == m.instance && o.parts[m.Part] == m.Term && m.free.CPU >= 0 && m.free.Mem > 0 {
-			out = append(out, m)
-		}
-	}
-	slices.SortFunc(out, func(a, b *mirror) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
-func (d *Desk) placeJob(j *job, room []*mirror, most int, now clock.Micros) (placed int) {
+func (d *Desk) placeJob(j *job, most int, now clock.Micros) (placed int) {
 	if j.old && j.team.unknown > 0 {
 		return 0 // its tasks may be on a machine that is not accounted for
 	}
@@ -220,7 +194,7 @@
 		if t < 0 {
 			return placed
 		}
-		m, victims, over := d.choose(j, room, now)
+		m, victims, over := d.choose(j, now)
 		if m == nil {
 			j.queue = append([]int{t}, j.queue...)
 			if j.stalled == 0 {
@@ -236,15 +210,14 @@
 			zone: m.Zone, term: m.Term, asked: true, instance: m.instance, since: now}
 		d.bind(b, m)
 		m.free = m.free.Minus(j.Need)
-		if len(victims) > 0 {
+		for _, v := range victims {
 			// Room that is being made is spoken for: the mirror shows it as taken.
-			for i := range m.Tasks {
-				if slices.Contains(victims, m.Tasks[i].ID) {
-					m.Tasks[i].Stopping = true
-					m.free = m.free.Plus(m.Tasks[i].Need)
-				}
+			if t := m.tasks[v]; t != nil {
+				t.markedUntil = now + 2*clock.Second
+				m.free = m.free.Plus(t.Need)
 			}
 		}
+		d.index(m)
 		o := d.owners[m.host]
 		o.next.Asks = append(o.next.Asks, peer.Ask{ID: b.id, Team: j.team.Name, Rank: j.Level, Need: j.Need, Image: j.Image,
 			Machine: m.ID, Term: m.Term, Victims: victims, Over: over, Covered: j.covered})
@@ -318,39 +291,36 @@
 // choose draws a small sample of the machines that showed room and takes the
 // best fit: of those that have the image, if any, one where a small task takes no
 // place from a large one, if any, and of these the one that is better.
-func (d *Desk) choose(j *job, room []*mirror, now clock.Micros) (*mirror, []peer.TaskID, bool) {
-	var with, bare []*mirror
-	for _, m := range room {
-		if !j.Need.Fits(m.free) || now < j.failedOn[m.ID] || !j.allowed(m) {
-			continue
-		}
-		if slices.Contains(m.Images, j.Image) {
-			with = append(with, m)
-		} else {
-			bare = append(bare, m)
+func (d *Desk) choose(j *job, now clock.Micros) (*mirror, []peer.TaskID, bool) {
+	var list []*mirror
+	searched := !d.full.knows(j)
+	if searched {
+		if list = d.find(j, d.imaged[j.Image], now); len(list) == 0 {
+			if list = d.find(j, &d.rooms, now); len(list) > 0 && d.hurried(j, list[0], now) {
+				// The fetch alone would make the task late: room on a machine that has
+				// the image is worth a task that has hardly begun.
+				if m, victims, over := d.preempt(j, d.imaged[j.Image], now); m != nil && !over {
+					return m, victims, over
+				}
+			}
 		}
 	}
-	if len(with)+len(bare) == 0 {
+	if len(list) == 0 {
 		if d.waitedOut(j, now) {
-			return d.preempt(j, room, now)
+			if m, victims, over := d.preempt(j, &d.rooms, now); m != nil {
+				return m, victims, over
+			}
 		}
-		return nil, nil, false
-	}
-	if len(with) == 0 && d.hurried(j, bare[0], now) {
-		// The fetch alone would make the task late: room on a machine that has
-		// the image is worth a task that has hardly begun.
-		if m, victims, over := d.preempt(j, imaged(room, j.Image), now); m != nil && !over {
-			return m, victims, over
+		if searched {
+			d.full.note(j)
 		}
+		return nil, nil, false
 	}
-	if len(with) == 0 {
-		with = bare
-	}
-	if h := d.harmless(j, with); len(h) > 0 {
-		with = h
+	if h := d.harmless(j, list); len(h) > 0 {
+		list = h
 	}
 	var best *mirror
-	for _, m := range d.draw(with, d.timing.Sample) {
+	for _, m := range d.draw(list, d.timing.Sample) {
 		if best == nil || d.better(j, m, best) {
 			best = m
 		}
@@ -377,10 +347,8 @@
 	for _, j := range list {
 		big = max(big, j.Need.CPU)
 	}
-	for _, m := range d.machines {
-		for i := range m.Tasks {
-			big = max(big, m.Tasks[i].Need.CPU)
-		}
+	for cpu := range d.sizes {
+		big = max(big, cpu)
 	}
 	return big
 }
@@ -418,16 +386,6 @@
 	return now+clock.FromSeconds(j.ImageGB/rate) > j.since+within
 }
 
-// imaged picks the machines that have an image.
-func imaged(room []*mirror, image string) (out []*mirror) {
-	for _, m := range room {
-		if slices.Contains(m.Images, image) {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 func (d *Desk) draw(from []*mirror, n int) []*mirror {
 	if len(from) <= n {
 		return from
@@ -446,63 +404,89 @@
 // preempt looks for room that tasks of lower rank hold or, for a job within
 // its team's guarantee, tasks that other teams run beyond theirs; the least
 // work is lost. Work that is late already takes no room from others: it would
-// be as late, and what it stops would be late too.
-func (d *Desk) preempt(j *job, room []*mirror, now clock.Micros) (*mirror, []peer.TaskID, bool) {
-	if j.late(now) {
+// be as late, and what it stops would be late too. Like any search, it looks at
+// some of the machines in question, not at the fleet.
+func (d *Desk) preempt(j *job, in *rooms, now clock.Micros) (best *mirror, victims []peer.TaskID, over bool) {
+	if in == nil || j.late(now) {
 		return nil, nil, false
 	}
 	// Work of higher rank goes first, but a guarantee is not put off for long.
 	owed := d.timing.Guarantee > 0 && j.stalled != 0 && now >= j.stalled+d.timing.Guarantee*3/5
-	var best *mirror
-	var bestVictims []peer.TaskID
+	most := j.Level - 1 // the highest rank that may be stopped
+	if j.covered && owed {
+		most = len(d.ranks) - 1
+	} else if j.covered {
+		most = j.Level
+	}
+	if !someRank(&d.ranks, most) {
+		return nil, nil, false
+	}
 	var bestCost clock.Micros
-	bestOver := false
-	for _, m := range room {
-		if now < j.failedOn[m.ID] || !j.allowed(m) {
+	looked := 0
+	in.walk(0, d.rng.Uint64(), func(m *mirror) bool {
+		if !someRank(&m.ranks, most) || now < j.failedOn[m.ID] || !j.allowed(m) {
+			return false
+		}
+		looked++
+		v, cost, o := d.victims(j, m, owed, now)
+		if len(v) > 0 && (best == nil || cost/preemptStep < bestCost/preemptStep ||
+			cost/preemptStep == bestCost/preemptStep && d.better(j, m, best)) {
+			best, victims, bestCost, over = m, v, cost, o
+		}
+		return looked >= 8*d.timing.Sample
+	})
+	return best, victims, over
+}
+
+// someRank tells that there are tasks of a rank up to the given one.
+func someRank(ranks *[4]int, most int) bool {
+	for r := 0; r <= most; r++ {
+		if ranks[r] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// victims picks the tasks to stop on a machine to make room for one of a job;
+// none when that makes no room.
+func (d *Desk) victims(j *job, m *mirror, owed bool, now clock.Micros) (out []peer.TaskID, cost clock.Micros, over bool) {
+	var cand []*seen
+	for _, t := range m.tasks {
+		if !t.there || t.Stopping || now < t.markedUntil || t.Team == "" || t.Covered && t.Rank >= j.Level {
 			continue
 		}
-		var cand []*peer.TaskView
-		for i := range m.Tasks {
-			t := &m.Tasks[i]
-			if t.Phase == wire.TaskExited || t.Stopping || t.Team == "" || t.Covered && t.Rank >= j.Level {
-				continue
-			}
-			if t.Rank < j.Level || j.covered && t.Team != j.team.Name && (t.Rank == j.Level || owed) {
-				cand = append(cand, t)
-			}
+		if t.Rank < j.Level || j.covered && t.Team != j.team.Name && (t.Rank == j.Level || owed) {
+			cand = append(cand, t)
 		}
-		sort.Slice(cand, func(a, b int) bool {
-			if cand[a].Rank != cand[b].Rank {
-				return cand[a].Rank < cand[b].Rank
-			}
-			if cand[a].Covered != cand[b].Covered {
-				return cand[b].Covered
-			}
-			return cand[a].Since < cand[b].Since
-		})
-		free := m.free
-		var victims []peer.TaskID
-		var cost clock.Micros
-		over := false
-		for _, t := range cand {
-			if j.Need.Fits(free) {
-				break
-			}
-			free = free.Plus(t.Need)
-			victims = append(victims, t.ID)
-			cost += t.Since + (now - m.seenAt) + clock.Second
-			over = over || t.Rank >= j.Level
-			if t.Covered {
-				cost += 100 * clock.Second // what is guaranteed goes last
+	}
+	slices.SortFunc(cand, func(a, b *seen) int {
+		if a.Covered != b.Covered && a.Rank == b.Rank {
+			if b.Covered {
+				return -1
 			}
+			return 1
 		}
-		if over {
-			cost += 1000 * clock.Second // lower ranks first
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(b.began, a.began), cmp.Compare(a.ID.Attempt, b.ID.Attempt))
+	})
+	free := m.free
+	for _, t := range cand {
+		if j.Need.Fits(free) {
+			break
 		}
-		if j.Need.Fits(free) && len(victims) > 0 && (best == nil || cost/preemptStep < bestCost/preemptStep ||
-			cost/preemptStep == bestCost/preemptStep && d.better(j, m, best)) {
-			best, bestVictims, bestCost, bestOver = m, victims, cost, over
+		free = free.Plus(t.Need)
+		out = append(out, t.ID)
+		cost += now - t.began + clock.Second
+		over = over || t.Rank >= j.Level
+		if t.Covered {
+			cost += 100 * clock.Second // what is guaranteed goes last
 		}
 	}
-	return best, bestVictims, bestOver
+	if over {
+		cost += 1000 * clock.Second // lower ranks first
+	}
+	if !j.Need.Fits(free) {
+		return nil, 0, false
+	}
+	return out, cost, over
 }
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -5,6 +5,7 @@
 package placer
 
 import (
+	"maps"
 	"math/rand/v2"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
@@ -41,7 +42,8 @@
 	used    res.Amounts
 	jobs    map[string]*job
 	cleared map[string]bool // machines known to hold no task unknown here
-	unknown int             // machines that are not cleared, as of this round
+	strange map[string]bool // recorded machines that are not cleared
+	unknown int             // how many they are, as of this round
 	held    res.Amounts     // and what they could hold
 }
 
@@ -95,9 +97,27 @@
 	free     res.Amounts // what it shows, less what was asked for since
 	bound    map[peer.TaskID]*binding
 	seenAt   clock.Micros
+	tasks    map[peer.TaskID]*seen
+	ranks    [4]int  // tasks that are there, by rank
 	pace     float64 // sum of run times against those of the same jobs elsewhere
 	paced    int
 	slow     bool
+
+	refused   bool // an ask was refused, and no newer view has come
+	refusedAt clock.Micros
+
+	shelved       bool // where index has put it
+	level         int
+	shelvedImages []string
+	shelvedCPU    int64
+}
+
+// seen is a task as its machine's owner last showed it.
+type seen struct {
+	peer.TaskView
+	there       bool // it counts among the machine's ranks
+	began       clock.Micros
+	markedUntil clock.Micros // an ask has named it as to be stopped: not to be named again at once
 }
 
 type ownerState struct {
@@ -111,6 +131,7 @@
 	sentTo   string // instance that the round was made for
 	next     peer.Round
 	up       bool
+	resync   bool // a view did not fit what was known: ask for everything
 }
 
 // SetFetch tells how fast machine types fetch images, in GB a second.
@@ -134,12 +155,18 @@
 	wall     func() int64               // time of day in ms, good to the settings' bound
 	fetch    map[string]float64         // GB a second by machine type
 	big      int64                      // CPUs of the largest task about
+	rooms    rooms                      // machines that may get tasks
+	imaged   map[string]*rooms          // and those of them that have an image
+	usable   int64                      // CPUs of all of them
+	ranks    [4]int                     // tasks seen on machines, by rank
+	sizes    map[int64]int              // and by the CPUs they take
+	full     full                       // what found no room in this round
 	counts   Counts
 }
 
 // NewDesk makes an empty desk.
 func NewDesk(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Desk {
-	d := &Desk{timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
+	d := &Desk{imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[int][]byte{},
 		rng: rand.New(rand.NewPCG(seed, 1)), acks: map[string]map[string]bool{}, wall: wall}
 	for _, tm := range teams {
@@ -154,7 +181,8 @@
 // Gain takes a team over, with its active jobs.
 func (d *Desk) Gain(name string, term, stamp uint64, active []*jobs.Job, now clock.Micros) {
 	d.Lose(name)
-	tm := &team{Team: d.known[name], term: term, stamp: stamp, jobs: map[string]*job{}, cleared: map[string]bool{}}
+	tm := &team{Team: d.known[name], term: term, stamp: stamp, jobs: map[string]*job{}, cleared: map[string]bool{},
+		strange: maps.Clone(d.registry)}
 	d.teams[name] = tm
 	for _, j := range active {
 		d.addJob(tm, j, now)
@@ -261,9 +289,17 @@
 func (d *Desk) Register(id string, there bool) {
 	if there {
 		d.registry[id] = true
+		for _, tm := range d.teams {
+			if !tm.cleared[id] {
+				tm.strange[id] = true
+			}
+		}
 		return
 	}
 	delete(d.registry, id)
+	for _, tm := range d.teams {
+		delete(tm.strange, id)
+	}
 	if m := d.machines[id]; m != nil {
 		d.forgetSilent(m)
 	}
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
@@ -19,7 +20,7 @@
 // new session, and the ask be granted then.
 func (d *Desk) forgetSilent(m *mirror) {
 	if m.Silent && !d.registry[m.ID] && len(m.bound) == 0 {
-		delete(d.machines, m.ID)
+		d.drop(m)
 	}
 }
 
@@ -28,7 +29,16 @@
 	for _, b := range m.inOrder() {
 		d.release(b)
 	}
+	d.drop(m)
+}
+
+// drop takes a machine out of the mirror.
+func (d *Desk) drop(m *mirror) {
+	for id := range m.tasks {
+		d.unsetTask(m, id)
+	}
 	delete(d.machines, m.ID)
+	d.index(m)
 }
 
 // inOrder lists a machine's bindings in a fixed order.
@@ -44,10 +54,11 @@
 func (d *Desk) refree(m *mirror) {
 	m.free = m.Free
 	for _, b := range m.bound {
-		if b.asked {
-			m.free = m.free.Minus(b.job.Need)
+		if b.asked || b.instance == m.instance && b.term == m.Term && b.version > m.Version {
+			m.free = m.free.Minus(b.job.Need) // the view does not show it yet
 		}
 	}
+	d.index(m)
 }
 
 // bind counts a task as being, or possibly being, on a machine.
@@ -89,13 +100,16 @@
 			in.Incarnation = ""
 		}
 	}
+	if o.resync {
+		in.Incarnation = ""
+	}
 	return in
 }
 
 // Hear takes an owner's answer to a poll.
 func (d *Desk) Hear(host string, in peer.Poll, ans *peer.PollAnswer, now clock.Micros) {
 	o := d.owners[host]
-	o.up = true
+	d.up(host, true)
 	if ans.Incarnation != o.instance {
 		if in.Gen != o.gen || !ans.Full {
 			return // asked before the present process was met: the word of a former one
@@ -105,8 +119,10 @@
 	if ans.Cursor < o.cursor {
 		return // an answer older than one taken already
 	}
+	moved := !maps.Equal(o.parts, ans.Parts)
 	o.cursor, o.parts = ans.Cursor, ans.Parts
 	if ans.Full {
+		o.resync = false
 		for t, term := range in.Terms {
 			if tm := d.teams[t]; tm != nil && tm.term == term {
 				o.fenced[t] = term
@@ -116,6 +132,9 @@
 	for i := range ans.Machines {
 		d.see(host, o, &ans.Machines[i], now)
 	}
+	if !moved && !ans.Full {
+		return
+	}
 	for _, m := range d.machines {
 		switch held := o.parts[m.Part]; {
 		case held > m.Term:
@@ -127,6 +146,7 @@
 			m.Usable = false
 		}
 	}
+	d.indexOf(host)
 }
 
 // meet notes the instance of an owner's process. A round that was on its way to
@@ -140,7 +160,7 @@
 }
 
 // Down notes that an owner can't be reached now.
-func (d *Desk) Down(host string) { d.owners[host].up = false }
+func (d *Desk) Down(host string) { d.up(host, false) }
 
 // see takes one machine's view and settles with it what it can.
 func (d *Desk) see(host string, o *ownerState, v *peer.MachineView, now clock.Micros) {
@@ -149,72 +169,112 @@
 		if v.Silent && !d.registry[v.ID] {
 			return
 		}
-		m = &mirror{bound: map[peer.TaskID]*binding{}}
+		m = &mirror{bound: map[peer.TaskID]*binding{}, tasks: map[peer.TaskID]*seen{}}
 		d.machines[v.ID] = m
 	} else if v.Term < m.Term || v.Term == m.Term && m.instance == o.instance && v.Version < m.Version {
 		return
 	}
 	m.MachineView, m.host, m.instance, m.seenAt = *v, host, o.instance, now
+	m.Tasks, m.Left, m.refused = nil, nil, false
+	listed := make(map[peer.TaskID]bool, len(v.Tasks))
+	for i := range v.Tasks {
+		d.setTask(m, &seen{TaskView: v.Tasks[i], began: now - v.Tasks[i].Since})
+		listed[v.Tasks[i].ID] = true
+	}
+	gone := v.Left
+	if v.Whole {
+		gone = nil
+		for id := range m.tasks {
+			if !listed[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		if !listed[id] {
+			d.unsetTask(m, id)
+		}
+	}
+	if len(m.tasks) != v.Count {
+		o.resync = true // should not be; a whole view puts it right
+	}
 	if v.Accounted {
-		d.reconcile(o, m, now)
+		d.reconcile(o, m, v, gone, now)
 	}
 	d.refree(m)
 	d.forgetSilent(m)
 }
 
-// reconcile compares the tasks on an accounted machine with what is known of them.
-func (d *Desk) reconcile(o *ownerState, m *mirror, now clock.Micros) {
-	listed := map[peer.TaskID]bool{}
-	for i := range m.Tasks {
-		tv := &m.Tasks[i]
-		tm := d.teams[tv.Team]
-		if tm == nil {
-			continue
+// reconcile compares what a view tells of an accounted machine's tasks with
+// what is known of them.
+func (d *Desk) reconcile(o *ownerState, m *mirror, v *peer.MachineView, gone []peer.TaskID, now clock.Micros) {
+	for i := range v.Tasks {
+		d.compare(o, m, &v.Tasks[i], now)
+	}
+	if v.Whole {
+		for _, b := range m.inOrder() {
+			d.checkGone(b, m)
 		}
-		listed[tv.ID] = true
-		j := tm.jobs[tv.ID.Job]
-		b := m.bound[tv.ID]
-		if b == nil {
-			if j == nil || o.fenced[tm.Name] != tm.term || tv.ID.N >= j.Tasks {
-				continue // the owner ends what belongs to no active job
-			}
-			if tv.Phase != wire.TaskExited {
-				b = &binding{id: tv.ID, job: j, machine: m.ID, zone: m.Zone, term: m.Term, version: m.Version,
-					instance: m.instance, since: now - tv.Since}
-				b.stray = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
-				d.bind(b, m)
-				if b.stray {
-					d.stop(b, 0)
-				}
+	} else {
+		for _, id := range gone {
+			if b := m.bound[id]; b != nil {
+				d.checkGone(b, m)
 			}
 		}
-		if tv.Phase == wire.TaskExited {
-			d.exited(j, b, m, tv, now)
-			continue
-		}
-		if b != nil {
-			if tv.Phase == wire.TaskRunning && b.phase != wire.TaskRunning {
-				b.job.lastStart, b.running = now, now
-			}
-			b.phase, b.stopping = tv.Phase, tv.Stopping
+	}
+	for name, tm := range d.teams {
+		if o.fenced[name] == tm.term && !tm.cleared[m.ID] {
+			tm.cleared[m.ID] = true
+			delete(tm.strange, m.ID)
 		}
 	}
-	for _, b := range m.inOrder() {
-		if listed[b.id] {
-			continue
+}
+
+// checkGone releases a binding whose task is not on its accounted machine. That
+// is certain when the view is newer than the grant, or comes from a later
+// owner, to whom the ask can't be granted any more.
+func (d *Desk) checkGone(b *binding, m *mirror) {
+	if m.tasks[b.id] != nil {
+		return
+	}
+	if m.Term > b.term || !b.asked && (m.instance != b.instance || m.Version >= b.version) {
+		d.counts.Lost++
+		b.job.again++
+		d.release(b)
+	}
+}
+
+// compare takes a task that an accounted machine shows.
+func (d *Desk) compare(o *ownerState, m *mirror, tv *peer.TaskView, now clock.Micros) {
+	tm := d.teams[tv.Team]
+	if tm == nil {
+		return
+	}
+	j := tm.jobs[tv.ID.Job]
+	b := m.bound[tv.ID]
+	if b == nil {
+		if j == nil || o.fenced[tm.Name] != tm.term || tv.ID.N >= j.Tasks {
+			return // the owner ends what belongs to no active job
 		}
-		// Not there. That is certain when the view is newer than the grant, or
-		// comes from a later owner, to whom the ask can't be granted any more.
-		if m.Term > b.term || !b.asked && (m.instance != b.instance || m.Version >= b.version) {
-			d.counts.Lost++
-			b.job.again++
-			d.release(b)
+		if tv.Phase != wire.TaskExited {
+			b = &binding{id: tv.ID, job: j, machine: m.ID, zone: m.Zone, term: m.Term, version: m.Version,
+				instance: m.instance, since: now - tv.Since}
+			b.stray = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
+			d.bind(b, m)
+			if b.stray {
+				d.stop(b, 0)
+			}
 		}
 	}
-	for name, tm := range d.teams {
-		if o.fenced[name] == tm.term {
-			tm.cleared[m.ID] = true
+	if tv.Phase == wire.TaskExited {
+		d.exited(j, b, m, tv, now)
+		return
+	}
+	if b != nil {
+		if tv.Phase == wire.TaskRunning && b.phase != wire.TaskRunning {
+			b.job.lastStart, b.running = now, now
 		}
+		b.phase, b.stopping = tv.Phase, tv.Stopping
 	}
 }
 
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -66,11 +66,7 @@
 		return
 	}
 	o.sending = nil
-	o.up = true
-	views := map[string]*peer.MachineView{}
-	for i := range ans.Machines {
-		views[ans.Machines[i].ID] = &ans.Machines[i]
-	}
+	d.up(host, true)
 	for i, a := range r.Asks {
 		m := d.machines[a.Machine]
 		if m == nil {
@@ -80,27 +76,21 @@
 		if b == nil {
 			continue
 		}
-		if i >= len(ans.Refused) || ans.Refused[i] {
+		if i >= len(ans.Refused) || i >= len(ans.Versions) || ans.Refused[i] {
 			d.counts.Refused++
 			d.release(b)
+			// What made the owner refuse is news on its way; until it is here the machine is kept from.
+			m.refusedAt, m.refused = now, true
 			d.refree(m)
 			continue
 		}
-		b.asked, b.instance = false, ans.Incarnation
-		if v := views[a.Machine]; v != nil {
-			b.version = v.Version
-		}
-	}
-	for i := range ans.Machines {
-		d.see(host, o, &ans.Machines[i], now)
-	}
-	// A poll may have shown a machine already as it was after the grant, with
-	// the task gone again: no newer view would come to release it.
-	for _, a := range r.Asks {
-		if m := d.machines[a.Machine]; m != nil && m.Accounted && m.instance == ans.Incarnation {
-			d.reconcile(o, m, now)
-			d.refree(m)
+		b.asked, b.instance, b.version = false, ans.Incarnation, ans.Versions[i]
+		if m.Accounted && m.instance == ans.Incarnation {
+			// A poll may have shown the machine already as it was after the
+			// grant, with the task gone again: nothing newer would come to release it.
+			d.checkGone(b, m)
 		}
+		d.refree(m)
 	}
 	for _, id := range r.Cancels {
 		if d.acks[id] != nil {
@@ -154,6 +144,7 @@
 			}
 			if m := d.machines[a.Machine]; m != nil && m.bound[a.ID] != nil {
 				d.release(m.bound[a.ID])
+				d.refree(m)
 			}
 			return true
 		})
@@ -228,7 +219,7 @@
 		if o := d.owners[m.host]; o.parts[m.Part] == m.Term {
 			v := m.MachineView
 			v.Free = m.free
-			if len(v.Tasks) == 0 && len(m.bound) == 0 {
+			if v.Count == 0 && len(m.bound) == 0 {
 				v.Idle += now - m.seenAt
 			} else {
 				v.Idle = 0
