The fleet packs demand a bin at a time and rents in several requests at once

Cause: a plan packed each task by going over all machines, and rented at most 20 machines of a kind in a step, one request after the other; rounds and polls came as often with a thousand machines as with ten.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -25,11 +26,12 @@
 type Cloud struct {
 	http  *httpx.Client
 	limit *rate.Limiter
+	rps   float64
 }
 
 // NewCloud makes a client for the cloud.
 func NewCloud(addr string, rps float64) *Cloud {
-	return &Cloud{http: httpx.NewClient(addr, 2, 4<<20), limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
+	return &Cloud{rps: rps, http: httpx.NewClient(addr, 4, 4<<20), limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
 }
 
 // errNoCapacity is the cloud's refusal to rent.
@@ -110,11 +112,14 @@
 	told      clock.Micros
 	unlisted  int // lists that failed in a row
 	listAgain clock.Micros
+	atOnce    int // rental requests at a time
+	most      int // machines of a kind asked for at a time
 }
 
 // New makes a fleet.
 func New(cloud *Cloud, claims Claims, store Store, others Controllers, c clock.Clock, k Knobs, backoff, lag clock.Micros, kept func() wire.Catalog, log *slog.Logger) *Fleet {
-	return &Fleet{cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, kept: kept, log: log}
+	atOnce := max(1, int(cloud.rps*1.6))
+	return &Fleet{atOnce: atOnce, most: wire.MaxHire * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, kept: kept, log: log}
 }
 
 // Run does the duty while it is held, until ctx ends.
@@ -173,7 +178,7 @@
 		return // nothing is known of what is rented
 	}
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.others.Views(), Demands: f.others.Demands(ctx),
-		Refused: f.refused, Knobs: f.knobs, MaxCount: 20}
+		Refused: f.refused, Knobs: f.knobs, MaxCount: f.most}
 	for _, v := range in.Views {
 		if r, ok := f.rented[v.ID]; ok && v.Accounted && !r.Up {
 			r.Up = true
@@ -190,14 +195,10 @@
 	}
 	// What one kind could not give is asked of the next at once.
 	for pass := 0; pass < 4 && len(hires) > 0; pass++ {
-		short := false
-		for _, hire := range hires {
-			if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
-				return
-			}
-			short = f.hire(ctx, hire) || short
+		if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
+			return
 		}
-		if !short {
+		if !f.hire(ctx, hires[:min(len(hires), f.atOnce)]) {
 			break
 		}
 		in.Now = f.clock.Now()
@@ -292,25 +293,34 @@
 	return nil
 }
 
-// hire rents, and tells whether fewer came than were asked for. Its request's
-// name is never used again: the term and a counter.
-func (f *Fleet) hire(ctx context.Context, h Hire) (short bool) {
-	f.counter++
-	req := wire.Hire{Name: fmt.Sprintf("r-%d-%d", f.term, f.counter), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: h.Count}
+// hire rents, all kinds at once, and tells whether fewer came than were asked
+// for. A request's name is never used again: the term and a counter.
+func (f *Fleet) hire(ctx context.Context, list []Hire) (short bool) {
 	sent := f.clock.Now()
-	var got wire.Hosts
-	err := f.cloud.call(ctx, "POST", wire.PathRentals, req, &got)
-	f.log.Info("renting", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Count, "got", len(got.Hosts), "err", err)
-	if errors.Is(err, errNoCapacity) || err == nil && len(got.Hosts) < h.Count {
-		f.refused[h.Kind] = sent + f.backoff
-	} else if err != nil {
-		f.refused[h.Kind] = sent + 3*clock.Second // perhaps rented all the same: the list will tell
-	}
-	for _, id := range got.Hosts {
-		f.rented[id] = Rented{Kind: h.Kind, ID: id, Phase: wire.MachineBooting, Since: sent}
-		f.listedAt[id] = sent
-	}
-	return len(got.Hosts) < h.Count
+	got := make([]wire.Hosts, len(list))
+	errs := make([]error, len(list))
+	var wg sync.WaitGroup
+	for i, h := range list {
+		f.counter++
+		req := wire.Hire{Name: fmt.Sprintf("r-%d-%d", f.term, f.counter), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: h.Count}
+		wg.Go(func() { errs[i] = f.cloud.call(ctx, "POST", wire.PathRentals, req, &got[i]) })
+	}
+	wg.Wait()
+	for i, h := range list {
+		hosts, err := got[i].Hosts, errs[i]
+		f.log.Info("renting", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Count, "got", len(hosts), "err", err)
+		if errors.Is(err, errNoCapacity) || err == nil && len(hosts) < h.Count {
+			f.refused[h.Kind] = sent + f.backoff
+		} else if err != nil && f.refused[h.Kind] < sent {
+			f.refused[h.Kind] = sent + 3*clock.Second // perhaps rented all the same: the list will tell
+		}
+		for _, id := range hosts {
+			f.rented[id] = Rented{Kind: h.Kind, ID: id, Phase: wire.MachineBooting, Since: sent}
+			f.listedAt[id] = sent
+		}
+		short = short || len(hosts) < h.Count
+	}
+	return short
 }
 
 // giveBack returns machines that their owners have set aside.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -69,8 +69,19 @@
 	free res.Amounts
 }
 
-func (b *bin) takes(d *peer.Demand) bool {
-	return d.Need.Fits(b.free) && allows(d, b.kind)
+// take puts as many tasks of a demand into the bin as fit, at most so many.
+func (b *bin) take(d *peer.Demand, most int) (n int) {
+	if !d.Need.Fits(b.free) || !allows(d, b.kind) {
+		return 0
+	}
+	n = most
+	for _, x := range [3][2]int64{{b.free.CPU, d.Need.CPU}, {b.free.GPU, d.Need.GPU}, {b.free.Mem, d.Need.Mem}} {
+		if x[1] > 0 {
+			n = min(n, int(x[0]/x[1]))
+		}
+	}
+	b.free = b.free.Minus(d.Need.Times(int64(n)))
+	return n
 }
 
 func allows(d *peer.Demand, k Kind) bool {
@@ -102,19 +113,28 @@
 		}
 	}
 	wants := map[Kind]int{}
-	open := kinds(in)
+	open, price := kinds(in)
 	add := func(d *peer.Demand) *bin {
-		for _, k := range open {
+		var at *Kind
+		for i := range open {
+			k := &open[i]
 			t := types[k.Type]
-			full := res.Have(t.CPUs, t.GPUs, t.MemGB)
-			if allows(d, k) && d.Need.Fits(full) && wants[k] < in.MaxCount {
-				wants[k]++
-				b := &bin{kind: k, free: full}
-				bins = append(bins, b)
-				return b
+			if !allows(d, *k) || !d.Need.Fits(res.Have(t.CPUs, t.GPUs, t.MemGB)) || wants[*k] >= in.MaxCount {
+				continue
+			}
+			// Of equals, the zone with fewer machines: a wave takes fewer.
+			if at == nil || price[*k]+1e-6*float64(wants[*k]) < price[*at]+1e-6*float64(wants[*at]) {
+				at = k
 			}
 		}
-		return nil
+		if at == nil {
+			return nil
+		}
+		wants[*at]++
+		t := types[at.Type]
+		b := &bin{kind: *at, free: res.Have(t.CPUs, t.GPUs, t.MemGB)}
+		bins = append(bins, b)
+		return b
 	}
 	demands := append([]peer.Demand(nil), in.Demands...)
 	sort.SliceStable(demands, func(a, b int) bool {
@@ -125,21 +145,19 @@
 	})
 	for i := range demands {
 		d := &demands[i]
-		for n := 0; n < d.Waiting; n++ {
-			var at *bin
-			for _, b := range bins {
-				if b.takes(d) {
-					at = b
-					break
-				}
-			}
-			if at == nil {
-				at = add(d)
+		rest := d.Waiting
+		for _, b := range bins {
+			if rest == 0 {
+				break
 			}
-			if at == nil {
+			rest -= b.take(d, rest)
+		}
+		for rest > 0 {
+			b := add(d)
+			if b == nil {
 				break
 			}
-			at.free = at.free.Minus(d.Need)
+			rest -= b.take(d, rest)
 		}
 	}
 	if in.Knobs.Economy {
@@ -155,10 +173,12 @@
 	}
 	for k, n := range wants {
 		if n > 0 {
-			hires = append(hires, Hire{k, min(n, wire.MaxHire)})
+			for ; n > 0; n -= wire.MaxHire {
+				hires = append(hires, Hire{k, min(n, wire.MaxHire)})
+			}
 		}
 	}
-	sort.Slice(hires, func(a, b int) bool {
+	sort.SliceStable(hires, func(a, b int) bool {
 		return hires[a].Type+hires[a].Zone < hires[b].Type+hires[b].Zone || hires[a].Spot && !hires[b].Spot
 	})
 	return hires, giveBack(in, types)
@@ -198,13 +218,11 @@
 	}
 }
 
-// kinds lists what may be asked for now, the cheapest CPU first.
-func kinds(in Input) []Kind {
-	type priced struct {
-		k Kind
-		p float64
-	}
-	var list []priced
+// kinds lists what may be asked for now, the cheapest CPU first, and its price;
+// of equals, the zone with fewer machines.
+func kinds(in Input) ([]Kind, map[Kind]float64) {
+	var list []Kind
+	price := map[Kind]float64{}
 	have := map[Kind]int{}
 	for _, r := range in.Rented {
 		have[r.Kind]++
@@ -220,17 +238,13 @@
 				if in.Now < in.Refused[k] || p <= 0 {
 					continue
 				}
-				// Of equals, the zone with fewer machines: a wave takes fewer.
-				list = append(list, priced{k, p/max(t.CPUs, 1) + 1e-6*float64(have[k])})
+				price[k] = p/max(t.CPUs, 1) + 1e-6*float64(have[k])
+				list = append(list, k)
 			}
 		}
 	}
-	sort.SliceStable(list, func(a, b int) bool { return list[a].p < list[b].p })
-	out := make([]Kind, len(list))
-	for i, x := range list {
-		out[i] = x.k
-	}
-	return out
+	sort.SliceStable(list, func(a, b int) bool { return price[list[a]] < price[list[b]] })
+	return list, price
 }
 
 // giveBack decides which machines are of no more use.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -199,8 +199,11 @@
 	return ans
 }
 
-// pollGap gathers changes that come close together into one answer.
-const pollGap = 12 * time.Millisecond
+// pollGap gathers changes that come close together into one answer; it widens
+// with the machines that are held.
+func pollGap(machines int) time.Duration {
+	return min(12*time.Millisecond+time.Duration(machines)*time.Millisecond/8, 60*time.Millisecond)
+}
 
 // Poll gives the machines that changed after a cursor, waiting for a change.
 func (o *Owner) Poll(in peer.Poll) peer.PollAnswer {
@@ -210,10 +213,11 @@
 		o.mu.Lock()
 		ready := in.Incarnation != o.instance || o.table.Version() > in.Cursor
 		changed := o.changed
+		gap := pollGap(o.table.Len())
 		o.mu.Unlock()
 		if ready || over {
 			if waited && !over {
-				time.Sleep(pollGap)
+				time.Sleep(gap)
 			}
 			o.mu.Lock()
 			defer o.mu.Unlock()
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -870,3 +870,6 @@
 
 // Version is the table's present version.
 func (t *Table) Version() uint64 { return t.version }
+
+// Len is how many machines the table holds.
+func (t *Table) Len() int { return len(t.machines) }
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -130,6 +130,7 @@
 	sending  *peer.Round
 	sentTo   string // instance that the round was made for
 	next     peer.Round
+	settling clock.Micros // since when settlements wait to be sent
 	up       bool
 	resync   bool // a view did not fit what was known: ask for everything
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -269,8 +269,12 @@
 	return nil
 }
 
-// roundGap gathers what comes close together into one round of decisions.
-const roundGap = 8 * time.Millisecond
+// roundGap gathers what comes close together into one round of decisions. It
+// widens with the tasks about and with what the last round took, so that a
+// controller that is short of time decides on more at once.
+func roundGap(bound int, took time.Duration) time.Duration {
+	return max(min(8*time.Millisecond+time.Duration(bound)*20*time.Microsecond, 50*time.Millisecond), 3*took)
+}
 
 func (p *Placer) placeLoop(ctx context.Context) error {
 	tick := time.NewTicker(200 * time.Millisecond)
@@ -284,14 +288,16 @@
 		case <-p.wake:
 		}
 		p.mu.Lock()
-		p.desk.Place(p.clock.Now())
+		began := p.clock.Now()
+		p.desk.Place(began)
 		for h, c := range p.senders {
-			if p.desk.Waiting(h) {
+			if p.desk.Waiting(h, began) {
 				poke(c)
 			}
 		}
+		gap := roundGap(p.desk.Bound(), (p.clock.Now() - began).Duration())
 		p.mu.Unlock()
-		pause(ctx, roundGap)
+		pause(ctx, gap)
 	}
 }
 
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -32,7 +32,7 @@
 	}
 	o.seq++
 	r.From, r.Seq, r.Terms = d.instance, o.seq, d.Terms()
-	o.sending, o.sentTo, o.next = &r, o.instance, peer.Round{}
+	o.sending, o.sentTo, o.next, o.settling = &r, o.instance, peer.Round{}, 0
 	return o.sending
 }
 
@@ -48,10 +48,34 @@
 	o.sending = nil
 }
 
-// Waiting tells whether there is something to send to an owner.
-func (d *Desk) Waiting(host string) bool {
+// settleGap gathers settlements, for which nobody waits.
+const settleGap = 300 * clock.Millisecond
+
+// Waiting tells whether there is something to send to an owner now.
+func (d *Desk) Waiting(host string, now clock.Micros) bool {
 	o := d.owners[host]
-	return o.sending != nil || !o.next.Empty()
+	if o.sending != nil {
+		return true
+	}
+	if len(o.next.Settles) == 0 {
+		return !o.next.Empty()
+	}
+	if o.settling == 0 {
+		o.settling = now
+	}
+	rest := o.next
+	rest.Settles = nil
+	return !rest.Empty() || now >= o.settling+settleGap
+}
+
+// Bound is how many tasks are on machines, or may be.
+func (d *Desk) Bound() (n int) {
+	for _, tm := range d.teams {
+		for _, j := range tm.jobs {
+			n += len(j.bound)
+		}
+	}
+	return n
 }
 
 // Answered takes the answer to a round.
