Many machines share one record

Change: up to 32 machines of a partition share a key. Each write is conditional on the key's stamp, so that a late copy of one can't take a machine off the record; a record without a machine heals itself. Ruled out: recording as soon as the cloud names a machine. A machine that boots would then count as one that may hold tasks, and hold up every take-over.

--- /dev/null
+++ b/internal/machines/machines.go
@@ -0,0 +1,160 @@
+// Package machines is the record of the machines that may hold tasks. Many
+// share one key of the state service, since each key's change costs a part of
+// the budget: a thousand machines are recorded while they boot.
+package machines
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/merlinlatch/merlinlatch/internal/state"
+)
+
+// Record is what is kept of one machine.
+type Record struct {
+	Addr string `json:"a"`
+	Type string `json:"t"`
+	Zone string `json:"z"`
+	Spot bool   `json:"s,omitempty"`
+}
+
+// Group is the value of one key.
+type Group map[string]Record
+
+type group struct {
+	machines Group
+	stamp    uint64 // of its last change
+}
+
+// condition is the stamp that the key has: a key without machines is not there.
+func (g group) condition() uint64 {
+	if len(g.machines) == 0 {
+		return 0
+	}
+	return g.stamp
+}
+
+// Book knows the groups as the state service last showed them, or as their
+// writer knows them to be.
+type Book struct {
+	groups map[string]group
+	at     map[string]string // the key that a machine is recorded under
+}
+
+// NewBook makes an empty book.
+func NewBook() *Book { return &Book{groups: map[string]group{}, at: map[string]string{}} }
+
+// Apply takes one event of the replica and tells which machines came and went.
+// Older words than the newest known change nothing.
+func (b *Book) Apply(e state.Event) (came Group, went []string) {
+	if !strings.HasPrefix(e.Key, state.Machines) || e.Stamp < b.groups[e.Key].stamp {
+		return nil, nil
+	}
+	g := Group{}
+	if e.Value != nil && json.Unmarshal(e.Value, &g) != nil {
+		return nil, nil // not understood: what was known stays
+	}
+	return b.Set(e.Key, g, e.Stamp)
+}
+
+// Set notes what a key holds since a revision.
+func (b *Book) Set(key string, g Group, stamp uint64) (came Group, went []string) {
+	old := b.groups[key].machines
+	for id := range old {
+		// A machine may have moved to another key in the same transaction.
+		if _, still := g[id]; !still && b.at[id] == key {
+			delete(b.at, id)
+			went = append(went, id)
+		}
+	}
+	for id, r := range g {
+		if had, ok := old[id]; !ok || had != r || b.at[id] != key {
+			if came == nil {
+				came = Group{}
+			}
+			came[id] = r
+		}
+		b.at[id] = key
+	}
+	b.groups[key] = group{g, stamp}
+	slices.Sort(went)
+	return came, went
+}
+
+// Find gives a machine's record.
+func (b *Book) Find(id string) (Record, bool) {
+	key, ok := b.at[id]
+	if !ok {
+		return Record{}, false
+	}
+	return b.groups[key].machines[id], true
+}
+
+// Each visits all machines that are recorded.
+func (b *Book) Each(visit func(id string, r Record)) {
+	for id, key := range b.at {
+		visit(id, b.groups[key].machines[id])
+	}
+}
+
+// Write is one key's new value, to be written on the condition of its stamp: a
+// late copy of an earlier write must not bring an older list back.
+type Write struct {
+	Key   string
+	Stamp uint64
+	Group Group
+}
+
+// perGroup bounds how many machines share a key, and what a change of one costs.
+const perGroup = 32
+
+// Plan gives the writes that record some machines of a partition and drop the
+// records of others; a value takes at most so many bytes.
+func (b *Book) Plan(part int, fresh Group, drop []string, most int) []Write {
+	next := map[string]Group{}
+	edit := func(key string) Group {
+		if next[key] == nil {
+			next[key] = Group{}
+			maps.Copy(next[key], b.groups[key].machines)
+		}
+		return next[key]
+	}
+	for _, id := range drop {
+		if key, ok := b.at[id]; ok {
+			delete(edit(key), id)
+		}
+	}
+	n, size := 0, 0
+	var into Group
+	for _, id := range slices.Sorted(maps.Keys(fresh)) {
+		r := fresh[id]
+		if key, ok := b.at[id]; ok {
+			edit(key)[id] = r
+			continue
+		}
+		cost := len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 48
+		for into == nil || len(into) >= perGroup || size+cost > most {
+			key := fmt.Sprintf("%s%03d/%d", state.Machines, part, n)
+			n++
+			into, size = edit(key), 0
+			for id, r := range into {
+				size += len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 48
+			}
+			if len(into) == 0 {
+				break
+			}
+		}
+		into[id] = r
+		size += cost
+	}
+	var out []Write
+	for _, key := range slices.Sorted(maps.Keys(next)) {
+		if !maps.Equal(next[key], b.groups[key].machines) {
+			out = append(out, Write{key, b.groups[key].condition(), next[key]})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/machines/machines_test.go
@@ -0,0 +1,109 @@
+package machines
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// writer is an owner that records machines and hears of it through the replica.
+type writer struct {
+	t    *testing.T
+	view *fakes.View
+	book *Book
+}
+
+func (w *writer) commit(list []Write) error {
+	var m wire.Multi
+	for _, x := range list {
+		m.When = append(m.When, wire.Cond{Key: x.Key, Stamp: x.Stamp})
+		if len(x.Group) > 0 {
+			m.Then = append(m.Then, wire.Op{Put: x.Key, Value: x.Group})
+		} else {
+			m.Then = append(m.Then, wire.Op{Drop: x.Key})
+		}
+	}
+	rev, err := w.view.Commit(w.t.Context(), m)
+	if err == nil {
+		for _, x := range list {
+			w.book.Set(x.Key, x.Group, rev)
+		}
+	}
+	return err
+}
+
+// A thousand machines take a few dozen changes, and what a follower reads is
+// what was recorded, whatever comes and goes.
+func TestManyMachinesShareKeys(t *testing.T) {
+	st := fakes.NewState()
+	w := &writer{t, &fakes.View{State: st}, NewBook()}
+	rng := fakes.Rand(7)
+	there := Group{}
+	writes := 0
+	for round := range 60 {
+		fresh, drop := Group{}, []string{}
+		for i := range rng.IntN(50) {
+			fresh[fmt.Sprintf("m-%03d%03d", round, i)] = Record{Addr: "10.1.0.232:9000", Type: "big", Zone: "a", Spot: i%2 == 0}
+		}
+		for id := range there {
+			if len(drop) < round/4 {
+				drop = append(drop, id)
+			}
+		}
+		list := w.book.Plan(3, fresh, drop, 7000)
+		for _, x := range list {
+			b, err := json.Marshal(x.Group)
+			require.NoError(t, err)
+			require.Less(t, len(b), 7000)
+		}
+		writes += len(list)
+		require.NoError(t, w.commit(list))
+		for id, r := range fresh {
+			there[id] = r
+		}
+		for _, id := range drop {
+			delete(there, id)
+		}
+		read := NewBook()
+		items, _, err := w.view.List(t.Context(), state.Machines)
+		require.NoError(t, err)
+		for _, it := range items {
+			read.Apply(state.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+		}
+		got := Group{}
+		read.Each(func(id string, r Record) { got[id] = r })
+		require.Equal(t, there, got)
+	}
+	require.Less(t, writes, 60*16)
+}
+
+// A write that seemed lost and is carried out late must not take machines off
+// the record that were put there since: they may hold tasks.
+func TestLateWriteBringsNoOldListBack(t *testing.T) {
+	st := fakes.NewState()
+	w := &writer{t, &fakes.View{State: st}, NewBook()}
+	require.NoError(t, w.commit(w.book.Plan(0, Group{"m-1": {Type: "big"}}, nil, 7000)))
+	late := w.book.Plan(0, Group{"m-2": {Type: "big"}}, nil, 7000) // sent, and no answer
+	require.NoError(t, w.commit(w.book.Plan(0, Group{"m-3": {Type: "big"}}, nil, 7000)))
+	require.Error(t, w.commit(late))
+	_, found := w.book.Find("m-3")
+	require.True(t, found)
+}
+
+// Old news of a key, after its writer knows better, take nothing off the record.
+func TestOldNewsChangeNothing(t *testing.T) {
+	b := NewBook()
+	b.Set(state.Machines+"000/0", Group{"m-1": {}, "m-2": {}}, 9)
+	came, went := b.Apply(state.Event{Key: state.Machines + "000/0", Value: json.RawMessage(`{"m-1":{}}`), Stamp: 8})
+	require.Empty(t, came)
+	require.Empty(t, went)
+	came, went = b.Apply(state.Event{Key: state.Machines + "000/0", Stamp: 10})
+	require.Empty(t, came)
+	require.Equal(t, []string{"m-1", "m-2"}, went)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 	duties = append(duties, fleet.Duty)
 	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), urgent, c,
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
-	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps,
+	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, int(p.State.ValueKB*1024*0.9),
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
 	wall := time.Now
 	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/internal/state"
@@ -43,28 +43,29 @@
 
 // Owner serves the partitions that this process holds.
 type Owner struct {
-	host     string
-	instance string
-	parts    int
-	txnOps   int
-	claims   Claims
-	store    Store
-	clock    clock.Clock
-	log      *slog.Logger
-	ctx      context.Context
+	host      string
+	instance  string
+	parts     int
+	txnOps    int
+	valueMost int // bytes of a record
+	claims    Claims
+	store     Store
+	clock     clock.Clock
+	log       *slog.Logger
+	ctx       context.Context
 
-	mu       sync.Mutex
-	table    *Table
-	registry map[string]Registered
-	clients  map[string]*httpx.Client
-	changed  chan struct{}
-	wake     chan struct{}
+	mu      sync.Mutex
+	table   *Table
+	records *machines.Book
+	clients map[string]*httpx.Client
+	changed chan struct{}
+	wake    chan struct{}
 }
 
 // New makes an owner.
-func New(ctx context.Context, host, instance string, parts, txnOps int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, log *slog.Logger) *Owner {
-	return &Owner{ctx: ctx, host: host, instance: instance, parts: parts, txnOps: txnOps, claims: claims, store: store, clock: c, log: log,
-		table: NewTable(t, jobs), registry: map[string]Registered{}, clients: map[string]*httpx.Client{},
+func New(ctx context.Context, host, instance string, parts, txnOps, valueMost int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, log *slog.Logger) *Owner {
+	return &Owner{ctx: ctx, host: host, instance: instance, parts: parts, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
+		table: NewTable(t, jobs), records: machines.NewBook(), clients: map[string]*httpx.Client{},
 		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
@@ -91,22 +92,22 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, e := range evs {
-		id, ok := strings.CutPrefix(e.Key, state.Machines)
-		if !ok {
-			continue
-		}
-		var r Registered
-		if e.Value == nil {
-			delete(o.registry, id)
-			o.table.Registered(id, false)
-		} else if json.Unmarshal(e.Value, &r) == nil {
-			o.registry[id] = r
-			o.table.Registered(id, true)
-		}
+		o.recorded(o.records.Apply(e))
 	}
 	o.notify()
 }
 
+// recorded tells the table which machines are on record. The lock is held.
+func (o *Owner) recorded(came machines.Group, went []string) {
+	now := o.clock.Now()
+	for _, id := range went {
+		o.table.Registered(id, o.partition(id), Registered{}, false, now)
+	}
+	for id, r := range came {
+		o.table.Registered(id, o.partition(id), r, true, now)
+	}
+}
+
 // Reconcile takes over and gives up partitions as the claims now say.
 func (o *Owner) Reconcile() {
 	o.mu.Lock()
@@ -118,14 +119,14 @@
 		term, have := o.table.Part(p)
 		switch {
 		case mine && (!have || term != h.Term):
-			machines := map[string]Registered{}
-			for id, r := range o.registry {
+			found := machines.Group{}
+			o.records.Each(func(id string, r Registered) {
 				if o.partition(id) == p {
-					machines[id] = r
+					found[id] = r
 				}
-			}
-			o.table.Gain(p, h.Term, machines, now)
-			o.log.Info("partition taken over", "part", p, "term", h.Term, "machines", len(machines))
+			})
+			o.table.Gain(p, h.Term, found, now)
+			o.log.Info("partition taken over", "part", p, "term", h.Term, "machines", len(found))
 			changed = true
 		case !mine && have:
 			o.table.Lose(p)
@@ -293,43 +294,62 @@
 
 // record writes the records of new machines, and drops those of machines that
 // are gone, each on the condition that the partition is still held.
-func (o *Owner) record(ctx context.Context, fresh map[string]Registered, drop []string) {
-	ops := map[int][]wire.Op{}
+func (o *Owner) record(ctx context.Context, fresh machines.Group, drop []string) {
+	came, went := map[int]machines.Group{}, map[int][]string{}
+	parts := map[int]bool{}
 	for id, r := range fresh {
 		p := o.partition(id)
-		ops[p] = append(ops[p], wire.Op{Put: state.Machines + id, Value: r})
+		if came[p] == nil {
+			came[p] = machines.Group{}
+		}
+		came[p][id], parts[p] = r, true
 	}
 	for _, id := range drop {
 		p := o.partition(id)
-		ops[p] = append(ops[p], wire.Op{Drop: state.Machines + id})
+		went[p], parts[p] = append(went[p], id), true
 	}
-	for p, list := range ops {
+	for p := range parts {
 		h, mine := o.claims.Mine(Duty(p))
 		if !mine {
 			continue
 		}
+		o.mu.Lock()
+		list := o.records.Plan(p, came[p], went[p], o.valueMost)
+		o.mu.Unlock()
 		for len(list) > 0 {
 			n := min(len(list), o.txnOps)
-			_, err := o.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty(p), Stamp: h.Stamp}}, Then: list[:n]})
-			if err != nil {
+			if err := o.write(ctx, p, h, list[:n]); err != nil {
 				o.log.Debug("recording machines", "part", p, "err", err)
 				break
 			}
-			o.mu.Lock()
-			if term, have := o.table.Part(p); have && term == h.Term {
-				for _, op := range list[:n] {
-					if op.Put != "" {
-						o.table.Registered(strings.TrimPrefix(op.Put, state.Machines), true)
-					}
-				}
-			}
-			o.notify()
-			o.mu.Unlock()
 			list = list[n:]
 		}
 	}
 }
 
+func (o *Owner) write(ctx context.Context, part int, h claim.Held, list []machines.Write) error {
+	m := wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty(part), Stamp: h.Stamp}}}
+	for _, w := range list {
+		m.When = append(m.When, wire.Cond{Key: w.Key, Stamp: w.Stamp})
+		if len(w.Group) > 0 {
+			m.Then = append(m.Then, wire.Op{Put: w.Key, Value: w.Group})
+		} else {
+			m.Then = append(m.Then, wire.Op{Drop: w.Key})
+		}
+	}
+	rev, err := o.store.Commit(ctx, m)
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, w := range list {
+		o.recorded(o.records.Set(w.Key, w.Group, rev))
+	}
+	o.notify()
+	return nil
+}
+
 // send starts a courier for each machine that has something to be sent.
 func (o *Owner) send(ctx context.Context) {
 	o.mu.Lock()
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -13,18 +13,14 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 // Registered is the record of a machine that may hold tasks.
-type Registered struct {
-	Addr string `json:"addr"`
-	Type string `json:"type"`
-	Zone string `json:"zone"`
-	Spot bool   `json:"spot"`
-}
+type Registered = machines.Record
 
 // Jobs tells which jobs are active.
 type Jobs interface {
@@ -188,10 +184,10 @@
 // Gain takes a partition over. Every machine registered for it may hold tasks
 // of the former owner's until a report shows a token of this term, or it was
 // not answered by anybody for its lease, counted from now at the latest.
-func (t *Table) Gain(part int, term uint64, machines map[string]Registered, now clock.Micros) {
+func (t *Table) Gain(part int, term uint64, recorded machines.Group, now clock.Micros) {
 	t.Lose(part)
 	t.parts[part] = term
-	for id, r := range machines {
+	for id, r := range recorded {
 		m := t.add(id, part, r, now)
 		m.registered = true
 	}
@@ -226,7 +222,7 @@
 func (t *Table) Report(r *wire.Report, part int, now clock.Micros) (ans wire.ReportAnswer, ok bool) {
 	m := t.machines[r.Machine]
 	if m == nil {
-		m = t.add(r.Machine, part, Registered{r.Addr, r.Type, r.Zone, r.Spot}, now)
+		m = t.add(r.Machine, part, Registered{Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, now)
 	}
 	if m.gone || r.Session < m.session && m.heard || m.silent && m.heard && r.Session <= m.session {
 		return ans, false
@@ -756,21 +752,30 @@
 	return ready
 }
 
-// Registered notes that a machine's record is in the state service, or gone from it.
-func (t *Table) Registered(id string, there bool) {
-	if m := t.machines[id]; m != nil && m.registered != there {
+// Registered notes that a machine's record is in the state service, or gone from
+// it. A record without a machine, which a late copy of an old write brings back,
+// counts as a machine that nothing is known of: it falls silent, and its record goes.
+func (t *Table) Registered(id string, part int, r Registered, there bool, now clock.Micros) {
+	m := t.machines[id]
+	if m == nil && there {
+		if _, ok := t.parts[part]; !ok {
+			return
+		}
+		m = t.add(id, part, r, now)
+	}
+	if m != nil && m.registered != there {
 		m.registered = there
 		t.touch(m)
 	}
 }
 
 // Unregistered lists machines that report and have no record yet.
-func (t *Table) Unregistered() map[string]Registered {
-	var out map[string]Registered
+func (t *Table) Unregistered() machines.Group {
+	var out machines.Group
 	for id, m := range t.machines {
 		if m.heard && !m.registered && !m.silent && !m.gone {
 			if out == nil {
-				out = map[string]Registered{}
+				out = machines.Group{}
 			}
 			out[id] = m.Registered
 		}
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -51,7 +51,7 @@
 	s.w = fakes.NewWorker("m-1", lease, s.now)
 	s.table.Gain(0, 1, nil, s.now)
 	s.report()
-	s.table.Registered("m-1", true)
+	s.table.Registered("m-1", 0, Registered{}, true, s.now)
 	s.report()
 	return s
 }
@@ -225,9 +225,9 @@
 // owner would not know of it.
 func TestNoTaskBeforeTheRecord(t *testing.T) {
 	s := newScene(t)
-	s.table.Registered("m-1", false)
+	s.table.Registered("m-1", 0, Registered{}, false, s.now)
 	require.False(t, s.lease(0, 1))
-	s.table.Registered("m-1", true)
+	s.table.Registered("m-1", 0, Registered{}, true, s.now)
 	require.True(t, s.lease(0, 2))
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -18,6 +18,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -59,6 +60,7 @@
 
 	mu      sync.Mutex
 	desk    *Desk
+	records *machines.Book
 	wake    chan struct{}
 	senders map[string]chan struct{}
 	writes  chan struct{}
@@ -78,7 +80,7 @@
 // New makes a placer around a desk.
 func New(desk *Desk, o Options, claims Claims, store Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
 	p := &Placer{teams: o.Teams, parts: o.PartDuties, owners: o.Owners, claims: claims, store: store, book: book, clock: c,
-		txnOps: o.TxnOps, progress: o.ProgressEvery, log: log, desk: desk, wake: make(chan struct{}, 1),
+		txnOps: o.TxnOps, progress: o.ProgressEvery, log: log, desk: desk, records: machines.NewBook(), wake: make(chan struct{}, 1),
 		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), acked: make(chan struct{}), running: context.Background()}
 	for h := range o.Owners {
 		p.senders[h] = make(chan struct{}, 1)
@@ -128,7 +130,13 @@
 				}
 			}
 		case strings.HasPrefix(e.Key, state.Machines):
-			p.desk.Register(strings.TrimPrefix(e.Key, state.Machines), e.Value != nil)
+			came, went := p.records.Apply(e)
+			for _, id := range went {
+				p.desk.Register(id, false)
+			}
+			for id := range came {
+				p.desk.Register(id, true)
+			}
 		}
 	}
 	poke(p.wake)
--- /dev/null
+++ b/internal/placer/rooms.go
@@ -0,0 +1,186 @@
+package placer
+
+import (
+	"math/bits"
+	"slices"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// shelf is a set of machines. Its order depends only on what was put in and taken out.
+type shelf struct {
+	list []*mirror
+	at   map[*mirror]int
+}
+
+func (s *shelf) put(m *mirror) {
+	if s.at == nil {
+		s.at = map[*mirror]int{}
+	}
+	s.at[m] = len(s.list)
+	s.list = append(s.list, m)
+}
+
+func (s *shelf) take(m *mirror) {
+	i, last := s.at[m], len(s.list)-1
+	s.list[i] = s.list[last]
+	s.at[s.list[i]] = i
+	s.list[last] = nil
+	s.list = s.list[:last]
+	delete(s.at, m)
+}
+
+// levels of free CPUs: less than 1, 1, 2 and 3, 4 to 7, and so on.
+const levels = 14
+
+func levelOf(cpu int64) int {
+	if cpu <= 0 {
+		return 0
+	}
+	return min(bits.Len64(uint64(cpu/1e6)), levels-1)
+}
+
+// rooms keeps machines by how many CPUs they show free, so that a search for
+// room costs what it finds and not the fleet.
+type rooms [levels]shelf
+
+// walk visits the machines that show at least so many CPUs free, those with
+// least room first and of a level from any one on, until visit has had enough.
+func (r *rooms) walk(from int, start uint64, visit func(*mirror) (enough bool)) {
+	for l := from; l < levels; l++ {
+		list := r[l].list
+		if len(list) == 0 {
+			continue
+		}
+		first := int(start % uint64(len(list)))
+		for i := range list {
+			if visit(list[(first+i)%len(list)]) {
+				return
+			}
+		}
+	}
+}
+
+// ready tells that a machine may get tasks, as far as it and its owner are known.
+func (d *Desk) ready(m *mirror) bool {
+	o := d.owners[m.host]
+	return m.Usable && o.up && o.instance == m.instance && o.parts[m.Part] == m.Term && d.machines[m.ID] == m
+}
+
+// index puts a machine where its room and images belong. It is called after
+// every change of what they depend on.
+func (d *Desk) index(m *mirror) {
+	on, level := d.ready(m), levelOf(m.free.CPU)
+	if on == m.shelved && (!on || level == m.level && slices.Equal(m.Images, m.shelvedImages)) {
+		return
+	}
+	if m.shelved {
+		d.rooms[m.level].take(m)
+		for _, i := range m.shelvedImages {
+			d.imaged[i][m.level].take(m)
+		}
+		d.usable -= m.shelvedCPU
+	}
+	m.shelved, m.level, m.shelvedImages, m.shelvedCPU = on, level, m.Images, m.Cap.CPU
+	if !on {
+		return
+	}
+	d.rooms[level].put(m)
+	for _, i := range m.Images {
+		if d.imaged[i] == nil {
+			d.imaged[i] = &rooms{}
+		}
+		d.imaged[i][level].put(m)
+	}
+	d.usable += m.shelvedCPU
+}
+
+// indexOf puts all of an owner's machines where they belong.
+func (d *Desk) indexOf(host string) {
+	for _, m := range d.machines {
+		if m.host == host {
+			d.index(m)
+		}
+	}
+}
+
+// up notes whether an owner can be reached.
+func (d *Desk) up(host string, up bool) {
+	if o := d.owners[host]; o.up != up {
+		o.up = up
+		d.indexOf(host)
+	}
+}
+
+// setTask takes a task into a machine's mirror, unset takes it out.
+func (d *Desk) setTask(m *mirror, t *seen) {
+	d.unsetTask(m, t.ID)
+	m.tasks[t.ID] = t
+	if t.there = t.Phase != wire.TaskExited; t.there {
+		m.ranks[t.Rank]++
+		d.ranks[t.Rank]++
+		d.sizes[t.Need.CPU]++
+	}
+}
+
+func (d *Desk) unsetTask(m *mirror, id peer.TaskID) {
+	t := m.tasks[id]
+	if t == nil {
+		return
+	}
+	delete(m.tasks, id)
+	if t.there {
+		m.ranks[t.Rank]--
+		d.ranks[t.Rank]--
+		if d.sizes[t.Need.CPU]--; d.sizes[t.Need.CPU] == 0 {
+			delete(d.sizes, t.Need.CPU)
+		}
+	}
+}
+
+// full remembers in a round of decisions what found no room: what asks for as
+// much or more, and is as choosy or choosier, need not search again.
+type full struct {
+	needs []res.Amounts // of jobs that go anywhere
+	jobs  map[*job]bool
+}
+
+func (f *full) knows(j *job) bool {
+	for _, n := range f.needs {
+		if n.Fits(j.Need) {
+			return true
+		}
+	}
+	return f.jobs[j]
+}
+
+func (f *full) note(j *job) {
+	if j.Spot && j.Zone == "" && len(j.Types) == 0 && !j.OneZone && !j.Spread && len(j.failedOn) == 0 {
+		f.needs = append(f.needs, j.Need)
+	}
+	if f.jobs == nil {
+		f.jobs = map[*job]bool{}
+	}
+	f.jobs[j] = true
+}
+
+// refusedFor is how long a machine whose owner refused is kept from, unless news of it come before.
+const refusedFor = 200 * clock.Millisecond
+
+// find collects machines that have room for a task of a job, a few times as many as are drawn.
+func (d *Desk) find(j *job, in *rooms, now clock.Micros) (out []*mirror) {
+	if in == nil {
+		return nil
+	}
+	in.walk(levelOf(j.Need.CPU), d.rng.Uint64(), func(m *mirror) bool {
+		if j.Need.Fits(m.free) && m.free.Mem > 0 && now >= j.failedOn[m.ID] && j.allowed(m) &&
+			!(m.refused && now < m.refusedAt+refusedFor) {
+			out = append(out, m)
+		}
+		return len(out) >= 4*d.timing.Sample
+	})
+	return out
+}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -228,7 +228,7 @@
 func (w *world) record(id string, there bool) {
 	w.desk.Register(id, there)
 	for _, h := range w.hosts {
-		h.table.Registered(id, there)
+		h.table.Registered(id, w.part(id), w.registry[id], there, w.now)
 	}
 }
 
