Machines off the cloud's list are gone: their tasks need not wait for a lease

A machine that was on the list stays on it until it is gone, so a list that describes a later moment than the first sight of it, though it may lag twice its time, is proof. Ruled out: the state service and the cloud's budget (no request refused).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +105,7 @@
 	counter   uint64
 	rented    map[string]Rented
 	listedAt  map[string]clock.Micros // when a machine was last on the list, or was rented
+	known     map[string]clock.Micros // when a machine was first seen on the list
 	gone      map[string]clock.Micros
 	refused   map[Kind]clock.Micros
 	catalog   wire.Catalog
@@ -149,6 +151,7 @@
 func (f *Fleet) begin(term uint64) {
 	f.term, f.counter = term, 0
 	f.rented, f.listedAt = map[string]Rented{}, map[string]clock.Micros{}
+	f.known = map[string]clock.Micros{}
 	f.gone, f.refused = map[string]clock.Micros{}, map[Kind]clock.Micros{}
 	f.fetched, f.listed, f.unlisted, f.listAgain = 0, 0, 0, 0
 }
@@ -253,7 +256,11 @@
 	}
 }
 
-// list reads the cloud's list. Absence proves nothing at once: the list lags.
+// list reads the cloud's list. Absence proves nothing at once: the list lags. But
+// a machine that was on it once stays on it until it is gone. A list that
+// describes a later moment than that first sight, though it may be twice the lag
+// old, and lacks the machine is the cloud's word that it is gone with all that was
+// on it: nobody need wait for its worker's lease to run out.
 func (f *Fleet) list(ctx context.Context) error {
 	after, began := "", f.clock.Now()
 	for {
@@ -273,6 +280,9 @@
 			}
 			f.rented[r.ID] = Rented{Kind: Kind{r.Type, r.Zone, r.Spot}, ID: r.ID, Phase: r.Phase, Since: since, Up: old.Up}
 			f.listedAt[r.ID] = began
+			if f.known[r.ID] == 0 {
+				f.known[r.ID] = f.clock.Now()
+			}
 		}
 		if !page.More || len(page.Hosts) == 0 {
 			break
@@ -284,15 +294,32 @@
 			delete(f.gone, id) // no list is as old as that
 		}
 	}
+	var gone []string
 	for id := range f.rented {
-		if began > f.listedAt[id]+3*f.lag+2*clock.Second {
-			delete(f.rented, id)
-			delete(f.listedAt, id)
+		absent := f.listedAt[id] < began
+		if first := f.known[id]; absent && first != 0 && began > (first+2*f.lag).PlusDrift()+clock.Second {
+			gone = append(gone, id)
+			f.gone[id] = began // an older list may still show it
+		} else if began <= f.listedAt[id]+3*f.lag+2*clock.Second {
+			continue
 		}
+		f.strike(id)
+	}
+	if len(gone) > 0 {
+		slices.Sort(gone)
+		f.log.Info("machines are on the cloud's list no more", "machines", gone)
+		f.others.Gone(ctx, gone)
 	}
 	return nil
 }
 
+// strike takes a machine off what is known to be rented.
+func (f *Fleet) strike(id string) {
+	delete(f.rented, id)
+	delete(f.listedAt, id)
+	delete(f.known, id)
+}
+
 // hire rents, all kinds at once, and tells whether fewer came than were asked
 // for. A request's name is never used again: the term and a counter.
 func (f *Fleet) hire(ctx context.Context, list []Hire) (short bool) {
@@ -355,8 +382,7 @@
 	for _, id := range ready {
 		f.log.Info("returned a machine", "machine", id, "why", why[id])
 		f.gone[id] = now
-		delete(f.rented, id)
-		delete(f.listedAt, id)
+		f.strike(id)
 	}
 	f.others.Gone(ctx, ready)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -185,3 +185,33 @@
 		require.Empty(t, f.rented)
 	}
 }
+
+// hands is a clock that the test moves.
+type hands struct{ now clock.Micros }
+
+func (h *hands) Now() clock.Micros { return h.now }
+
+// A machine that was on the list and is on a later one no more is gone, sooner
+// than its worker's lease would tell. A list that may be older than the first
+// sight of it proves nothing, nor does one that never had it.
+func TestOffTheListIsGone(t *testing.T) {
+	f, c, o, _ := newFleet(t)
+	at := &hands{100 * clock.Second}
+	f.clock = at
+	see := func(list ...wire.Rental) {
+		c.with(func() { c.listed = list })
+		require.NoError(t, f.list(t.Context()))
+	}
+	kept := wire.Rental{ID: "m-1", Type: "big", Zone: "a", Phase: wire.MachineRunning}
+	taken := wire.Rental{ID: "m-2", Type: "big", Zone: "a", Phase: wire.MachineRunning}
+	f.rented["m-9"], f.listedAt["m-9"] = Rented{ID: "m-9"}, at.now // rented just now
+	see(kept, taken)
+	at.now += 16 * clock.Second // the list may lag twice its 8 s
+	see(kept)
+	require.Empty(t, o.gone, "a list of before the first sight")
+	see(kept, taken)
+	at.now += 2 * clock.Second
+	see(kept)
+	require.Equal(t, []string{"m-2"}, o.gone)
+	require.Contains(t, f.rented, "m-9")
+}
