What was never asked for starts at once after a take-over

Cause: after a team's take-over the tasks of all jobs accepted before waited until every machine was accounted for, up to a lease of 27 s while one of them was dead; on a fleet with a thousand spot machines one nearly always is. Change: a job's tasks are asked for only once a mark above them is in the state service. The next placer knows by it which tasks can't be on any machine. Many jobs' marks share a key. Tasks below the marks still wait; that 200 taken machines are still on record after an outage of the state service is the next cause.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,6 +88,7 @@
 		hosts = append(hosts, o.Host)
 	}
 	parts := partsPerController * p.Count
+	valueMost := int(p.State.ValueKB * 1024 * 0.9)
 	duties, partDuties := []string{}, []string{}
 	for i := range parts {
 		partDuties = append(partDuties, owner.Duty(i))
@@ -104,7 +105,7 @@
 	duties = append(duties, fleet.Duty)
 	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), urgent, c,
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
-	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, int(p.State.ValueKB*1024*0.9),
+	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost,
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
 	wall := time.Now
 	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
@@ -116,7 +117,7 @@
 		owners[h] = remoteOwner{pc}
 	}
 	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
-		ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, n.book, c, log)
+		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, urgent, n.book, c, log)
 	n.front = front.New(urgent, n, n.book, limits, int(p.State.ValueKB*1024), wall, log)
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -182,8 +182,8 @@
 }
 
 func (d *Desk) placeJob(j *job, most int, now clock.Micros) (placed int) {
-	if j.old && j.team.unknown > 0 {
-		return 0 // its tasks may be on a machine that is not accounted for
+	if j.parked && j.team.unknown == 0 {
+		j.unpark()
 	}
 	for placed < most {
 		if !within(j.team.used.Plus(j.team.held).Plus(j.Need), j.team.Limit) {
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -50,7 +50,9 @@
 type job struct {
 	*jobs.Job
 	team       *team
-	old        bool // accepted before this term
+	mark       int  // tasks from here on were never asked for: so the state service says
+	former     int  // tasks up to here a former placer may have asked for
+	parked     bool // and those wait until all machines are accounted for
 	next       int  // tasks from here on were never queued
 	queue      []int
 	done       []uint64 // bits
@@ -151,6 +153,7 @@
 	owners   map[string]*ownerState
 	registry map[string]bool
 	progress map[string]map[int][]byte
+	marks    map[string]marks
 	rng      *rand.Rand
 	acks     map[string]map[string]bool // job: hosts that took its cancellation
 	wall     func() int64               // time of day in ms, good to the settings' bound
@@ -167,7 +170,7 @@
 
 // NewDesk makes an empty desk.
 func NewDesk(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Desk {
-	d := &Desk{imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
+	d := &Desk{marks: map[string]marks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[int][]byte{},
 		rng: rand.New(rand.NewPCG(seed, 1)), acks: map[string]map[string]bool{}, wall: wall}
 	for _, tm := range teams {
@@ -241,9 +244,16 @@
 }
 
 func (d *Desk) addJob(tm *team, spec *jobs.Job, now clock.Micros) {
-	j := &job{Job: spec, team: tm, old: spec.Stamp < tm.stamp, done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
+	j := &job{Job: spec, team: tm, mark: d.markOf(tm.Name, spec.ID), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
 		zones: map[string]int{}, dirty: map[int]bool{}, failedOn: map[string]clock.Micros{},
 		unsettled: map[peer.TaskID]string{}, acked: map[peer.TaskID]uint64{}, since: now}
+	if spec.Stamp < tm.stamp {
+		j.former = min(j.mark, j.Tasks)
+		if j.former > 0 && (j.OneZone || j.Spread) {
+			j.former = j.Tasks // where its other tasks are decides where these may go
+		}
+		j.next, j.parked = j.former, j.former > 0
+	}
 	if spec.AcceptedMS > 0 {
 		j.since = now - clock.Micros(max(0, d.wall()-spec.AcceptedMS))*clock.Millisecond
 	}
@@ -340,7 +350,7 @@
 			return n
 		}
 	}
-	for j.next < j.Tasks {
+	for j.next < min(j.mark, j.Tasks) {
 		n := j.next
 		j.next++
 		if !j.isDone(n) && j.bound[n] == nil {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,16 +47,18 @@
 
 // Placer places the jobs of the teams that this process holds.
 type Placer struct {
-	teams    []Team
-	parts    []string // duties of the partitions
-	owners   map[string]OwnerCaller
-	claims   Claims
-	store    Store
-	book     *jobs.Book
-	clock    clock.Clock
-	txnOps   int
-	progress clock.Micros
-	log      *slog.Logger
+	teams     []Team
+	parts     []string // duties of the partitions
+	owners    map[string]OwnerCaller
+	claims    Claims
+	store     Store
+	book      *jobs.Book
+	clock     clock.Clock
+	txnOps    int
+	valueMost int
+	urgent    Store // for what starts wait for
+	progress  clock.Micros
+	log       *slog.Logger
 
 	mu      sync.Mutex
 	desk    *Desk
@@ -74,13 +76,14 @@
 	PartDuties    []string
 	Owners        map[string]OwnerCaller
 	TxnOps        int
+	ValueMost     int // bytes of a record
 	ProgressEvery clock.Micros
 }
 
 // New makes a placer around a desk.
-func New(desk *Desk, o Options, claims Claims, store Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
+func New(desk *Desk, o Options, claims Claims, store, urgent Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
 	p := &Placer{teams: o.Teams, parts: o.PartDuties, owners: o.Owners, claims: claims, store: store, book: book, clock: c,
-		txnOps: o.TxnOps, progress: o.ProgressEvery, log: log, desk: desk, records: machines.NewBook(), wake: make(chan struct{}, 1),
+		txnOps: o.TxnOps, valueMost: o.ValueMost, urgent: urgent, progress: o.ProgressEvery, log: log, desk: desk, records: machines.NewBook(), wake: make(chan struct{}, 1),
 		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), acked: make(chan struct{}), running: context.Background()}
 	for h := range o.Owners {
 		p.senders[h] = make(chan struct{}, 1)
@@ -129,6 +132,12 @@
 					p.desk.Progress(id, n, bits)
 				}
 			}
+		case strings.HasPrefix(e.Key, state.Marks):
+			var jobs map[string]int
+			if e.Value != nil && json.Unmarshal(e.Value, &jobs) != nil {
+				continue
+			}
+			p.desk.Marks(e.Key, jobs, e.Stamp)
 		case strings.HasPrefix(e.Key, state.Machines):
 			came, went := p.records.Apply(e)
 			for _, id := range went {
@@ -182,6 +191,7 @@
 	}
 	g.Go(func() error { return p.placeLoop(ctx) })
 	g.Go(func() error { return p.writeLoop(ctx) })
+	g.Go(func() error { return p.markLoop(ctx) })
 	g.Go(func() error { return p.tellLoop(ctx) })
 	return g.Wait()
 }
@@ -309,6 +319,37 @@
 	}
 }
 
+// markGap gathers raised marks into one write.
+const markGap = 150 * time.Millisecond
+
+// markLoop writes which tasks may be asked for, ahead of their turn.
+func (p *Placer) markLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, markGap)
+		p.mu.Lock()
+		list := p.desk.PlanMarks(p.clock.Now(), p.valueMost)
+		p.mu.Unlock()
+		for _, w := range list {
+			h, ok := p.claims.Mine(Duty(w.Team))
+			if !ok {
+				continue
+			}
+			rev, err := p.urgent.Commit(ctx, wire.Multi{
+				When: []wire.Cond{{Key: state.Claims + Duty(w.Team), Stamp: h.Stamp}, {Key: w.Key, Stamp: w.Stamp}},
+				Then: []wire.Op{{Put: w.Key, Value: w.Marks}}})
+			if err != nil {
+				p.log.Debug("writing marks", "team", w.Team, "err", err)
+				continue
+			}
+			p.mu.Lock()
+			p.desk.Marks(w.Key, w.Marks, rev)
+			p.mu.Unlock()
+			poke(p.wake)
+		}
+	}
+	return nil
+}
+
 // writeLoop writes the ends of jobs at once and progress now and then.
 func (p *Placer) writeLoop(ctx context.Context) error {
 	tick := time.NewTicker(500 * time.Millisecond)
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -84,7 +84,7 @@
 	j.zones[b.zone]--
 	if j.bound[b.id.N] == b {
 		delete(j.bound, b.id.N)
-		if !j.isDone(b.id.N) {
+		if !j.isDone(b.id.N) && !(j.parked && b.id.N < j.former) {
 			j.queue = append(j.queue, b.id.N)
 		}
 	}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -62,7 +62,8 @@
 	orders   []lateOrders
 	rounds   []lateRound
 	ended    map[string]bool
-	limit    float64 // CPUs; 0: none
+	limit    float64              // CPUs; 0: none
+	marks    map[string]MarkWrite // on record, with their stamps
 }
 
 func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
@@ -75,7 +76,7 @@
 
 func newWorldOf(t *testing.T, seed uint64, machines int, limit float64) *world {
 	w := &world{t: t, limit: limit, now: 100 * sec, rng: fakes.Rand(seed), book: jobs.NewBook(), stamp: 10, active: map[string]*jobs.Job{},
-		registry: map[string]owner.Registered{}, workers: map[string]*fakes.Worker{}, ended: map[string]bool{}}
+		registry: map[string]owner.Registered{}, workers: map[string]*fakes.Worker{}, ended: map[string]bool{}, marks: map[string]MarkWrite{}}
 	for i := range 2 {
 		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("h%d", i)})
 		w.boot(w.hosts[i])
@@ -127,6 +128,9 @@
 	for id := range w.registry {
 		w.desk.Register(id, true)
 	}
+	for key, m := range w.marks {
+		w.desk.Marks(key, m.Marks, m.Stamp)
+	}
 	var list []*jobs.Job
 	for _, j := range w.active {
 		list = append(list, j)
@@ -134,6 +138,27 @@
 	w.desk.Gain(red, w.term, w.stamp, list, w.now)
 }
 
+// mark has the placer's marks written down; the answer may be lost, or the write.
+func (w *world) mark(written, answered bool) {
+	for _, m := range w.desk.PlanMarks(w.now, 4000) {
+		if !written || m.Stamp != w.marks[m.Key].Stamp {
+			continue
+		}
+		w.stamp++
+		m.Stamp = w.stamp
+		w.marks[m.Key] = m
+		if answered {
+			w.desk.Marks(m.Key, m.Marks, m.Stamp)
+		}
+	}
+}
+
+// place lets the placer decide, with marks written at once.
+func (w *world) place() {
+	w.mark(true, true)
+	w.desk.Place(w.now)
+}
+
 func (w *world) addJob(id string, tasks int, change func(*wire.Job)) {
 	w.stamp++
 	spec := wire.Job{ID: id, Team: red, Rank: "normal", Tasks: tasks, CPUs: 2, MemGB: 1, Spot: true}
@@ -245,7 +270,7 @@
 			w.poll(h, false)
 			w.send(h, true, true)
 		}
-		w.desk.Place(w.now)
+		w.place()
 		for _, h := range w.hosts {
 			w.send(h, true, true)
 		}
@@ -311,7 +336,11 @@
 			case 0, 1:
 				w.poll(h, rng.IntN(4) == 0)
 			case 2, 3:
+				w.mark(rng.IntN(4) > 0, rng.IntN(4) > 0)
 				w.desk.Place(w.now)
+				for key, m := range w.marks { // the replica tells in the end
+					w.desk.Marks(key, m.Marks, m.Stamp)
+				}
 			case 4, 5:
 				w.send(h, rng.IntN(5) > 0, rng.IntN(4) > 0)
 			case 6, 7:
@@ -379,7 +408,7 @@
 	w := newWorld(t, 1, 1)
 	w.settle(8)
 	w.addJob("job-1", 1, nil)
-	w.desk.Place(w.now)
+	w.place()
 	h := w.hosts[0]
 	r := w.desk.Send(h.name)
 	ans := h.table.Round(*r, h.instance, w.now)
@@ -398,7 +427,7 @@
 	w := newWorld(t, 1, 1)
 	w.settle(8)
 	w.addJob("job-1", 1, nil)
-	w.desk.Place(w.now)
+	w.place()
 	w.send(w.hosts[0], false, false)
 	w.now += 2 * lease
 	w.tick()
@@ -415,7 +444,7 @@
 	w := newWorld(t, 1, 2)
 	w.settle(8)
 	w.addJob("job-1", 1, nil)
-	w.desk.Place(w.now)
+	w.place()
 	var at *host
 	for _, h := range w.hosts {
 		if r := w.desk.Send(h.name); r != nil {
@@ -440,7 +469,7 @@
 		for _, h := range w.hosts {
 			w.poll(h, false)
 		}
-		w.desk.Place(w.now)
+		w.place()
 		for _, h := range w.hosts {
 			w.send(h, true, true)
 		}
@@ -463,7 +492,7 @@
 	w := newWorld(t, 1, 2)
 	w.settle(8)
 	w.addJob("job-1", 1, nil)
-	w.desk.Place(w.now)
+	w.place()
 	for _, h := range w.hosts {
 		r := w.desk.Send(h.name)
 		if r == nil {
@@ -493,7 +522,7 @@
 		for _, h := range w.hosts {
 			w.poll(h, false)
 		}
-		w.desk.Place(w.now)
+		w.place()
 		for _, h := range w.hosts {
 			w.send(h, true, true)
 		}
@@ -511,6 +540,53 @@
 	require.Equal(t, 4, w.running())
 }
 
+// A new placer takes over while a machine can't be reached. What was never
+// asked for starts at once; what may have been waits.
+func TestTakeOverStartsWhatWasNeverAskedFor(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 40, nil) // more than there is room for
+	w.settle(4)
+	require.Equal(t, 16, w.running())
+	w.addJob("job-2", 3, nil)
+	w.boot(w.hosts[0])
+	w.newDesk()
+	w.gain(0, 0) // and the machines of partition 0 are silent from now on
+	for _, id := range []string{"m-1", "m-3"} {
+		for _, r := range w.workers[id].InOrder() {
+			r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+		}
+	}
+	for range 12 {
+		w.now += 100 * clock.Millisecond
+		for _, id := range []string{"m-1", "m-3"} {
+			w.report(id, true)
+			w.courier(id, false, true)
+		}
+		for _, h := range w.hosts {
+			w.poll(h, false)
+		}
+		w.place()
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+		}
+		w.check("unaccounted")
+	}
+	started := map[string]int{}
+	for _, id := range []string{"m-1", "m-3"} {
+		for _, r := range w.workers[id].Tasks {
+			if r.Phase != wire.TaskExited {
+				job, _, _ := wire.SplitTask(r.Task)
+				started[job]++
+			}
+		}
+	}
+	require.Equal(t, map[string]int{"job-2": 3}, started)
+	w.now += 2 * lease
+	w.settle(30)
+	require.Greater(t, w.running(), 8, "the rest of the first job goes on once the machines are accounted for")
+}
+
 // Attempt numbers of two placers never meet.
 func TestAttemptsAreUniqueAcrossTakeOvers(t *testing.T) {
 	w := newWorld(t, 1, 2)
@@ -518,7 +594,7 @@
 	for range 3 {
 		w.settle(8)
 		w.addJob(fmt.Sprintf("job-%d", w.term), 2, nil)
-		w.desk.Place(w.now)
+		w.place()
 		for _, h := range w.hosts {
 			for _, a := range w.desk.owners[h.name].next.Asks {
 				require.False(t, seen[a.ID.Attempt])
@@ -536,7 +612,7 @@
 	w.settle(8)
 	w.addJob("job-1", 4, func(j *wire.Job) { j.Spread = true })
 	w.addJob("job-2", 2, func(j *wire.Job) { j.OneZone = true })
-	w.desk.Place(w.now) // nothing is sent yet: all are only asked for
+	w.place() // nothing is sent yet: all are only asked for
 	zones := map[string]int{}
 	for n, b := range w.desk.teams[red].jobs["job-1"].bound {
 		require.NotNil(t, b, n)
