A new fleet holder tells by the records which machines are gone; caches are known by size

Change: records carry the time of day when they were made; a machine recorded before the moment that a list describes and not on it is gone. Owners keep images by size up to the catalog's cache_gb.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,6 +76,7 @@
 	Views() []peer.MachineView
 	Drain(ctx context.Context, ids []string) (ready []string)
 	Gone(ctx context.Context, ids []string)
+	RecordedBefore(atMS int64) []string
 }
 
 // Claims tells whether the fleet is held.
@@ -98,6 +99,8 @@
 	knobs   Knobs
 	backoff clock.Micros
 	lag     clock.Micros
+	skew    clock.Micros // the most that times of day are off
+	wall    func() time.Time
 	kept    func() wire.Catalog
 	log     *slog.Logger
 
@@ -119,9 +122,9 @@
 }
 
 // New makes a fleet.
-func New(cloud *Cloud, claims Claims, store Store, others Controllers, c clock.Clock, k Knobs, backoff, lag clock.Micros, kept func() wire.Catalog, log *slog.Logger) *Fleet {
+func New(cloud *Cloud, claims Claims, store Store, others Controllers, c clock.Clock, k Knobs, backoff, lag, skew clock.Micros, wall func() time.Time, kept func() wire.Catalog, log *slog.Logger) *Fleet {
 	atOnce := max(1, int(cloud.rps*1.6))
-	return &Fleet{atOnce: atOnce, most: wire.MaxHire * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, kept: kept, log: log}
+	return &Fleet{atOnce: atOnce, most: wire.MaxHire * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, skew: skew, wall: wall, kept: kept, log: log}
 }
 
 // Run does the duty while it is held, until ctx ends.
@@ -268,7 +271,7 @@
 // old, and lacks the machine is the cloud's word that it is gone with all that was
 // on it: nobody need wait for its worker's lease to run out.
 func (f *Fleet) list(ctx context.Context) error {
-	after, began := "", f.clock.Now()
+	after, began, wall := "", f.clock.Now(), f.wall()
 	for {
 		var page wire.Rentals
 		if err := f.cloud.call(ctx, "GET", fmt.Sprintf("%s?after=%s&most=%d", wire.PathRentals, after, wire.MaxList), nil, &page); err != nil {
@@ -301,6 +304,16 @@
 		}
 	}
 	var gone []string
+	// The same holds of a machine that was recorded, and so was there, before
+	// the moment that the list describes, by the time of day. A new holder, to
+	// whom every machine is new, tells by that which ones the owners need not wait for.
+	for _, id := range f.others.RecordedBefore(wall.UnixMilli() - (2*f.lag + 2*f.skew + 2*clock.Second).Duration().Milliseconds()) {
+		if f.listedAt[id] < began && f.gone[id] == 0 {
+			gone = append(gone, id)
+			f.gone[id] = began
+			f.strike(id)
+		}
+	}
 	for id := range f.rented {
 		absent := f.listedAt[id] < began
 		if first := f.known[id]; absent && first != 0 && began > (first+2*f.lag).PlusDrift()+clock.Second {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -67,6 +67,16 @@
 	views   []peer.MachineView
 	ready   []string
 	gone    []string
+	records map[string]int64
+}
+
+func (o *others) RecordedBefore(at int64) (out []string) {
+	for id, w := range o.records {
+		if w < at {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 func (o *others) Demands(context.Context) []peer.Demand          { return o.demands }
@@ -104,7 +114,7 @@
 	}, time.Minute, 5*time.Millisecond)
 	o, h := &others{}, &held{term: 3}
 	f := New(NewCloud(addr, 10_000), h, &fakes.View{State: fakes.NewState()}, o, clock.NewSteady(),
-		Knobs{IdleReturn: 60 * clock.Second, BootPatience: 3}, 12*clock.Second, 8*clock.Second, func() wire.Catalog { return wire.Catalog{} }, quiet)
+		Knobs{IdleReturn: 60 * clock.Second, BootPatience: 3}, 12*clock.Second, 8*clock.Second, clock.Second, time.Now, func() wire.Catalog { return wire.Catalog{} }, quiet)
 	f.begin(3)
 	return f, c, o, h
 }
@@ -215,3 +225,16 @@
 	require.Equal(t, []string{"m-2"}, o.gone)
 	require.Contains(t, f.rented, "m-9")
 }
+
+// A new holder's first list: a machine that was recorded long before it and is
+// not on it is gone, and its owner need not wait for it. One recorded lately may
+// not be listed yet.
+func TestRecordedAndOffTheListIsGone(t *testing.T) {
+	f, c, o, _ := newFleet(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	f.wall = func() time.Time { return now }
+	o.records = map[string]int64{"m-1": now.UnixMilli() - 60_000, "m-2": now.UnixMilli() - 60_000, "m-3": now.UnixMilli() - 17_000}
+	c.with(func() { c.listed = []wire.Rental{{ID: "m-1", Type: "big", Zone: "a", Phase: wire.MachineRunning}} })
+	require.NoError(t, f.list(t.Context()))
+	require.Equal(t, []string{"m-2"}, o.gone)
+}
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -20,6 +20,9 @@
 	Type string `json:"t"`
 	Zone string `json:"z"`
 	Spot bool   `json:"s,omitempty"`
+	// AtMS is the time of day when the record was made, in milliseconds: the
+	// machine was there then. 0: not known.
+	AtMS int64 `json:"w,omitempty"`
 }
 
 // Group is the value of one key.
@@ -136,13 +139,13 @@
 			edit(key)[id] = r
 			continue
 		}
-		cost := len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 48
+		cost := len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 66
 		for into == nil || len(into) >= perGroup || size+cost > most {
 			key := fmt.Sprintf("%s%03d/%d", state.Machines, part, n)
 			n++
 			into, size = edit(key), 0
 			for id, r := range into {
-				size += len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 48
+				size += len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 66
 			}
 			if len(into) == 0 {
 				break
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,9 +105,9 @@
 	duties = append(duties, fleet.Duty)
 	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), urgent, c,
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
-	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost,
-		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, log)
 	wall := time.Now
+	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost,
+		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
 	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
 		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"),
 		Guarantee: spans(p.Objectives, "guarantee")[""]},
@@ -122,7 +122,7 @@
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
 			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
-		knobs.HireBackoff, clock.FromSeconds(p.Cloud.ListLagS), n.keptCatalog, log)
+		knobs.HireBackoff, clock.FromSeconds(p.Cloud.ListLagS), clock.FromSeconds(p.SkewMS/1000), wall, n.keptCatalog, log)
 	return n
 }
 
@@ -196,12 +196,13 @@
 	n.mu.Lock()
 	n.catalog = c
 	n.mu.Unlock()
-	types, fetch := map[string]res.Amounts{}, map[string]float64{}
+	types, fetch, caches := map[string]res.Amounts{}, map[string]float64{}, map[string]float64{}
 	for _, t := range c.Types {
+		caches[t.Name] = t.CacheGB
 		fetch[t.Name] = t.FetchGBPS
 		types[t.Name] = res.Have(t.CPUs, t.GPUs, t.MemGB)
 	}
-	n.owner.SetTypes(types)
+	n.owner.SetTypes(types, caches)
 	n.placer.SetFetch(fetch)
 	n.front.SetTypes(c.Types)
 }
@@ -339,6 +340,9 @@
 // Views gives the mirror of all machines.
 func (n *Node) Views() []peer.MachineView { return n.placer.Views() }
 
+// RecordedBefore lists the machines that were on record by a time of day.
+func (n *Node) RecordedBefore(atMS int64) []string { return n.owner.RecordedBefore(atMS) }
+
 // Drain asks all owners to set machines aside.
 func (n *Node) Drain(_ context.Context, ids []string) []string {
 	out := n.owner.Drain(ids)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -54,6 +54,7 @@
 	clock     clock.Clock
 	log       *slog.Logger
 	ctx       context.Context
+	wall      func() time.Time
 
 	mu      sync.Mutex
 	table   *Table
@@ -64,16 +65,17 @@
 }
 
 // New makes an owner.
-func New(ctx context.Context, host, instance string, parts, txnOps, valueMost int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, log *slog.Logger) *Owner {
-	return &Owner{ctx: ctx, host: host, instance: instance, parts: parts, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
+func New(ctx context.Context, host, instance string, parts, txnOps, valueMost int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
+	return &Owner{ctx: ctx, wall: wall, host: host, instance: instance, parts: parts, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
 		table: NewTable(t, jobs), records: machines.NewBook(), clients: map[string]*httpx.Client{},
 		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
-// SetTypes tells what the machine types offer.
-func (o *Owner) SetTypes(types map[string]res.Amounts) {
+// SetTypes tells what the machine types offer, and how many GB of images they keep.
+func (o *Owner) SetTypes(types map[string]res.Amounts, caches map[string]float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.table.SetCaches(caches)
 	o.table.SetTypes(types)
 	o.notify()
 }
@@ -248,6 +250,18 @@
 	return ready
 }
 
+// RecordedBefore lists the machines that were recorded by a time of day, and are on record still.
+func (o *Owner) RecordedBefore(atMS int64) (out []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records.Each(func(id string, r Registered) {
+		if r.AtMS > 0 && r.AtMS < atMS {
+			out = append(out, id)
+		}
+	})
+	return out
+}
+
 // Gone takes the word that machines are gone for certain.
 func (o *Owner) Gone(ids []string) {
 	o.mu.Lock()
@@ -299,6 +313,7 @@
 	came, went := map[int]machines.Group{}, map[int][]string{}
 	parts := map[int]bool{}
 	for id, r := range fresh {
+		r.AtMS = o.wall().UnixMilli()
 		p := o.partition(id)
 		if came[p] == nil {
 			came[p] = machines.Group{}
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -41,7 +41,6 @@
 	team     string
 	rank     int
 	need     res.Amounts
-	image    string
 	since    clock.Micros
 	sent     bool         // a run was sent, at least once
 	sentTick uint64       // report whose answer carried the last run
@@ -84,7 +83,8 @@
 	shunUntil  clock.Micros
 	errors     int
 	errJobs    map[string]bool
-	images     []string
+	images     []string // in its cache as far as is known, the latest used first
+	imagesAt   uint64   // version since when they are so
 	idleSince  clock.Micros
 	version    uint64
 	tasks      map[peer.TaskID]*task
@@ -107,7 +107,9 @@
 	timing    Timing
 	jobs      Jobs
 	types     map[string]res.Amounts
-	parts     map[int]uint64 // partitions held, with terms
+	caches    map[string]float64 // GB by machine type
+	sizes     map[string]float64 // GB by image
+	parts     map[int]uint64     // partitions held, with terms
 	machines  map[string]*machine
 	changes   *list.List          // machines, the latest changed last: a poll costs what changed
 	due       map[string]*machine // machines that may have something to be sent
@@ -126,7 +128,7 @@
 
 // NewTable makes an empty table.
 func NewTable(t Timing, j Jobs) *Table {
-	return &Table{timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]uint64{},
+	return &Table{caches: map[string]float64{}, sizes: map[string]float64{}, timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]uint64{},
 		machines: map[string]*machine{}, changes: list.New(), due: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
 		cancelled: map[string]clock.Micros{}, failing: map[string]map[string]bool{}}
 }
@@ -291,7 +293,8 @@
 		if k == nil {
 			k = &task{id: id, since: now, found: true}
 			if j, ok := t.jobs.Find(job); ok {
-				k.team, k.rank, k.need, k.image = j.Team, j.Level, j.Need, j.Image
+				k.team, k.rank, k.need = j.Team, j.Level, j.Need
+				t.note(m, j.Image, j.ImageGB)
 			}
 			m.tasks[id] = k
 		}
@@ -636,9 +639,9 @@
 	for _, v := range victims {
 		t.end(m, v, t.graceOf(v))
 	}
-	k := &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, image: a.Image, covered: a.Covered, since: now}
+	k := &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, covered: a.Covered, since: now}
 	m.tasks[a.ID] = k
-	m.note(a.Image)
+	t.note(m, a.Image, a.ImageGB)
 	m.idleSince = now
 	t.show(m, k)
 	return true
@@ -651,15 +654,33 @@
 	return 0
 }
 
-// note keeps the machine's latest images, the newest first.
-func (m *machine) note(image string) {
+// SetCaches tells how many GB of images the machine types keep.
+func (t *Table) SetCaches(gb map[string]float64) { t.caches = gb }
+
+// maxImages bounds what is known of a machine's cache.
+const maxImages = 48
+
+// note takes an image that a machine has or is to fetch: it keeps the latest
+// used, as many as its cache holds.
+func (t *Table) note(m *machine, image string, gb float64) {
+	t.sizes[image] = gb
+	if len(m.images) > 0 && m.images[0] == image {
+		return
+	}
 	out := []string{image}
+	room := t.caches[m.Type] - gb
 	for _, i := range m.images {
-		if i != image && len(out) < 6 {
-			out = append(out, i)
+		if i == image {
+			continue
 		}
+		if room -= t.sizes[i]; room < 0 || len(out) == maxImages {
+			break
+		}
+		out = append(out, i)
 	}
 	m.images = out
+	t.touch(m)
+	m.imagesAt = t.version
 }
 
 // end stops a task; a lease of which nothing was sent just ends.
@@ -835,11 +856,14 @@
 	_, all := m.inUse()
 	v := peer.MachineView{ID: m.id, Part: m.part, Term: t.parts[m.part], Version: m.version, Type: m.Type, Zone: m.Zone,
 		Spot: m.Spot, Cap: m.cap, Free: m.cap.Minus(all), Accounted: m.accounted || m.silent || m.gone, Usable: m.usable(now),
-		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick, Images: append([]string(nil), m.images...),
+		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick,
 		Count: len(m.tasks), Whole: after < m.floor}
 	if len(m.tasks) == 0 {
 		v.Idle = now - m.idleSince
 	}
+	if v.Whole || m.imagesAt > after {
+		v.Images = m.images
+	}
 	for _, k := range m.inOrder() {
 		if v.Whole || k.version > after {
 			v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -57,7 +57,7 @@
 	Silent    bool // no report for the whole lease: all its tasks are gone
 	Noticed   bool // spot notice
 	Sick      bool
-	Images    []string
+	Images    []string     // in its cache; none when that has not changed since the asker's cursor
 	Idle      clock.Micros // how long without tasks
 	Count     int          // how many tasks there are
 	Whole     bool         // Tasks lists all of them
@@ -72,6 +72,7 @@
 	Rank    int
 	Need    res.Amounts
 	Image   string
+	ImageGB float64
 	Machine string
 	Term    uint64   // of the machine's partition
 	Victims []TaskID // tasks of others to stop for it
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -174,7 +174,11 @@
 	} else if v.Term < m.Term || v.Term == m.Term && m.instance == o.instance && v.Version < m.Version {
 		return
 	}
+	images := m.Images
 	m.MachineView, m.host, m.instance, m.seenAt = *v, host, o.instance, now
+	if v.Images == nil && !v.Whole {
+		m.Images = images
+	}
 	m.Tasks, m.Left, m.refused = nil, nil, false
 	listed := make(map[peer.TaskID]bool, len(v.Tasks))
 	for i := range v.Tasks {
