--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -67,7 +67,8 @@
 	unsettled  map[peer.TaskID]string // ended as done, not written yet: on which machine
 	acked      map[peer.TaskID]uint64 // ends settled with the owner of that term
 	stalled    clock.Micros
-	covered    bool // fits its team's guarantee together with the team's earlier jobs
+	bareSince  clock.Micros // since when there is room, but none where its image is
+	covered    bool         // fits its team's guarantee together with the team's earlier jobs
 	since      clock.Micros
 	runs       []runTime
 	errors     int
@@ -143,7 +144,10 @@
 func (d *Desk) SetFetch(rates map[string]float64) { d.fetch = rates }
 
 // Counts is what happened since the start, for the logs.
-type Counts struct{ Placed, Refused, Preempted, Done, Stopped, Failed, Lost int }
+type Counts struct {
+	Placed, Refused, Preempted, Done, Stopped, Failed, Lost int
+	FetchCPUs                                               clock.Micros // CPU time from placing tasks until they ran
+}
 
 // Desk holds the teams that this controller places, and mirrors all owners' machines.
 type Desk struct {
@@ -164,6 +168,7 @@
 	rooms    rooms                      // machines that may get tasks
 	imaged   map[string]*rooms          // and those of them that have an image
 	usable   int64                      // CPUs of all of them
+	shelved  int                        // how many they are
 	ranks    [4]int                     // tasks seen on machines, by rank
 	sizes    map[int64]int              // and by the CPUs they take
 	full     full                       // what found no room in this round
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -280,7 +280,7 @@
 		if c != last {
 			p.log.Info("placing", "waiting", waiting, "bound", bound, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused,
 				"preempted", c.Preempted-last.Preempted, "done", c.Done-last.Done, "stopped", c.Stopped-last.Stopped,
-				"failed", c.Failed-last.Failed, "lost", c.Lost-last.Lost)
+				"failed", c.Failed-last.Failed, "lost", c.Lost-last.Lost, "fetch_cpu_s", int((c.FetchCPUs - last.FetchCPUs).Seconds()))
 		}
 		last = c
 	}
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -277,6 +277,7 @@
 	if b != nil {
 		if tv.Phase == wire.TaskRunning && b.phase != wire.TaskRunning {
 			b.job.lastStart, b.running = now, now
+			d.counts.FetchCPUs += (now - b.since) * clock.Micros(j.Need.CPU/1e6)
 		}
 		b.phase, b.stopping = tv.Phase, tv.Stopping
 	}
