Probing rentals; jobs that can't lose a machine keep to ordinary ones; less patience

Causes: (1) the fleet sent eight requests at once for each kind that had nothing, 8 s a step, and so came late for what the wave of taken machines had freed. Now one request of a kind that was refused, and twice as many of one that gave all. (3) no patience for images where the start would be late.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -117,8 +117,9 @@
 	told      clock.Micros
 	unlisted  int // lists that failed in a row
 	listAgain clock.Micros
-	atOnce    int // rental requests at a time
-	most      int // machines of a kind asked for at a time
+	window    map[Kind]int // rental requests of a kind at a time
+	atOnce    int          // rental requests at a time
+	most      int          // machines of a kind asked for at a time
 }
 
 // New makes a fleet.
@@ -154,7 +155,7 @@
 func (f *Fleet) begin(term uint64) {
 	f.term, f.counter = term, 0
 	f.rented, f.listedAt = map[string]Rented{}, map[string]clock.Micros{}
-	f.known = map[string]clock.Micros{}
+	f.known, f.window = map[string]clock.Micros{}, map[Kind]int{}
 	f.gone, f.refused = map[string]clock.Micros{}, map[Kind]clock.Micros{}
 	f.fetched, f.listed, f.unlisted, f.listAgain = 0, 0, 0, 0
 }
@@ -204,7 +205,7 @@
 		if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
 			return
 		}
-		if !f.hire(ctx, hires[:min(len(hires), f.atOnce)]) {
+		if !f.hire(ctx, f.some(hires)) {
 			break
 		}
 		in.Now = f.clock.Now()
@@ -339,6 +340,23 @@
 	delete(f.known, id)
 }
 
+// some picks the requests to send now: of a kind that gave less than it was
+// asked for, one; of one that gave all, twice as many as the last time. So what
+// the cloud has not got costs few calls, and what it has comes in a few steps.
+func (f *Fleet) some(hires []Hire) (out []Hire) {
+	n := map[Kind]int{}
+	for _, h := range hires {
+		if f.window[h.Kind] == 0 {
+			f.window[h.Kind] = 2
+		}
+		if n[h.Kind] < f.window[h.Kind] && len(out) < f.atOnce {
+			n[h.Kind]++
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // hire rents, all kinds at once, and tells whether fewer came than were asked
 // for. A request's name is never used again: the term and a counter.
 func (f *Fleet) hire(ctx context.Context, list []Hire) (short bool) {
@@ -352,11 +370,18 @@
 		wg.Go(func() { errs[i] = f.cloud.call(ctx, "POST", wire.PathRentals, req, &got[i]) })
 	}
 	wg.Wait()
+	grown := map[Kind]bool{}
+	for _, h := range list {
+		if !grown[h.Kind] {
+			grown[h.Kind] = true
+			f.window[h.Kind] = min(2*f.window[h.Kind], f.atOnce)
+		}
+	}
 	for i, h := range list {
 		hosts, err := got[i].Hosts, errs[i]
 		f.log.Info("renting", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Count, "got", len(hosts), "err", err)
 		if errors.Is(err, errNoCapacity) || err == nil && len(hosts) < h.Count {
-			f.refused[h.Kind] = sent + f.backoff
+			f.refused[h.Kind], f.window[h.Kind] = sent+f.backoff, 1
 		} else if err != nil && f.refused[h.Kind] < sent {
 			f.refused[h.Kind] = sent + 3*clock.Second // perhaps rented all the same: the list will tell
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -238,3 +238,23 @@
 	require.NoError(t, f.list(t.Context()))
 	require.Equal(t, []string{"m-2"}, o.gone)
 }
+
+// A cloud that has nothing of a kind is asked once in a while; one that gives
+// all it is asked for is asked for twice as much the next time.
+func TestRequestsGrowWithWhatIsGiven(t *testing.T) {
+	f, _, _, _ := newFleet(t)
+	k := Kind{"big", "a", true}
+	many := make([]Hire, 20)
+	for i := range many {
+		many[i] = Hire{k, 1}
+	}
+	f.atOnce = 8
+	for _, want := range []int{2, 4, 8, 8} {
+		got := f.some(many)
+		require.Len(t, got, want)
+		f.hire(t.Context(), got)
+	}
+	f.refused = map[Kind]clock.Micros{}
+	f.hire(t.Context(), []Hire{{k, 2}}) // one comes of two
+	require.Len(t, f.some(many), 1)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 	wall := time.Now
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost,
 		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
-	desk := placer.NewDesk(placer.Timing{Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
+	desk := placer.NewDesk(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
 		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"),
 		Guarantee: spans(p.Objectives, "guarantee")[""]},
 		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -383,10 +383,14 @@
 	if !d.imaged[j.Image].any() || rate <= 0 || len(list)*8 >= d.shelved {
 		return false
 	}
+	fetch := clock.FromSeconds(j.ImageGB / rate)
+	if within, ok := d.timing.Waits[j.Class]; ok && now+fetch > j.since+within-fetch/2 {
+		return false // a moment lost is a start too late
+	}
 	if j.bareSince == 0 {
 		j.bareSince = now
 	}
-	return now < j.bareSince+min(clock.FromSeconds(j.ImageGB/rate/4), 2*clock.Second)
+	return now < j.bareSince+min(fetch/4, 2*clock.Second)
 }
 
 // small tells that a job's tasks are small beside the largest about.
@@ -424,7 +428,9 @@
 // ask for the same room otherwise.
 func (d *Desk) better(j *job, a, b *mirror) bool {
 	if d.timing.Economy && a.Spot != b.Spot {
-		return a.Spot // thrift empties the dear machines
+		// Thrift empties the dear machines. But a job that would be late if a
+		// machine were taken from it keeps to those that are not taken.
+		return a.Spot != d.fragile(j)
 	}
 	if j.Need.CPU*2 >= a.Cap.CPU || j.Need.CPU*2 >= b.Cap.CPU {
 		if x, y := a.free.Minus(j.Need).CPU, b.free.Minus(j.Need).CPU; x != y {
@@ -441,6 +447,12 @@
 	return j.team.turn(a) < j.team.turn(b)
 }
 
+// fragile tells that a job's deadline leaves no time to notice that a machine
+// was taken and run its tasks once more.
+func (d *Desk) fragile(j *job) bool {
+	return j.DueS != nil && clock.FromSeconds(*j.DueS) < clock.FromSeconds(2*j.EstimateS)+d.timing.Lease
+}
+
 // turn is a machine's place in the order in which a team's small tasks gather.
 func (tm *team) turn(m *mirror) uint64 { return (m.hash ^ tm.salt) * 0x9E3779B97F4A7C15 }
 
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -20,6 +20,7 @@
 // Timing and sizes of placing.
 type Timing struct {
 	Sample, Batch int
+	Lease         clock.Micros // of the workers
 	PreemptAfter  clock.Micros
 	Economy       bool
 	Waits         map[string]clock.Micros // classes whose tasks should start within so long
