Quiet machines get no tasks; a trickle of room does not put preemption off

(2) after the wave of taken spot machines tasks were placed on dead machines, and no others rented, until the lease was over. Ruled out: sick machines (72 failures in all).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
 	wall := time.Now
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost,
-		owner.Timing{Lease: set.Lease(), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
+		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
 	desk := placer.NewDesk(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
 		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"),
 		Guarantee: spans(p.Objectives, "guarantee")[""]},
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -31,6 +31,7 @@
 // Timing is what the table needs to know of spans.
 type Timing struct {
 	Lease      clock.Micros // the workers' lease
+	Quiet      clock.Micros // a machine that was not heard for so long gets no tasks for now
 	LeaseTTL   clock.Micros // of leases on room
 	SickErrors int
 }
@@ -76,6 +77,7 @@
 	gone       bool
 	draining   bool
 	noticed    bool
+	quiet      bool // its reports have stopped: perhaps it is gone
 	sick       bool
 	probedAt   clock.Micros
 	quietUntil clock.Micros // no /orders until then: one had no answer
@@ -239,6 +241,10 @@
 		m.quietUntil = 0
 	}
 	m.answered = now
+	if m.quiet {
+		m.quiet = false
+		t.touch(m)
+	}
 	ans.Token = m.token
 	ans.Orders = []wire.Order{}
 	if fresh && m.accounted {
@@ -375,7 +381,7 @@
 }
 
 func (m *machine) usable(now clock.Micros) bool {
-	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.sick && now >= m.shunUntil
+	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.quiet && !m.sick && now >= m.shunUntil
 }
 
 // inOrder lists a machine's tasks by age.
@@ -706,6 +712,12 @@
 			clear(m.tasks)
 			t.showAll(m)
 		}
+		if quiet := t.timing.Quiet > 0 && now > m.answered+t.timing.Quiet; quiet && !m.quiet {
+			// Long before its lease is over: what is placed there now would be
+			// lost if it is gone, and others may be rented in its place.
+			m.quiet = true
+			t.touch(m)
+		}
 		for _, k := range m.tasks {
 			if !k.sent && now > k.since+t.timing.LeaseTTL {
 				t.remove(m, k)
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -435,3 +435,18 @@
 		}
 	}
 }
+
+// A machine whose reports stop gets no tasks long before its lease is over, and
+// gets them again when it is heard.
+func TestAQuietMachineGetsNoTasks(t *testing.T) {
+	s := newScene(t)
+	s.table.timing.Quiet = lease / 2
+	usable := func() bool { return s.table.view(s.table.machines["m-1"], 0, s.now).Usable }
+	require.True(t, usable())
+	s.now += lease/2 + sec
+	s.table.Tick(s.now)
+	require.False(t, usable())
+	require.False(t, s.table.machines["m-1"].silent, "its tasks may be running")
+	s.report()
+	require.True(t, usable())
+}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -229,6 +229,9 @@
 		}
 		t := j.take()
 		if t < 0 {
+			if j.waiting() == 0 {
+				j.stalled = 0
+			}
 			return placed
 		}
 		m, victims, over := d.choose(j, imaged, now)
@@ -239,7 +242,8 @@
 			}
 			return placed
 		}
-		j.stalled = 0
+		// A job that is placed bit by bit as others' tasks end is stalled all the
+		// same until all of it is placed: on a large fleet there is always a bit.
 		j.team.counter++
 		d.counts.Placed++
 		d.counts.Preempted += len(victims)
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -685,6 +685,35 @@
 	require.Equal(t, 4, w.running())
 }
 
+// Room for a large job of high rank comes up bit by bit. It does not wait for
+// that: it takes room from lower rank as soon as it has waited its time.
+func TestATrickleOfRoomDoesNotPutPreemptionOff(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 16, nil)
+	w.settle(4)
+	require.Equal(t, 16, w.running())
+	w.addJob("job-2", 12, func(j *wire.Job) { j.Rank = "high" })
+	for step := range 8 {
+		for _, r := range w.workers[w.names[step%4]].InOrder() { // a task ends in every round
+			if r.Phase != wire.TaskExited {
+				r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+				break
+			}
+		}
+		w.settle(1)
+	}
+	high := 0
+	for _, k := range w.workers {
+		for _, r := range k.Tasks {
+			if job, _, _ := wire.SplitTask(r.Task); job == "job-2" {
+				high++
+			}
+		}
+	}
+	require.Equal(t, 12, high)
+}
+
 // Tasks take twice as long on one machine as on others: it is set aside. Where
 // run times only vary, none is.
 func TestSlowMachinesAreSetAside(t *testing.T) {
