Reverted: patience for images

Cause: a job that waits for a machine with its image leaves the room to all behind it, so that all jobs go on side by side and fewer are in time.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -338,11 +338,10 @@
 	if searched {
 		list = d.find(j, d.imaged[j.Image], now)
 	}
-	if len(list) > 0 {
-		j.bareSince = 0
-	} else if imaged {
+	if imaged && len(list) == 0 {
 		return nil, nil, false
-	} else if searched {
+	}
+	if searched && len(list) == 0 {
 		if list = d.find(j, &d.rooms, now); len(list) > 0 && d.hurried(j, list[0], now) {
 			// The fetch alone would make the task late: room on a machine that has
 			// the image is worth a task that has hardly begun.
@@ -350,9 +349,6 @@
 				return m, victims, over
 			}
 		}
-		if len(list) > 0 && d.patient(j, list, now) {
-			return nil, nil, false
-		}
 	}
 	if len(list) == 0 {
 		if d.waitedOut(j, now) {
@@ -380,23 +376,6 @@
 	return best, nil, false
 }
 
-// patient tells that a job should leave scarce room to others for a moment: its
-// image is on some machines, and room may come up there sooner than it is fetched.
-func (d *Desk) patient(j *job, list []*mirror, now clock.Micros) bool {
-	rate := d.fetch[list[0].Type]
-	if !d.imaged[j.Image].any() || rate <= 0 || len(list)*8 >= d.shelved {
-		return false
-	}
-	fetch := clock.FromSeconds(j.ImageGB / rate)
-	if within, ok := d.timing.Waits[j.Class]; ok && now+fetch > j.since+within-fetch/2 {
-		return false // a moment lost is a start too late
-	}
-	if j.bareSince == 0 {
-		j.bareSince = now
-	}
-	return now < j.bareSince+min(fetch/4, 2*clock.Second)
-}
-
 // small tells that a job's tasks are small beside the largest about.
 func (d *Desk) small(j *job) bool { return d.big > 0 && j.Need.CPU*2 <= d.big }
 
