Overdue jobs that an objective still counts go before hopeless ones

Cause: objectives count jobs that are done by 1.5 times their deadline, and what had missed its deadline went last, the longest tasks first, whether it could still meet that or not.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	WithinS float64 `json:"within_s"`
 	Share   float64 `json:"share"`
 	Most    float64 `json:"most"`
+	Times   float64 `json:"times"` // a multiple of the deadline
 }
 
 // Settings is the settings file. Unknown fields are ignored.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost,
 		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
 	desk := placer.NewDesk(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
-		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"),
+		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"), Times: times(p.Objectives),
 		Guarantee: spans(p.Objectives, "guarantee")[""]},
 		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
 	owners := map[string]placer.OwnerCaller{set.Host: localOwner{n.owner}}
@@ -139,6 +139,17 @@
 	return out
 }
 
+// times gives the largest multiple of its deadlines that objectives set for each class.
+func times(objectives []config.Objective) map[string]float64 {
+	out := map[string]float64{}
+	for _, o := range objectives {
+		if o.Kind == "deadline" {
+			out[o.Class] = max(out[o.Class], o.Times)
+		}
+	}
+	return out
+}
+
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -69,8 +69,9 @@
 }
 
 // order sorts the jobs that have tasks to place: what can still meet its
-// deadline first, by rank, guarantee, deadline and age; then what is late, the
-// longest tasks first.
+// deadline first, by rank, guarantee, deadline and age; then what can still be
+// in time by the longer measure that an objective sets, in the same order; then
+// what is late, the longest tasks first.
 func (d *Desk) order(now clock.Micros) []*job {
 	var out []*job
 	for _, tm := range d.teams {
@@ -84,12 +85,12 @@
 	over := d.overloaded(out, now)
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
-		lx, ly := x.late(now), y.late(now)
+		lx, ly := d.lateness(x, now), d.lateness(y, now)
 		if lx != ly {
-			return ly
+			return lx < ly
 		}
-		if lx && x.EstimateS != y.EstimateS {
-			return x.EstimateS > y.EstimateS // nothing is left to be in time for but the end of all
+		if lx == hopeless && x.EstimateS != y.EstimateS {
+			return x.EstimateS > y.EstimateS
 		}
 		if x.Level != y.Level {
 			return x.Level > y.Level
@@ -159,6 +160,23 @@
 	return j.DueS != nil && now+clock.FromSeconds(j.EstimateS*0.7) > j.due()
 }
 
+// How late a job is.
+const (
+	inTime   = iota
+	overdue  // but not by the longer measure of its class's objectives
+	hopeless // nothing is left to be in time for but the end of all
+)
+
+func (d *Desk) lateness(j *job, now clock.Micros) int {
+	if !j.late(now) {
+		return inTime
+	}
+	if now+clock.FromSeconds(j.EstimateS*0.7) <= j.since+clock.FromSeconds(*j.DueS*d.timing.Times[j.Class]) {
+		return overdue
+	}
+	return hopeless
+}
+
 // Place decides on asks for one round of decisions. What it decides waits in
 // the owners' next rounds. The batch widens with what waits.
 func (d *Desk) Place(now clock.Micros) (placed int) {
@@ -175,7 +193,7 @@
 	d.full = full{}
 	for len(list) > 0 {
 		n := 1
-		for n < len(list) && peers(list[0], list[n], now) {
+		for n < len(list) && d.peers(list[0], list[n], now) {
 			n++
 		}
 		placed += d.placeGroup(list[:n], batch-placed, now)
@@ -186,8 +204,8 @@
 
 // peers tells that neither of two jobs goes before the other for its rank, its
 // team's guarantee or its lateness.
-func peers(a, b *job, now clock.Micros) bool {
-	return a.Level == b.Level && a.covered == b.covered && a.late(now) == b.late(now)
+func (d *Desk) peers(a, b *job, now clock.Micros) bool {
+	return a.Level == b.Level && a.covered == b.covered && d.lateness(a, now) == d.lateness(b, now)
 }
 
 // nearShare is the part of the machines that the jobs take, at most, among
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -26,6 +26,7 @@
 	Waits         map[string]clock.Micros // classes whose tasks should start within so long
 	Guarantee     clock.Micros            // guaranteed work should start within so long; 0: nothing is said
 	Finishes      map[string]clock.Micros // classes whose jobs should be finished within so long
+	Times         map[string]float64      // classes, and the largest multiple of their deadlines that is asked for
 }
 
 // Team is a team's guarantee and limit.
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -685,6 +685,22 @@
 	require.Equal(t, 4, w.running())
 }
 
+// A job that has missed its deadline, but not yet by the longer measure that an
+// objective sets, goes before one that has missed both, and after one in time.
+func TestLatenessDecidesWhoseTurnItIs(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.desk.timing.Times = map[string]float64{"sweep": 1.5}
+	for i, due := range []float64{10, 70, 200} { // hopeless, overdue, in time
+		w.addJob(fmt.Sprintf("job-%d", i), 1, func(j *wire.Job) { j.Class, j.DueS, j.EstimateS = "sweep", &due, 10 })
+	}
+	w.now += 80 * sec
+	var ids []string
+	for _, j := range w.desk.order(w.now) {
+		ids = append(ids, j.ID)
+	}
+	require.Equal(t, []string{"job-2", "job-1", "job-0"}, ids)
+}
+
 // Room for a large job of high rank comes up bit by bit. It does not wait for
 // that: it takes room from lower rank as soon as it has waited its time.
 func TestATrickleOfRoomDoesNotPutPreemptionOff(t *testing.T) {
