--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
@@ -37,7 +38,8 @@
 	placers Placers
 	book    *jobs.Book
 	limits  map[string]res.Amounts
-	most    int // bytes of a record
+	hasty   map[string]clock.Micros // classes whose tasks should start within so long
+	most    int                     // bytes of a record
 	wall    func() time.Time
 	log     *slog.Logger
 
@@ -46,9 +48,9 @@
 }
 
 // New makes a front; limits holds each team's limit, an amount of 0 meaning none;
-// most is how large a record may be.
-func New(store Store, placers Placers, book *jobs.Book, limits map[string]res.Amounts, most int, wall func() time.Time, log *slog.Logger) *Front {
-	return &Front{store: store, placers: placers, book: book, limits: limits, most: most, wall: wall, log: log}
+// most is how large a record may be; hasty names the classes whose tasks should start within a time.
+func New(store Store, placers Placers, book *jobs.Book, limits map[string]res.Amounts, hasty map[string]clock.Micros, most int, wall func() time.Time, log *slog.Logger) *Front {
+	return &Front{store: store, placers: placers, book: book, limits: limits, hasty: hasty, most: most, wall: wall, log: log}
 }
 
 // SetTypes tells the machine types.
@@ -145,6 +147,7 @@
 		return refuse(503, "the machine types are not known yet")
 	}
 	rec := jobs.Record{Job: spec, AcceptedMS: f.wall().UnixMilli()}
+	_, rec.Marked = f.hasty[spec.Class] // these begin at once: a mark would only be one more write to wait for
 	if b, err := json.Marshal(rec); err != nil || len(b) > f.most {
 		return refuse(400, "the job takes more than a record can hold")
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fakes"
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
@@ -47,7 +48,7 @@
 
 func newScene(t *testing.T) *scene {
 	s := &scene{t: t, view: &fakes.View{State: fakes.NewState()}, pl: &placers{err: errors.New("nobody")}, book: jobs.NewBook()}
-	s.Front = New(s.view, s.pl, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, 4096, func() time.Time { return time.UnixMilli(5) },
+	s.Front = New(s.view, s.pl, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, map[string]clock.Micros{"refit": clock.Second}, 4096, func() time.Time { return time.UnixMilli(5) },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	s.SetTypes([]wire.MachineType{{Name: "big", CPUs: 32, MemGB: 128, Zones: []string{"a"}}})
 	return s
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -17,6 +17,9 @@
 type Record struct {
 	wire.Job
 	AcceptedMS int64 `json:"accepted_ms"` // time of day at the accepting controller
+	// Marked jobs may be begun without a mark of their own: each of their tasks
+	// counts as asked for from the acceptance on.
+	Marked bool `json:"marked,omitempty"`
 }
 
 // Job is an accepted job that is not final.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 	}
 	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
 		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, urgent, n.book, c, log)
-	n.front = front.New(urgent, n, n.book, limits, int(p.State.ValueKB*1024), wall, log)
+	n.front = front.New(urgent, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
 			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -251,7 +251,7 @@
 }
 
 func (d *Desk) addJob(tm *team, spec *jobs.Job, now clock.Micros) {
-	j := &job{Job: spec, team: tm, mark: d.markOf(tm.Name, spec.ID), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
+	j := &job{Job: spec, team: tm, mark: d.markOf(tm.Name, spec), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
 		zones: map[string]int{}, dirty: map[int]bool{}, failedOn: map[string]clock.Micros{},
 		unsettled: map[peer.TaskID]string{}, acked: map[peer.TaskID]uint64{}, since: now}
 	if spec.Stamp < tm.stamp {
--- a/internal/placer/marks.go
+++ b/internal/placer/marks.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 )
 
@@ -15,14 +16,15 @@
 // task is asked for only when a mark above it is in the state service. So the
 // next placer of the team knows which tasks can't be on any machine, and starts
 // those at once, also while some machines are not accounted for. Many jobs'
-// marks share a key.
+// marks share a key. Jobs whose tasks should start within a time are marked
+// as a whole when they are accepted: users wait for the same budget of changes.
 
 // markStep is by how many tasks a mark is raised.
 const markStep = 256
 
 type marks struct {
 	stamp uint64 // 0: not there
-	jobs  map[string]int
+	of    map[string]int
 }
 
 // MarkWrite is one key's new value, to be written on the condition of its stamp.
@@ -37,18 +39,18 @@
 
 // Marks takes a record of marks, as the replica shows it or as it was written.
 // Older words than the newest known change nothing; nil means that it is gone.
-func (d *Desk) Marks(key string, jobs map[string]int, stamp uint64) {
+func (d *Desk) Marks(key string, of map[string]int, stamp uint64) {
 	if old := d.marks[key]; stamp < old.stamp {
 		return
 	}
-	if jobs == nil {
+	if of == nil {
 		delete(d.marks, key)
 		return
 	}
-	d.marks[key] = marks{stamp, jobs}
+	d.marks[key] = marks{stamp, of}
 	for _, tm := range d.teams {
 		if strings.HasPrefix(key, markPrefix(tm.Name)) {
-			for id, n := range jobs {
+			for id, n := range of {
 				if j := tm.jobs[id]; j != nil {
 					j.mark = max(j.mark, n)
 				}
@@ -58,10 +60,13 @@
 }
 
 // markOf gives a job's mark on record.
-func (d *Desk) markOf(team, id string) (n int) {
+func (d *Desk) markOf(team string, j *jobs.Job) (n int) {
+	if j.Marked {
+		return j.Tasks
+	}
 	for key, r := range d.marks {
 		if strings.HasPrefix(key, markPrefix(team)) {
-			n = max(n, r.jobs[id])
+			n = max(n, r.of[j.ID])
 		}
 	}
 	return n
@@ -109,7 +114,7 @@
 		old := d.marks[key]
 		w := MarkWrite{Team: tm.Name, Key: key, Stamp: old.stamp, Marks: map[string]int{}}
 		size := 0
-		for id, n := range old.jobs {
+		for id, n := range old.of {
 			if tm.jobs[id] != nil { // jobs that are over need no mark
 				w.Marks[id] = n
 				size += len(id) + 12
