--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -191,58 +191,22 @@
 	batch := d.timing.Batch + waiting/4
 	d.big = d.largestTask(list)
 	d.full = full{}
-	for len(list) > 0 {
-		n := 1
-		for n < len(list) && d.peers(list[0], list[n], now) {
-			n++
-		}
-		placed += d.placeGroup(list[:n], batch-placed, now)
-		list = list[n:]
-	}
-	return placed
-}
-
-// peers tells that neither of two jobs goes before the other for its rank, its
-// team's guarantee or its lateness.
-func (d *Desk) peers(a, b *job, now clock.Micros) bool {
-	return a.Level == b.Level && a.covered == b.covered && d.lateness(a, now) == d.lateness(b, now)
-}
-
-// nearShare is the part of the machines that the jobs take, at most, among
-// which those go first whose images are where the room is. All of them have
-// their turn within the time in which so much becomes free, so that none is put
-// off for long, and every fetch that is saved is time for all.
-const nearShare = 5
-
-// placeGroup decides on jobs among which only deadlines decide whose turn it
-// is: first where their images are, as far as their turn is near, then anywhere.
-func (d *Desk) placeGroup(list []*job, most int, now clock.Micros) (placed int) {
-	near := d.usable / nearShare * int64(len(d.teams)) / int64(len(d.known))
 	for _, j := range list {
-		if placed >= most || near <= 0 {
+		if placed >= batch {
 			break
 		}
-		near -= int64(j.waiting()) * j.Need.CPU
-		placed += d.placeJob(j, most-placed, true, now)
-	}
-	for _, j := range list {
-		if placed >= most {
-			break
-		}
-		placed += d.placeJob(j, most-placed, false, now)
+		placed += d.placeJob(j, batch-placed, now)
 	}
 	return placed
 }
 
-func (d *Desk) placeJob(j *job, most int, imaged bool, now clock.Micros) (placed int) {
+func (d *Desk) placeJob(j *job, most int, now clock.Micros) (placed int) {
 	if j.parked && j.team.unknown == 0 {
 		j.unpark()
 	}
 	for placed < most {
 		if !within(j.team.used.Plus(j.team.held).Plus(j.Need), j.team.Limit) {
-			if !imaged {
-				d.makeWay(j, now)
-			}
+			d.makeWay(j, now)
 			return placed
 		}
 		t := j.take()
@@ -252,10 +216,10 @@
 			}
 			return placed
 		}
-		m, victims, over := d.choose(j, imaged, now)
+		m, victims, over := d.choose(j, now)
 		if m == nil {
 			j.queue = append([]int{t}, j.queue...)
-			if j.stalled == 0 && !imaged {
+			if j.stalled == 0 {
 				j.stalled = now
 			}
 			return placed
@@ -350,15 +314,12 @@
 // choose draws a small sample of the machines that showed room and takes the
 // best fit: of those that have the image, if any, one where a small task takes no
 // place from a large one, if any, and of these the one that is better.
-func (d *Desk) choose(j *job, imaged bool, now clock.Micros) (*mirror, []peer.TaskID, bool) {
+func (d *Desk) choose(j *job, now clock.Micros) (*mirror, []peer.TaskID, bool) {
 	var list []*mirror
 	searched := !d.full.knows(j)
 	if searched {
 		list = d.find(j, d.imaged[j.Image], now)
 	}
-	if imaged && len(list) == 0 {
-		return nil, nil, false
-	}
 	if searched && len(list) == 0 {
 		if list = d.find(j, &d.rooms, now); len(list) > 0 && d.hurried(j, list[0], now) {
 			// The fetch alone would make the task late: room on a machine that has
