Deaf machines, late copies, controllers that hear nobody, and first tasks within a time

After an /orders without answer it gets no more until it shows the raised token. - A late copy of a report was answered and counted as a sign of life: a dead machine whose copies come kept its tasks. A report of a session is answered once; one that an answer to /orders overtook still is. - A controller that loses the state service and its peers told users to keep coming, as in an outage that all share. Now it must hear a peer to say so. - Under lasting overload a large job of low rank could wait for ever. Its first task goes first after 150 s; the story also showed that such a job was never marked.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -65,6 +65,9 @@
 		since: map[string]clock.Micros{}, giving: map[string]uint64{}}
 }
 
+// Peers is how many other controllers there are.
+func (b *Book) Peers() int { return len(b.hosts) - 1 }
+
 // Apply takes one event of the replica.
 func (b *Book) Apply(e state.Event) {
 	if name, ok := strings.CutPrefix(e.Key, state.Nodes); ok {
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -210,6 +210,8 @@
 		require.False(t, a.SharedOutage())
 		st.SetDown(true)
 		time.Sleep(6 * time.Second)
+		require.False(t, a.SharedOutage(), "no peer says so")
+		a.Hear(6 * clock.Second)
 		require.True(t, a.SharedOutage())
 		a.Hear(clock.Second)
 		require.False(t, a.SharedOutage(), "a peer has contact")
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -39,6 +39,7 @@
 	lastOK   clock.Micros // when the last confirmed renewal was sent
 	resigned string       // the last incarnation given up for good
 	peerOK   clock.Micros // when a peer last said that it has contact
+	heardAt  clock.Micros // when a peer last said anything
 	gaveAt   clock.Micros // when a duty was last handed over
 }
 
@@ -102,6 +103,7 @@
 func (k *Keeper) Hear(peerAgo clock.Micros) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.heardAt = k.clock.Now()
 	if peerAgo < k.timing.ResignAfter/2 {
 		k.peerOK = k.clock.Now()
 	}
@@ -114,12 +116,14 @@
 
 // SharedOutage tells that neither this process nor any peer that it hears has
 // contact with the state service. Then no controller is better placed than
-// this one to answer users.
+// this one to answer users. A controller that hears no peer either is cut off
+// by itself, as far as it can tell: users are better served elsewhere.
 func (k *Keeper) SharedOutage() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	return now-k.lastOK > k.timing.Renew*3/2 && now-k.peerOK > k.timing.ResignAfter/2
+	alone := k.book.Peers() > 0 && now-k.heardAt > k.timing.ResignAfter
+	return now-k.lastOK > k.timing.Renew*3/2 && now-k.peerOK > k.timing.ResignAfter/2 && !alone
 }
 
 // Bury removes the registration of a peer's incarnation that has resigned.
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -78,6 +78,8 @@
 	draining   bool
 	noticed    bool
 	quiet      bool // its reports have stopped: perhaps it is gone
+	doubt      bool // an /orders had no answer, and no report has shown the raised token since
+	reportTick uint64
 	sick       bool
 	probedAt   clock.Micros
 	quietUntil clock.Micros // no /orders until then: one had no answer
@@ -234,7 +236,15 @@
 	if r.Token > m.token && r.Token>>32 > t.parts[part] {
 		return ans, false // a later term than ours: not ours to command
 	}
+	if m.heard && r.Session == m.session && r.Tick <= m.reportTick {
+		// A copy that comes late, or a worker that began anew without telling:
+		// answering it would keep a machine alive of which nothing new is known.
+		return ans, false
+	}
+	// An answer to /orders may have overtaken this report: then it tells nothing
+	// new, but its worker waits for the answer.
 	fresh := !m.heard || r.Session > m.session || r.Tick > m.tick
+	m.reportTick = r.Tick
 	if fresh {
 		m.Addr = r.Addr
 		t.absorb(m, r, true, now)
@@ -280,6 +290,9 @@
 	}
 	m.heard, m.session, m.tick = true, r.Session, r.Tick
 	m.seenToken = max(m.seenToken, r.Token)
+	if m.doubt && r.Token >= m.token {
+		m.doubt, changed = false, true
+	}
 	if !m.accounted && r.Token >= baseToken(t.parts[m.part]) {
 		m.accounted = true
 		t.showAll(m) // who did not believe its tasks so far looks at all of them now
@@ -381,7 +394,7 @@
 }
 
 func (m *machine) usable(now clock.Micros) bool {
-	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.quiet && !m.sick && now >= m.shunUntil
+	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.quiet && !m.doubt && !m.sick && now >= m.shunUntil
 }
 
 // inOrder lists a machine's tasks by age.
@@ -551,6 +564,10 @@
 	m.inflight = false
 	m.token++
 	m.quietUntil = now + 2*clock.Second
+	// Reports may come from a machine that no answer and no order reaches. It
+	// gets no more tasks until it shows that it has heard.
+	m.doubt = true
+	t.touch(m)
 }
 
 // Round carries out what a placing controller has for this owner.
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -191,6 +191,12 @@
 	batch := d.timing.Batch + waiting/4
 	d.big = d.largestTask(list)
 	d.full = full{}
+	for _, j := range list {
+		// However much else goes first, no job's first task waits for ever.
+		if !j.begun() && now >= j.since+beginWithin {
+			placed += d.placeJob(j, 1, now)
+		}
+	}
 	for _, j := range list {
 		if placed >= batch {
 			break
@@ -200,6 +206,13 @@
 	return placed
 }
 
+// beginWithin is how long a job may wait for its first task before that one goes
+// before all else.
+const beginWithin = 150 * clock.Second
+
+// begun tells that some task of a job is, was, or may have been on a machine.
+func (j *job) begun() bool { return len(j.bound) > 0 || j.doneCount > 0 || j.lastStart > 0 }
+
 func (d *Desk) placeJob(j *job, most int, now clock.Micros) (placed int) {
 	if j.parked && j.team.unknown == 0 {
 		j.unpark()
--- a/internal/placer/marks.go
+++ b/internal/placer/marks.go
@@ -81,7 +81,8 @@
 	ahead := map[*team]int64{}
 	for _, j := range d.order(now) {
 		tm := j.team
-		if ahead[tm] > d.usable/int64(4*len(d.known))+64e6 {
+		due := !j.begun() && now >= j.since+beginWithin-10*clock.Second
+		if ahead[tm] > d.usable/int64(4*len(d.known))+64e6 && !due {
 			continue
 		}
 		ahead[tm] += int64(len(j.queue)+max(0, j.mark-j.next)) * j.Need.CPU
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -701,6 +701,32 @@
 	require.Equal(t, []string{"job-2", "job-1", "job-0"}, ids)
 }
 
+// Urgent work takes all room there is, for as long as it likes; a large job of
+// low rank begins all the same.
+func TestNoJobWaitsForEverToBegin(t *testing.T) {
+	w := newWorldOf(t, 1, 2, 0)
+	w.settle(8)
+	w.addJob("job-1", 500, func(j *wire.Job) { j.Rank = "high" })
+	w.settle(4)
+	w.addJob("job-2", 100, nil)
+	begun := func() bool { return w.desk.teams[red].jobs["job-2"].begun() }
+	for range 4 * 160 {
+		if begun() {
+			break
+		}
+		w.settle(1)
+		for _, id := range w.names { // a task ends now and then
+			for _, r := range w.workers[id].InOrder() {
+				if r.Phase != wire.TaskExited && w.rng.IntN(80) == 0 {
+					r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+				}
+			}
+		}
+	}
+	require.True(t, begun())
+	require.Less(t, w.now-w.desk.teams[red].jobs["job-2"].since, 240*sec)
+}
+
 // Room for a large job of high rank comes up bit by bit. It does not wait for
 // that: it takes room from lower rank as soon as it has waited its time.
 func TestATrickleOfRoomDoesNotPutPreemptionOff(t *testing.T) {
