A guarantee is owed only while nothing of its job finds room

Change: work of higher rank may be stopped for a guarantee only while nothing at all of its job finds room.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -235,8 +235,12 @@
 			if j.stalled == 0 {
 				j.stalled = now
 			}
+			if j.dry == 0 {
+				j.dry = now
+			}
 			return placed
 		}
+		j.dry = 0
 		// A job that is placed bit by bit as others' tasks end is stalled all the
 		// same until all of it is placed: on a large fleet there is always a bit.
 		j.team.counter++
@@ -472,8 +476,9 @@
 	if in == nil || j.late(now) {
 		return nil, nil, false
 	}
-	// Work of higher rank goes first, but a guarantee is not put off for long.
-	owed := d.timing.Guarantee > 0 && j.stalled != 0 && now >= j.stalled+d.timing.Guarantee*3/5
+	// Work of higher rank goes first, but a guarantee is not put off for long:
+	// while nothing at all of it finds room.
+	owed := d.timing.Guarantee > 0 && j.dry != 0 && now >= j.dry+d.timing.Guarantee*3/5
 	most := j.Level - 1 // the highest rank that may be stopped
 	if j.covered && owed {
 		most = len(d.ranks) - 1
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -68,8 +68,9 @@
 	dirty      map[int]bool           // chunks to be written
 	unsettled  map[peer.TaskID]string // ended as done, not written yet: on which machine
 	acked      map[peer.TaskID]uint64 // ends settled with the owner of that term
-	stalled    clock.Micros
-	covered    bool // fits its team's guarantee together with the team's earlier jobs
+	stalled    clock.Micros           // since when some task of it finds no room
+	dry        clock.Micros           // since when none does
+	covered    bool                   // fits its team's guarantee together with the team's earlier jobs
 	since      clock.Micros
 	runs       []runTime
 	errors     int
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -701,6 +701,42 @@
 	require.Equal(t, []string{"job-2", "job-1", "job-0"}, ids)
 }
 
+// Guaranteed work of low rank that is placed bit by bit takes nothing from work
+// of higher rank; only when nothing of it finds room for most of the
+// guarantee's time it does.
+func TestATrickleOfRoomKeepsAGuarantee(t *testing.T) {
+	for _, trickle := range []bool{true, false} {
+		w := newWorldOf(t, 1, 2, 0)
+		w.desk.timing.Guarantee = 5 * sec
+		blue := &team{Team: Team{Name: "blue", Guarantee: res.Have(100, 0, 0)}, term: 1, jobs: map[string]*job{},
+			cleared: map[string]bool{}, strange: map[string]bool{}}
+		j := &job{Job: jobs.New(jobs.Record{Job: wire.Job{ID: "job-9", Team: "blue", Rank: "normal", Tasks: 50, CPUs: 2, MemGB: 1, Spot: true}}, 1),
+			team: blue, covered: true, mark: 50, since: w.now, bound: map[int]*binding{}, zones: map[string]int{}, done: make([]uint64, 1)}
+		w.settle(8)
+		w.addJob("job-1", 8, func(j *wire.Job) { j.Rank = "high" })
+		w.settle(4)
+		require.Equal(t, 8, w.running())
+		taken := false
+		for step := range 40 {
+			w.now += 250 * clock.Millisecond
+			w.desk.full = full{}
+			if trickle && step%4 == 0 {
+				m := w.desk.machines["m-0"]
+				m.free = j.Need // a task of others has ended
+				w.desk.index(m)
+			}
+			w.desk.placeJob(j, 1, w.now)
+			for _, o := range w.desk.owners {
+				for _, a := range o.next.Asks {
+					taken = taken || a.Over
+				}
+				o.next = peer.Round{}
+			}
+		}
+		require.Equal(t, !trickle, taken)
+	}
+}
+
 // Urgent work takes all room there is, for as long as it likes; a large job of
 // low rank begins all the same.
 func TestNoJobWaitsForEverToBegin(t *testing.T) {
