A controller cut off from the state service alone has a peer store submissions

Its peers reach the state service and say so every second. Change: such a controller hands submissions on; one that hears neither the state service nor any peer says that it is not ready. Stories: a controller cut off from the state service, one with nothing but its workers, and restarts within a moment while claims are taken.

--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -116,14 +116,24 @@
 
 // SharedOutage tells that neither this process nor any peer that it hears has
 // contact with the state service. Then no controller is better placed than
-// this one to answer users. A controller that hears no peer either is cut off
-// by itself, as far as it can tell: users are better served elsewhere.
+// this one to answer users.
 func (k *Keeper) SharedOutage() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	alone := k.book.Peers() > 0 && now-k.heardAt > k.timing.ResignAfter
-	return now-k.lastOK > k.timing.Renew*3/2 && now-k.peerOK > k.timing.ResignAfter/2 && !alone
+	return now-k.lastOK > k.timing.Renew*3/2 && now-k.peerOK > k.timing.ResignAfter/2 && !k.alone(now)
+}
+
+// Alone tells that this process reaches neither the state service nor any peer:
+// as far as it can tell it is cut off by itself, and users are better served elsewhere.
+func (k *Keeper) Alone() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.alone(k.clock.Now())
+}
+
+func (k *Keeper) alone(now clock.Micros) bool {
+	return k.book.Peers() > 0 && now-k.lastOK > k.timing.ResignAfter && now-k.heardAt > k.timing.ResignAfter
 }
 
 // Bury removes the registration of a peer's incarnation that has resigned.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,10 +32,19 @@
 	Withdraw(ctx context.Context, q peer.JobQuery) (peer.JobAnswer, error)
 }
 
+// Others are the other controllers, for submissions that this one can't store.
+type Others interface {
+	// Away tells that this controller has no contact with the state service now.
+	Away() bool
+	// Submit hands a submission to a controller that has; ok is false when none is known.
+	Submit(body []byte) (a peer.SubmitAnswer, ok bool)
+}
+
 // Front answers users.
 type Front struct {
 	store   Store
 	placers Placers
+	others  Others
 	book    *jobs.Book
 	limits  map[string]res.Amounts
 	hasty   map[string]clock.Micros // classes whose tasks should start within so long
@@ -49,8 +58,8 @@
 
 // New makes a front; limits holds each team's limit, an amount of 0 meaning none;
 // most is how large a record may be; hasty names the classes whose tasks should start within a time.
-func New(store Store, placers Placers, book *jobs.Book, limits map[string]res.Amounts, hasty map[string]clock.Micros, most int, wall func() time.Time, log *slog.Logger) *Front {
-	return &Front{store: store, placers: placers, book: book, limits: limits, hasty: hasty, most: most, wall: wall, log: log}
+func New(store Store, placers Placers, others Others, book *jobs.Book, limits map[string]res.Amounts, hasty map[string]clock.Micros, most int, wall func() time.Time, log *slog.Logger) *Front {
+	return &Front{store: store, placers: placers, others: others, book: book, limits: limits, hasty: hasty, most: most, wall: wall, log: log}
 }
 
 // SetTypes tells the machine types.
@@ -131,8 +140,26 @@
 	return "a task fits no allowed machine type"
 }
 
-// submit accepts a job. It is accepted only once its record is durable.
+// submit accepts a job, or has another controller do so when this one alone
+// can't reach the state service: its users need not be sent away.
 func (f *Front) submit(ctx context.Context, body []byte) httpx.Response {
+	away := f.others.Away()
+	if away {
+		if a, ok := f.others.Submit(body); ok && a.Status != 503 {
+			return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}
+		}
+	}
+	r := f.Accept(ctx, body)
+	if r.Status == 503 && !away {
+		if a, ok := f.others.Submit(body); ok {
+			return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}
+		}
+	}
+	return r
+}
+
+// Accept accepts a job here. It is accepted only once its record is durable.
+func (f *Front) Accept(ctx context.Context, body []byte) httpx.Response {
 	spec, err := wire.ParseJob(body)
 	if err != nil {
 		return refuse(400, err.Error())
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -34,6 +34,19 @@
 	return p.answer, p.err
 }
 
+// others stands for the other controllers: cut tells that this one alone is.
+type others struct {
+	cut    bool
+	answer peer.SubmitAnswer
+	asked  int
+}
+
+func (o *others) Away() bool { return o.cut }
+func (o *others) Submit([]byte) (peer.SubmitAnswer, bool) {
+	o.asked++
+	return o.answer, o.answer.Status != 0
+}
+
 const good = `{"id":"job-000412","jobclass":"train","owner":"red","shape":"array","rank":"high","shards":16,
  "cpus":8.0,"accelerators":0,"mem_gb":16.0,"bundle":"img-07","size_gb":6.2,"hulls":null,"yard":null,"one_zone":false,
  "spread":false,"loaners":true,"guess_s":240.0,"snap_every_s":30.0,"snap_s":4.0,"due_s":900.0,"later":"ignored"}`
@@ -43,12 +56,13 @@
 	t    *testing.T
 	view *fakes.View
 	pl   *placers
+	oth  *others
 	book *jobs.Book
 }
 
 func newScene(t *testing.T) *scene {
-	s := &scene{t: t, view: &fakes.View{State: fakes.NewState()}, pl: &placers{err: errors.New("nobody")}, book: jobs.NewBook()}
-	s.Front = New(s.view, s.pl, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, map[string]clock.Micros{"refit": clock.Second}, 4096, func() time.Time { return time.UnixMilli(5) },
+	s := &scene{oth: &others{}, t: t, view: &fakes.View{State: fakes.NewState()}, pl: &placers{err: errors.New("nobody")}, book: jobs.NewBook()}
+	s.Front = New(s.view, s.pl, s.oth, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, map[string]clock.Micros{"refit": clock.Second}, 4096, func() time.Time { return time.UnixMilli(5) },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	s.SetTypes([]wire.MachineType{{Name: "big", CPUs: 32, MemGB: 128, Zones: []string{"a"}}})
 	return s
@@ -89,6 +103,25 @@
 	require.Equal(t, 503, s.do("POST", "/job-000412/withdraw", "").Status)
 }
 
+// Cut off from the state service alone, a controller has another one store the
+// job; when none can, its user is told at once to come back.
+func TestAnotherControllerStoresTheJob(t *testing.T) {
+	s := newScene(t)
+	s.view.SetCut(true)
+	require.Equal(t, 503, s.do("POST", "", good).Status)
+	s.oth.answer = peer.SubmitAnswer{Status: 201, Body: []byte(`{"id":"job-000412","phase":"pending"}`)}
+	for _, s.oth.cut = range []bool{false, true} {
+		r := s.do("POST", "", good)
+		require.Equal(t, 201, r.Status)
+		require.JSONEq(t, `{"id":"job-000412","phase":"pending"}`, string(r.Body))
+	}
+	require.Equal(t, 3, s.oth.asked)
+	s.view.SetCut(false)
+	s.oth.cut = false
+	require.Equal(t, 201, s.do("POST", "", good).Status)
+	require.Equal(t, 3, s.oth.asked, "it needs nobody now")
+}
+
 // A job that is over stays over, whoever is asked, and a late copy of its
 // submission does not bring it back.
 func TestFinalStays(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,9 +59,13 @@
 	fleet  *fleet.Fleet
 	peers  map[string]Peer
 	loaded chan struct{}
+	// fresh is how long ago its hold may have been confirmed for a controller to
+	// count as reaching the state service.
+	fresh clock.Micros
 
 	mu      sync.Mutex
 	catalog wire.Catalog
+	contact map[string]time.Time // when a peer last said that it reaches the state service
 }
 
 // New makes a controller from its settings, with clients for the services and
@@ -80,7 +84,7 @@
 // other controllers wait for, accepted jobs and claims, goes the urgent way.
 func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, peers map[string]Peer, log *slog.Logger) *Node {
 	p := &set.Params
-	n := &Node{set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, loaded: make(chan struct{})}
+	n := &Node{fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, contact: map[string]time.Time{}, loaded: make(chan struct{})}
 	c := clock.NewSteady()
 	instance := uuid.NewString()
 	hosts := []string{set.Host}
@@ -118,7 +122,7 @@
 	}
 	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
 		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, urgent, n.book, c, log)
-	n.front = front.New(urgent, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
+	n.front = front.New(urgent, n, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
 			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
@@ -241,6 +245,11 @@
 			continue
 		}
 		n.keeper.Hear(out.Contact)
+		if out.Contact < n.fresh {
+			n.mu.Lock()
+			n.contact[host] = time.Now()
+			n.mu.Unlock()
+		}
 		if out.Resigned != "" {
 			n.keeper.Bury(ctx, host, out.Resigned)
 		}
@@ -284,6 +293,9 @@
 	default:
 		return text(503, "reading the state service")
 	}
+	if n.keeper.Alone() {
+		return text(503, "cut off from the state service and all peers")
+	}
 	if n.keeper.SharedOutage() {
 		return httpx.Response{Status: 200, Body: []byte(`{"ready":true}`)}
 	}
@@ -296,6 +308,35 @@
 	return httpx.Response{Status: 200, Body: []byte(`{"ready":true}`)}
 }
 
+// Away tells that this controller has not reached the state service for a while.
+func (n *Node) Away() bool {
+	ago, _ := n.keeper.Contact()
+	return ago > n.fresh
+}
+
+// submitTimeout bounds how long another controller is waited for with a submission.
+const submitTimeout = 800 * time.Millisecond
+
+// Submit hands a submission to a peer that has said lately that it reaches the state service.
+func (n *Node) Submit(body []byte) (a peer.SubmitAnswer, ok bool) {
+	host := ""
+	n.mu.Lock()
+	for h, at := range n.contact {
+		if time.Since(at) < n.fresh.Duration() && (host == "" || h < host) {
+			host = h
+		}
+	}
+	n.mu.Unlock()
+	if host == "" {
+		return a, false
+	}
+	if err := n.peers[host].Call("Submit", peer.SubmitQuery{Body: body}, &a, submitTimeout); err != nil {
+		n.log.Debug("handing a submission on", "peer", host, "err", err)
+		return a, false
+	}
+	return a, a.Status != 0
+}
+
 // askTimeout bounds a question to a peer on a user's behalf.
 const askTimeout = 1500 * time.Millisecond
 
@@ -419,6 +460,12 @@
 	return nil
 }
 
+func (s *service) Submit(in peer.SubmitQuery, out *peer.SubmitAnswer) error {
+	r := s.n.front.Accept(context.Background(), in.Body)
+	*out = peer.SubmitAnswer{Status: r.Status, Body: r.Body, RetryAfter: r.RetryAfter}
+	return nil
+}
+
 func (s *service) Drain(in peer.DrainQuery, out *peer.DrainAnswer) error {
 	out.Ready = s.n.owner.Drain(in.Machines)
 	return nil
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -88,6 +88,8 @@
 		return s.Hello(in.(peer.Hello), out.(*peer.Hello))
 	case "Status":
 		return s.Status(in.(peer.JobQuery), out.(*peer.JobAnswer))
+	case "Submit":
+		return s.Submit(in.(peer.SubmitQuery), out.(*peer.SubmitAnswer))
 	case "Withdraw":
 		return s.Withdraw(in.(peer.JobQuery), out.(*peer.JobAnswer))
 	}
@@ -375,3 +377,80 @@
 		}
 	})
 }
+
+// A controller loses the state service, but neither its peers nor its workers.
+// Users who reach it are served all the same.
+func TestSubmissionsAtAControllerThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		c.run(5*time.Second, 0)
+		c.up["a"].view.SetCut(true)
+		c.run(2*time.Second, 0)
+		require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, submission("job-1", 2)).Status)
+		c.run(10*time.Second, 0)
+		require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, submission("job-2", 2)).Status)
+		c.run(4*time.Second, 0)
+		require.Equal(t, 4, c.running())
+		c.up["a"].view.SetCut(false)
+		c.run(20*time.Second, 4*time.Second)
+		for _, h := range hosts {
+			require.Equal(t, wire.Done, c.phase(h, "job-1"))
+			require.Equal(t, wire.Done, c.phase(h, "job-2"))
+		}
+	})
+}
+
+// A controller loses the state service and its peers, not its workers: they go
+// on until its hold is over, and are somebody else's after it; no job is lost,
+// none runs twice, and its users are sent elsewhere.
+func TestAControllerWithNothingButItsWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(5*time.Second, 0)
+		c.do("b", "POST", wire.PathJobs, submission("job-1", 10))
+		c.run(4*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		c.up["a"].view.SetCut(true)
+		c.setCut("a", true)
+		c.run(8*time.Second, 0)
+		require.Equal(t, 503, c.do("a", "GET", wire.PathReady, "").Status)
+		require.Equal(t, 503, c.do("a", "POST", wire.PathJobs, submission("job-2", 1)).Status)
+		c.run(60*time.Second, 6*time.Second)
+		require.Equal(t, wire.Done, c.phase("b", "job-1"), "others have taken its duties")
+		c.up["a"].view.SetCut(false)
+		c.setCut("a", false)
+		c.run(10*time.Second, 0)
+		require.Equal(t, wire.Done, c.phase("a", "job-1"))
+		require.Equal(t, 200, c.do("a", "GET", wire.PathReady, "").Status)
+	})
+}
+
+// Controllers are back within a fraction of a second, again and again, also
+// while others are taking claims. Every accepted job is known all the time and
+// done in the end; nothing runs twice.
+func TestRestartsWithinAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		rng := fakes.Rand(3)
+		c.run(5*time.Second, 0)
+		for i := range 4 {
+			require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, submission(fmt.Sprintf("job-%d", i), 5)).Status)
+		}
+		for range 24 {
+			h := hosts[rng.IntN(3)]
+			c.crash(h)
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			c.start(h)
+			c.run(time.Duration(500+rng.IntN(2500))*time.Millisecond, 6*time.Second)
+			for _, at := range hosts {
+				for i := range 4 {
+					require.NotEqual(t, "404", c.phase(at, fmt.Sprintf("job-%d", i)))
+				}
+			}
+		}
+		c.run(75*time.Second, 4*time.Second)
+		for i := range 4 {
+			require.Equal(t, wire.Done, c.phase("b", fmt.Sprintf("job-%d", i)))
+		}
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -168,6 +168,16 @@
 	State wire.JobState
 }
 
+// SubmitQuery hands a user's submission to a controller that reaches the state service.
+type SubmitQuery struct{ Body []byte }
+
+// SubmitAnswer is what its user is to be told.
+type SubmitAnswer struct {
+	Status     int
+	Body       []byte
+	RetryAfter int
+}
+
 // DrainQuery asks an owner to keep machines free for their return.
 type DrainQuery struct{ Machines []string }
 
@@ -185,6 +195,7 @@
 	Demand(in Hello, out *DemandAnswer) error
 	Status(in JobQuery, out *JobAnswer) error
 	Withdraw(in JobQuery, out *JobAnswer) error
+	Submit(in SubmitQuery, out *SubmitAnswer) error
 	Drain(in DrainQuery, out *DrainAnswer) error
 	Gone(in GoneNote, out *DrainAnswer) error
 }
