Images are fetched apart where tasks should start soon

Change: of machines that lack the image, those that fetch nothing else go first; for classes that should start within a time also before keeping large pieces whole.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -250,6 +250,9 @@
 			zone: m.Zone, term: m.Term, asked: true, instance: m.instance, since: now}
 		d.bind(b, m)
 		m.free = m.free.Minus(j.Need)
+		if rate := d.fetch[m.Type]; rate > 0 && !slices.Contains(m.Images, j.Image) {
+			m.fetchUntil, m.fetchImage = now+clock.FromSeconds(j.ImageGB/rate), j.Image
+		}
 		for _, v := range victims {
 			// Room that is being made is spoken for: the mirror shows it as taken.
 			if t := m.tasks[v]; t != nil {
@@ -337,7 +340,8 @@
 	if searched {
 		list = d.find(j, d.imaged[j.Image], now)
 	}
-	if searched && len(list) == 0 {
+	bare := len(list) == 0
+	if searched && bare {
 		if list = d.find(j, &d.rooms, now); len(list) > 0 && d.hurried(j, list[0], now) {
 			// The fetch alone would make the task late: room on a machine that has
 			// the image is worth a task that has hardly begun.
@@ -357,9 +361,20 @@
 		}
 		return nil, nil, false
 	}
+	if _, hasty := d.timing.Waits[j.Class]; bare && hasty {
+		// To start soon counts for more than to leave large pieces whole.
+		if c := calm(j, list, now); len(c) > 0 {
+			list = c
+		}
+	}
 	if h := d.harmless(j, list); len(h) > 0 {
 		list = h
 	}
+	if bare {
+		if c := calm(j, list, now); len(c) > 0 {
+			list = c
+		}
+	}
 	if !d.small(j) {
 		list = d.draw(list, d.timing.Sample)
 	}
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -98,17 +98,20 @@
 
 type mirror struct {
 	peer.MachineView
-	host     string
-	instance string
-	free     res.Amounts // what it shows, less what was asked for since
-	hash     uint64      // of its name
-	bound    map[peer.TaskID]*binding
-	seenAt   clock.Micros
-	tasks    map[peer.TaskID]*seen
-	ranks    [4]int  // tasks that are there, by rank
-	pace     float64 // sum of run times against those of the same jobs elsewhere
-	paced    int
-	slow     bool
+	host       string
+	instance   string
+	free       res.Amounts // what it shows, less what was asked for since
+	hash       uint64      // of its name
+	bound      map[peer.TaskID]*binding
+	seenAt     clock.Micros
+	tasks      map[peer.TaskID]*seen
+	ranks      [4]int         // tasks that are there, by rank
+	fetching   map[string]int // jobs with tasks that wait for their image there
+	fetchUntil clock.Micros   // an ask of ours makes it fetch
+	fetchImage string
+	pace       float64 // sum of run times against those of the same jobs elsewhere
+	paced      int
+	slow       bool
 
 	refused   bool // an ask was refused, and no newer view has come
 	refusedAt clock.Micros
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -119,6 +119,9 @@
 func (d *Desk) setTask(m *mirror, t *seen) {
 	d.unsetTask(m, t.ID)
 	m.tasks[t.ID] = t
+	if t.Phase == "" || t.Phase == wire.TaskFetching {
+		m.fetching[t.ID.Job]++
+	}
 	if t.there = t.Phase != wire.TaskExited; t.there {
 		m.ranks[t.Rank]++
 		d.ranks[t.Rank]++
@@ -132,6 +135,11 @@
 		return
 	}
 	delete(m.tasks, id)
+	if t.Phase == "" || t.Phase == wire.TaskFetching {
+		if m.fetching[id.Job]--; m.fetching[id.Job] == 0 {
+			delete(m.fetching, id.Job)
+		}
+	}
 	if t.there {
 		m.ranks[t.Rank]--
 		d.ranks[t.Rank]--
@@ -141,6 +149,22 @@
 	}
 }
 
+// calm picks the machines that fetch nothing now but the job's own image, as far
+// as is known: images that are fetched side by side share a machine's rate, and
+// all their tasks wait.
+func calm(j *job, list []*mirror, now clock.Micros) (out []*mirror) {
+	for _, m := range list {
+		others := len(m.fetching)
+		if m.fetching[j.ID] > 0 {
+			others--
+		}
+		if others == 0 && (now >= m.fetchUntil || m.fetchImage == j.Image) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // full remembers in a round of decisions what found no room: what asks for as
 // much or more, and is as choosy or choosier, need not search again.
 type full struct {
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -169,7 +169,7 @@
 		if v.Silent && !d.registry[v.ID] {
 			return
 		}
-		m = &mirror{hash: hashOf(v.ID), bound: map[peer.TaskID]*binding{}, tasks: map[peer.TaskID]*seen{}}
+		m = &mirror{hash: hashOf(v.ID), bound: map[peer.TaskID]*binding{}, tasks: map[peer.TaskID]*seen{}, fetching: map[string]int{}}
 		d.machines[v.ID] = m
 	} else if v.Term < m.Term || v.Term == m.Term && m.instance == o.instance && v.Version < m.Version {
 		return
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -737,6 +737,33 @@
 	}
 }
 
+// Two jobs with an image each come to machines that have neither: each machine
+// fetches one image, and the tasks of a job stay together.
+func TestImagesAreFetchedApart(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.desk.SetFetch(map[string]float64{"big": 0.25})
+	w.desk.timing.Waits = map[string]clock.Micros{"rescore": 4 * sec}
+	for i := range 2 {
+		w.addJob(fmt.Sprintf("job-%d", i), 3, func(j *wire.Job) { j.Class, j.Image, j.ImageGB = "rescore", fmt.Sprintf("img-%d", i), 2 })
+	}
+	w.addJob("job-9", 1, func(j *wire.Job) { j.CPUs, j.Zone = 8, "nowhere" }) // something large is about
+	w.place()
+	images := map[string]map[string]bool{}
+	for id, m := range w.desk.machines {
+		for _, b := range m.bound {
+			if images[id] == nil {
+				images[id] = map[string]bool{}
+			}
+			images[id][b.job.Image] = true
+		}
+	}
+	require.Len(t, images, 2)
+	for _, i := range images {
+		require.Len(t, i, 1)
+	}
+}
+
 // Urgent work takes all room there is, for as long as it likes; a large job of
 // low rank begins all the same.
 func TestNoJobWaitsForEverToBegin(t *testing.T) {
