Where thrift is in order, a job waits for a machine with its image as long as a fetch takes

Change: patience only where an objective of thrift is in force, for as long as a fetch, 8 s at most, and not where the start would be late.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -341,6 +341,9 @@
 		list = d.find(j, d.imaged[j.Image], now)
 	}
 	bare := len(list) == 0
+	if !bare {
+		j.bareSince = 0
+	}
 	if searched && bare {
 		if list = d.find(j, &d.rooms, now); len(list) > 0 && d.hurried(j, list[0], now) {
 			// The fetch alone would make the task late: room on a machine that has
@@ -349,6 +352,9 @@
 				return m, victims, over
 			}
 		}
+		if len(list) > 0 && d.patient(j, list, now) {
+			return nil, nil, false
+		}
 	}
 	if len(list) == 0 {
 		if d.waitedOut(j, now) {
@@ -387,6 +393,27 @@
 	return best, nil, false
 }
 
+// patience is the longest that a job leaves scarce room to others.
+const patience = 8 * clock.Second
+
+// patient tells that a job of a thrifty deployment should leave scarce room to
+// others for a moment: its image is on some machines, and room may come up there
+// sooner than it is fetched. What is fetched for nothing is paid for.
+func (d *Desk) patient(j *job, list []*mirror, now clock.Micros) bool {
+	rate := d.fetch[list[0].Type]
+	if !d.timing.Economy || !d.imaged[j.Image].any() || rate <= 0 || len(list)*8 >= d.shelved {
+		return false
+	}
+	fetch := clock.FromSeconds(j.ImageGB / rate)
+	if within, ok := d.timing.Waits[j.Class]; ok && now+fetch > j.since+within-fetch/2 {
+		return false // a moment lost is a start too late
+	}
+	if j.bareSince == 0 {
+		j.bareSince = now
+	}
+	return now < j.bareSince+min(fetch, patience)
+}
+
 // small tells that a job's tasks are small beside the largest about.
 func (d *Desk) small(j *job) bool { return d.big > 0 && j.Need.CPU*2 <= d.big }
 
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -70,6 +70,7 @@
 	acked      map[peer.TaskID]uint64 // ends settled with the owner of that term
 	stalled    clock.Micros           // since when some task of it finds no room
 	dry        clock.Micros           // since when none does
+	bareSince  clock.Micros           // since when there is room, but none where its image is
 	covered    bool                   // fits its team's guarantee together with the team's earlier jobs
 	since      clock.Micros
 	runs       []runTime
@@ -173,6 +174,7 @@
 	rooms    rooms                      // machines that may get tasks
 	imaged   map[string]*rooms          // and those of them that have an image
 	usable   int64                      // CPUs of all of them
+	shelved  int                        // how many they are
 	ranks    [4]int                     // tasks seen on machines, by rank
 	sizes    map[int64]int              // and by the CPUs they take
 	full     full                       // what found no room in this round
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// any tells that there is a machine at all.
+func (r *rooms) any() bool {
+	for l := range levels {
+		if r != nil && len(r[l].list) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ready tells that a machine may get tasks, as far as it and its owner are known.
 func (d *Desk) ready(m *mirror) bool {
 	o := d.owners[m.host]
@@ -83,6 +93,7 @@
 			d.imaged[i][m.level].take(m)
 		}
 		d.usable -= m.shelvedCPU
+		d.shelved--
 	}
 	m.shelved, m.level, m.shelvedImages, m.shelvedCPU = on, level, m.Images, m.Cap.CPU
 	if !on {
@@ -96,6 +107,7 @@
 		d.imaged[i][level].put(m)
 	}
 	d.usable += m.shelvedCPU
+	d.shelved++
 }
 
 // indexOf puts all of an owner's machines where they belong.
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -764,6 +764,27 @@
 	}
 }
 
+// Where thrift is in order, a job leaves the last bit of room that lacks its
+// image to others for as long as a fetch would take; then it takes it.
+func TestThriftWaitsForAnImage(t *testing.T) {
+	w := newWorldOf(t, 1, 10, 0)
+	w.desk.timing.Economy = true
+	w.desk.SetFetch(map[string]float64{"big": 0.5})
+	w.settle(8)
+	image := func(j *wire.Job) { j.Image, j.ImageGB = "img-1", 2 }
+	w.addJob("job-1", 1, func(j *wire.Job) { image(j); j.CPUs = 8 }) // one machine has the image, and is full
+	w.settle(4)
+	w.addJob("job-2", 35, nil) // the others have room for one task
+	w.settle(4)
+	require.Equal(t, 36, w.running())
+	w.addJob("job-3", 1, image)
+	began := w.now
+	for len(w.desk.teams[red].jobs["job-3"].bound) == 0 && w.now < began+20*sec {
+		w.settle(1)
+	}
+	require.InDelta(t, 4, (w.now - began).Seconds(), 0.6)
+}
+
 // Urgent work takes all room there is, for as long as it likes; a large job of
 // low rank begins all the same.
 func TestNoJobWaitsForEverToBegin(t *testing.T) {
