Urgent changes take what others leave; an outage of the state service is probed, not hammered

Change: a refusal by the state service stands for 250 ms; acceptances also use what is left of the other part; a 429 is tried again within the call's time.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -54,6 +54,7 @@
 
 	mu    sync.Mutex
 	types []wire.MachineType
+	out   time.Time // until then the state service is taken to be out
 }
 
 // New makes a front; limits holds each team's limit, an amount of 0 meaning none;
@@ -142,14 +143,16 @@
 
 // submit accepts a job, or has another controller do so when this one alone
 // can't reach the state service: its users need not be sent away.
-func (f *Front) submit(ctx context.Context, body []byte) httpx.Response {
+func (f *Front) submit(ctx context.Context, body []byte) (r httpx.Response) {
+	began := f.wall()
+	defer func() { f.log.Debug("answered a submission", "status", r.Status, "after", f.wall().Sub(began)) }()
 	away := f.others.Away()
 	if away {
 		if a, ok := f.others.Submit(body); ok && a.Status != 503 {
 			return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}
 		}
 	}
-	r := f.Accept(ctx, body)
+	r = f.Accept(ctx, body)
 	if r.Status == 503 && !away {
 		if a, ok := f.others.Submit(body); ok {
 			return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}
@@ -181,6 +184,9 @@
 	if why := f.canRun(jobs.New(rec, 0)); why != "" {
 		return refuse(422, why)
 	}
+	if f.isOut() {
+		return refuse(503, "the job can't be stored now")
+	}
 	_, err = f.store.Commit(ctx, wire.Multi{
 		When: []wire.Cond{{Key: state.Active + spec.ID}, {Key: state.Final + spec.ID}},
 		Then: []wire.Op{{Put: state.Active + spec.ID, Value: rec}}})
@@ -190,10 +196,30 @@
 	case errors.Is(err, state.ErrConflict):
 		return f.get(ctx, spec.ID) // known already
 	}
+	if errors.Is(err, state.ErrRefused) && !errors.Is(err, state.ErrBudget) {
+		f.setOut()
+	}
 	f.log.Debug("accepting a job", "job", spec.ID, "err", err)
 	return refuse(503, "the job can't be stored now")
 }
 
+// outFor is how long nothing is tried after the state service has refused a job:
+// in an outage users come again and again, and each try costs a part of the
+// budget that those who come when it is over need.
+const outFor = 250 * time.Millisecond
+
+func (f *Front) isOut() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wall().Before(f.out)
+}
+
+func (f *Front) setOut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.out = f.wall().Add(outFor)
+}
+
 // get tells a job's state.
 func (f *Front) get(ctx context.Context, id string) httpx.Response {
 	if s, ok := f.book.Final(id); ok {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -57,12 +57,13 @@
 	view *fakes.View
 	pl   *placers
 	oth  *others
+	now  int64 // ms
 	book *jobs.Book
 }
 
 func newScene(t *testing.T) *scene {
 	s := &scene{oth: &others{}, t: t, view: &fakes.View{State: fakes.NewState()}, pl: &placers{err: errors.New("nobody")}, book: jobs.NewBook()}
-	s.Front = New(s.view, s.pl, s.oth, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, map[string]clock.Micros{"refit": clock.Second}, 4096, func() time.Time { return time.UnixMilli(5) },
+	s.Front = New(s.view, s.pl, s.oth, s.book, map[string]res.Amounts{"red": res.Have(64, 0, 0)}, map[string]clock.Micros{"refit": clock.Second}, 4096, func() time.Time { return time.UnixMilli(s.now) },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	s.SetTypes([]wire.MachineType{{Name: "big", CPUs: 32, MemGB: 128, Zones: []string{"a"}}})
 	return s
@@ -117,11 +118,26 @@
 	}
 	require.Equal(t, 3, s.oth.asked)
 	s.view.SetCut(false)
-	s.oth.cut = false
+	s.oth.cut, s.now = false, 1000
 	require.Equal(t, 201, s.do("POST", "", good).Status)
 	require.Equal(t, 3, s.oth.asked, "it needs nobody now")
 }
 
+// In an outage not every submission is tried: the budget is for those that come
+// when it is over.
+func TestAnOutageIsProbed(t *testing.T) {
+	s := newScene(t)
+	s.view.SetCut(true)
+	require.Equal(t, 503, s.do("POST", "", good).Status)
+	s.view.SetCut(false)
+	s.now += 200
+	r := s.do("POST", "", good)
+	require.Equal(t, 503, r.Status)
+	require.Equal(t, 1, r.RetryAfter)
+	s.now += 100
+	require.Equal(t, 201, s.do("POST", "", good).Status)
+}
+
 // A job that is over stays over, whoever is asked, and a late copy of its
 // submission does not bring it back.
 func TestFinalStays(t *testing.T) {
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -28,6 +28,8 @@
 	ErrNoHold = errors.New("the hold has ended")
 	// ErrTooOld means that the watched revision is no longer kept.
 	ErrTooOld = errors.New("the revision is no longer kept")
+	// errBusy means that all controllers together ask for more than the service allows.
+	errBusy = errors.New("too many requests")
 	// ErrBudget means that this controller's part of the budget is spent.
 	ErrBudget = errors.New("request budget spent")
 )
@@ -43,9 +45,32 @@
 // Urgent is a client whose changes have a part of the budget to themselves.
 type Urgent struct{ *Client }
 
-// Commit carries out a transaction that must not queue behind others.
+// busyPause is how long an urgent transaction waits when the service has had
+// too many changes from all controllers together.
+const busyPause = 120 * time.Millisecond
+
+// Commit carries out a transaction that must not queue behind others. It takes
+// what the others have left of their part when its own is spent: after an
+// outage users come all at once.
 func (u Urgent) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
-	return u.commit(ctx, m, u.Client.urgent)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	budget := u.Client.urgent
+	if now := time.Now(); budget.AllowN(now, len(m.Then)) || u.Client.writes.AllowN(now, len(m.Then)) {
+		budget = nil
+	}
+	for {
+		rev, err := u.commit(ctx, m, budget)
+		if !errors.Is(err, errBusy) {
+			return rev, err
+		}
+		budget = nil
+		select {
+		case <-time.After(busyPause):
+		case <-ctx.Done():
+			return rev, err
+		}
+	}
 }
 
 // NewClient makes a client that keeps to one of share parts of the budget.
@@ -81,7 +106,9 @@
 	switch r.Status {
 	case 200, 404, 409, 410:
 		return r, nil
-	case 400, 429, 503:
+	case 429:
+		return nil, fmt.Errorf("%w: %w", ErrRefused, errBusy)
+	case 400, 503:
 		return nil, fmt.Errorf("%w: status %d %.100s", ErrRefused, r.Status, r.Body)
 	}
 	return nil, fmt.Errorf("%w: status %d", ErrUnknown, r.Status)
@@ -154,7 +181,7 @@
 func (c *Client) commit(ctx context.Context, m wire.Multi, budget *rate.Limiter) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if n := len(m.Then); n > 0 {
+	if n := len(m.Then); n > 0 && budget != nil {
 		if err := budget.WaitN(ctx, n); err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrRefused, ErrBudget)
 		}
--- a/internal/state/client_test.go
+++ b/internal/state/client_test.go
@@ -62,6 +62,15 @@
 	require.EqualValues(t, 7, rev)
 }
 
+// All controllers together ask for too much: what users wait for is tried again
+// at once, not given up.
+func TestUrgentChangesOutlastABusyMoment(t *testing.T) {
+	c := answering(t, raw(429, `{}`), raw(429, `{}`), raw(200, `{"ledger_rev":7}`))
+	rev, err := state.Urgent{Client: c}.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Drop: "k"}}})
+	require.NoError(t, err)
+	require.EqualValues(t, 7, rev)
+}
+
 // A key is absent only by the service's own word.
 func TestAbsence(t *testing.T) {
 	_, found, err := answering(t, raw(404, `{"ledger_rev":4}`)).Get(t.Context(), "k")
