--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -86,8 +86,8 @@
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
 		lx, ly := d.lateness(x, now), d.lateness(y, now)
-		if hx, hy := lx == hopeless, ly == hopeless; hx != hy {
-			return hy
+		if lx != ly {
+			return lx < ly
 		}
 		if lx == hopeless && x.EstimateS != y.EstimateS {
 			return x.EstimateS > y.EstimateS
@@ -95,9 +95,6 @@
 		if x.Level != y.Level {
 			return x.Level > y.Level
 		}
-		if lx != ly {
-			return lx < ly
-		}
 		if x.covered != y.covered {
 			return x.covered
 		}
@@ -518,7 +515,7 @@
 // be as late, and what it stops would be late too. Like any search, it looks at
 // some of the machines in question, not at the fleet.
 func (d *Desk) preempt(j *job, in *rooms, now clock.Micros) (best *mirror, victims []peer.TaskID, over bool) {
-	if in == nil || d.lateness(j, now) == hopeless {
+	if in == nil || j.late(now) {
 		return nil, nil, false
 	}
 	// Work of higher rank goes first, but a guarantee is not put off for long:
