--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -77,9 +77,9 @@
 	gone       bool
 	draining   bool
 	noticed    bool
-	quiet      bool // its reports have stopped: perhaps it is gone
-	doubt      bool // an /orders had no answer, and no report has shown the raised token since
-	reportTick uint64
+	quiet      bool      // its reports have stopped: perhaps it is gone
+	doubt      bool      // an /orders had no answer, and no report has shown the raised token since
+	reported   [2]uint64 // session and tick of the last report
 	sick       bool
 	probedAt   clock.Micros
 	quietUntil clock.Micros // no /orders until then: one had no answer
@@ -236,7 +236,7 @@
 	if r.Token > m.token && r.Token>>32 > t.parts[part] {
 		return ans, false // a later term than ours: not ours to command
 	}
-	if m.heard && r.Session == m.session && r.Tick <= m.reportTick {
+	if m.heard && r.Session == m.reported[0] && r.Tick <= m.reported[1] {
 		// A copy that comes late, or a worker that began anew without telling:
 		// answering it would keep a machine alive of which nothing new is known.
 		return ans, false
@@ -244,7 +244,7 @@
 	// An answer to /orders may have overtaken this report: then it tells nothing
 	// new, but its worker waits for the answer.
 	fresh := !m.heard || r.Session > m.session || r.Tick > m.tick
-	m.reportTick = r.Tick
+	m.reported = [2]uint64{r.Session, r.Tick}
 	if fresh {
 		m.Addr = r.Addr
 		t.absorb(m, r, true, now)
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -502,6 +502,25 @@
 	require.Empty(t, s.tasks())
 }
 
+// A worker's new session is learnt from an answer to /orders; its first report
+// is none that came before, though its ticks may begin anew.
+func TestTheFirstReportOfASessionIsAnswered(t *testing.T) {
+	s := newScene(t)
+	for range 20 {
+		s.report()
+	}
+	s.w.Session, s.w.Tick = 2, 0
+	clear(s.w.Tasks)
+	require.True(t, s.lease(0, 1))
+	_, o := s.table.TakeOrders("m-1", s.now)
+	o.Session = 2
+	after, _ := s.w.Orders(*o, s.now)
+	s.table.Answered("m-1", o, &after, s.now)
+	r := s.w.Report(s.now)
+	_, ok := s.table.Report(&r, 0, s.now)
+	require.True(t, ok)
+}
+
 // An answer to /orders overtakes a report that was sent before it: the report
 // tells nothing new, but its worker is answered, and its lease goes on.
 func TestAnOvertakenReportIsAnswered(t *testing.T) {
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -143,6 +143,7 @@
 	next     peer.Round
 	settling clock.Micros // since when settlements wait to be sent
 	up       bool
+	swept    clock.Micros
 	resync   bool // a view did not fit what was known: ask for everything
 }
 
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -106,6 +106,10 @@
 	return in
 }
 
+// sweepEvery is how often an owner's partitions are held against all machines: a
+// late word of a former owner may have brought one back that is gone.
+const sweepEvery = 2 * clock.Second
+
 // Hear takes an owner's answer to a poll.
 func (d *Desk) Hear(host string, in peer.Poll, ans *peer.PollAnswer, now clock.Micros) {
 	o := d.owners[host]
@@ -132,9 +136,10 @@
 	for i := range ans.Machines {
 		d.see(host, o, &ans.Machines[i], now)
 	}
-	if !moved && !ans.Full {
+	if !moved && !ans.Full && now < o.swept+sweepEvery {
 		return
 	}
+	o.swept = now
 	for _, m := range d.machines {
 		switch held := o.parts[m.Part]; {
 		case held > m.Term:
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -280,6 +280,9 @@
 
 // check holds the rules against what the workers really run.
 func (w *world) check(when string) {
+	for _, h := range w.hosts {
+		require.False(w.t, w.desk.owners[h.name].resync, "%s: what changed did not fit what was known", when)
+	}
 	on := map[string]string{}
 	cpus := 0.0
 	for _, id := range w.names {
@@ -587,6 +590,30 @@
 	require.Greater(t, w.running(), 8, "the rest of the first job goes on once the machines are accounted for")
 }
 
+// A partition moves; the former owner's last answer comes late and shows a
+// machine that the new owner has never heard of, for it is gone. It does not stay.
+func TestALateWordOfAFormerOwnerBringsNoMachineBack(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 16, nil)
+	w.settle(4)
+	in := peer.Poll{Gen: w.desk.owners["h0"].gen, Terms: w.desk.Terms()}
+	late := w.hosts[0].table.Poll(in, w.hosts[0].instance, w.now)
+	delete(w.registry, "m-0")
+	w.gain(0, 1)
+	w.record("m-0", false)
+	w.poll(w.hosts[1], false)
+	require.NotContains(t, w.desk.machines, "m-0")
+	w.desk.Hear("h0", in, &late, w.now)
+	for range 4 {
+		w.now += sec
+		w.poll(w.hosts[0], false)
+		w.poll(w.hosts[1], false)
+	}
+	require.NotContains(t, w.desk.machines, "m-0")
+	require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 12)
+}
+
 // Attempt numbers of two placers never meet.
 func TestAttemptsAreUniqueAcrossTakeOvers(t *testing.T) {
 	w := newWorld(t, 1, 2)
