--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// Renew starts the worker's lease anew, as when it begins.
+func (w *Worker) Renew(now clock.Micros) { w.renewed = now }
+
 // Report is what the worker says now.
 func (w *Worker) Report(now clock.Micros) wire.Report {
 	w.Check(now)
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -84,6 +84,7 @@
 	probedAt   clock.Micros
 	quietUntil clock.Micros // no /orders until then: one had no answer
 	inflight   bool
+	orderTick  uint64 // the worker's tick when the /orders on its way was sent
 	shunUntil  clock.Micros
 	errors     int
 	errJobs    map[string]bool
@@ -523,7 +524,7 @@
 		}
 		m.probedAt = now
 	}
-	m.inflight = true
+	m.inflight, m.orderTick = true, m.tick
 	return m.Addr, o
 }
 
@@ -543,6 +544,16 @@
 		m.quietUntil = now + 5*clock.Second
 		return
 	}
+	if m.heard && r.Session == m.session && r.Tick <= m.orderTick {
+		// This answer is no copy, and yet its tick is none that can follow those
+		// seen: the worker has begun anew without a new session. What it was just
+		// told may run there, for a lease from now at most, since its reports are
+		// taken for copies and not answered. It is told nothing more.
+		m.answered, m.doubt = now, true
+		m.quietUntil = now + t.timing.Lease.PlusDrift() + clock.Second
+		t.touch(m)
+		return
+	}
 	if !m.heard {
 		if m.session != r.Session {
 			m.session, m.probedAt = r.Session, 0 // the next try names the right one
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -521,6 +521,38 @@
 	require.True(t, ok)
 }
 
+// A worker begins anew within a moment, with the session that it had and its
+// ticks from the start. The task that it is given runs, and is given to nobody
+// else before that session is over for certain.
+func TestAWorkerThatBeginsAnewWithItsSession(t *testing.T) {
+	s := newScene(t)
+	for range 9 {
+		s.report()
+	}
+	s.now += lease / 2 // a while after its last answered report
+	s.w.Tick, s.w.Token = 0, 0
+	s.w.Renew(s.now)
+	require.True(t, s.lease(0, 1))
+	_, o := s.table.TakeOrders("m-1", s.now)
+	after, done := s.w.Orders(*o, s.now)
+	require.True(t, done)
+	s.table.Answered("m-1", o, &after, s.now)
+	require.False(t, s.lease(1, 2), "nothing more for a worker that is not understood")
+	for range 30 {
+		s.now += sec / 2
+		s.w.Check(s.now)
+		if r := s.w.Report(s.now); r.Tick < 8 { // it is silent before its ticks have caught up
+			s.table.Report(&r, 0, s.now)
+		}
+		s.table.Tick(s.now)
+		if s.w.Running("job-1/0") {
+			require.NotEmpty(t, s.tasks(), "it runs there still")
+		}
+	}
+	require.False(t, s.w.Running("job-1/0"))
+	require.Empty(t, s.tasks())
+}
+
 // An answer to /orders overtakes a report that was sent before it: the report
 // tells nothing new, but its worker is answered, and its lease goes on.
 func TestAnOvertakenReportIsAnswered(t *testing.T) {
