--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -116,7 +116,8 @@
 }
 
 // overloaded tells the ranks of which not all jobs can be in time: what waits
-// is more than the machines can do in the time that is left. There, what can
+// is more than the machines, less what higher ranks have of them, can begin in
+// the time that is left. There, what can
 // still start in time goes first and then the smallest rests, so that most
 // jobs are in time. Other placers' teams are taken to wait alike.
 func (d *Desk) overloaded(list []*job, now clock.Micros) (over [4]bool) {
@@ -124,12 +125,13 @@
 	for _, j := range list {
 		if j.DueS != nil && !j.late(now) {
 			work[j.Level] += j.remaining()
-			slack[j.Level] += j.remaining() * (j.due() - now).Seconds()
+			slack[j.Level] += j.remaining() * max((j.due()-now).Seconds()-j.EstimateS, 0)
 		}
 	}
 	room := float64(d.usable) / 1e6
-	for l := range over {
+	for l := len(over) - 1; l >= 0; l-- {
 		over[l] = work[l]*work[l]*float64(len(d.known)) > room*slack[l]*float64(len(d.teams))
+		room -= float64(d.taken[l]) / 1e6 // lower ranks have what this one leaves
 	}
 	return over
 }
