--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -369,6 +369,12 @@
 		}
 		return nil, nil, false
 	}
+	if !d.timing.Economy && d.fragile(j) {
+		// Without thrift the machines that are not taken are its own, also in pieces.
+		if o := ordinary(list); len(o) > 0 {
+			list = o
+		}
+	}
 	if _, hasty := d.timing.Waits[j.Class]; bare && hasty {
 		// To start soon counts for more than to leave large pieces whole.
 		if c := calm(j, list, now); len(c) > 0 {
@@ -416,6 +422,16 @@
 	return now < j.bareSince+min(fetch, patience)
 }
 
+// ordinary picks the machines that the cloud does not take back.
+func ordinary(list []*mirror) (out []*mirror) {
+	for _, m := range list {
+		if !m.Spot {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // small tells that a job's tasks are small beside the largest about.
 func (d *Desk) small(j *job) bool { return d.big > 0 && j.Need.CPU*2 <= d.big }
 
@@ -450,9 +466,10 @@
 // Each team has an order of its own: placers that decide at the same time would
 // ask for the same room otherwise.
 func (d *Desk) better(j *job, a, b *mirror) bool {
-	if d.timing.Economy && a.Spot != b.Spot {
+	if a.Spot != b.Spot {
 		// Thrift empties the dear machines. But a job that would be late if a
-		// machine were taken from it keeps to those that are not taken.
+		// machine were taken from it keeps to those that are not taken, and
+		// leaves them to such jobs otherwise.
 		return a.Spot != d.fragile(j)
 	}
 	if j.Need.CPU*2 >= a.Cap.CPU || j.Need.CPU*2 >= b.Cap.CPU {
@@ -461,18 +478,18 @@
 		}
 		return a.ID > b.ID
 	}
-	if a.Spot != b.Spot {
-		return b.Spot
-	}
 	if a.Cap.CPU != b.Cap.CPU {
 		return a.Cap.CPU > b.Cap.CPU
 	}
 	return j.team.turn(a) < j.team.turn(b)
 }
 
-// fragile tells that a job's deadline leaves no time to notice that a machine
+// fragile tells that the time for a job leaves none to notice that a machine
 // was taken and run its tasks once more.
 func (d *Desk) fragile(j *job) bool {
+	if within, ok := d.timing.Finishes[j.Class]; ok && within < clock.FromSeconds(2*j.EstimateS)+d.timing.Lease {
+		return true
+	}
 	return j.DueS != nil && clock.FromSeconds(*j.DueS) < clock.FromSeconds(2*j.EstimateS)+d.timing.Lease
 }
 
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -812,6 +812,29 @@
 	require.InDelta(t, 4, (w.now - began).Seconds(), 0.6)
 }
 
+// Jobs that could not be in time if a machine were taken from them keep to those
+// that are not taken; the others leave those to them.
+func TestFragileJobsKeepToOrdinaryMachines(t *testing.T) {
+	for _, thrift := range []bool{false, true} {
+		w := newWorldOf(t, 1, 4, 0)
+		w.desk.timing.Economy, w.desk.timing.Lease = thrift, 20*sec
+		w.desk.timing.Finishes = map[string]clock.Micros{"refit": 30 * sec}
+		w.workers["m-0"].Spot, w.workers["m-3"].Spot = true, true
+		w.settle(8)
+		due := 500.0
+		w.addJob("job-1", 1, func(j *wire.Job) { j.CPUs, j.EstimateS, j.DueS = 8, 10, &due })
+		w.addJob("job-2", 4, func(j *wire.Job) { j.Class, j.EstimateS, j.CPUs = "refit", 10, 1 })
+		w.settle(4)
+		for _, id := range w.names {
+			for _, r := range w.workers[id].Tasks {
+				job, _, _ := wire.SplitTask(r.Task)
+				require.Equal(t, job == "job-1", w.workers[id].Spot, "%s on %s", r.Task, id)
+			}
+		}
+		require.Equal(t, 5, w.running())
+	}
+}
+
 // Urgent work takes all room there is, for as long as it likes; a large job of
 // low rank begins all the same.
 func TestNoJobWaitsForEverToBegin(t *testing.T) {
