--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -117,7 +117,8 @@
 
 // overloaded tells the ranks of which not all jobs can be in time: what waits
 // is more than the machines, less what higher ranks have of them, can begin in
-// the time that is left. There, what can
+// the time that is left, or any where no thrift is in order: there machines are
+// rented for all that waits, and more can't be had. There, what can
 // still start in time goes first and then the smallest rests, so that most
 // jobs are in time. Other placers' teams are taken to wait alike.
 func (d *Desk) overloaded(list []*job, now clock.Micros) (over [4]bool) {
@@ -130,7 +131,7 @@
 	}
 	room := float64(d.usable) / 1e6
 	for l := len(over) - 1; l >= 0; l-- {
-		over[l] = work[l]*work[l]*float64(len(d.known)) > room*slack[l]*float64(len(d.teams))
+		over[l] = !d.timing.Economy && work[l] > 0 || work[l]*work[l]*float64(len(d.known)) > room*slack[l]*float64(len(d.teams))
 		room -= float64(d.taken[l]) / 1e6 // lower ranks have what this one leaves
 	}
 	return over
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -728,6 +728,20 @@
 	require.Equal(t, []string{"job-2", "job-1", "job-0"}, ids)
 }
 
+// Without thrift the smaller rest goes first; with it, and time enough for both,
+// the earlier deadline.
+func TestSmallestRestsFirstWithoutThrift(t *testing.T) {
+	for _, thrift := range []bool{false, true} {
+		w := newWorldOf(t, 1, 4, 0)
+		w.desk.timing.Economy = thrift
+		w.settle(8)
+		for i, due := range []float64{900, 1000} {
+			w.addJob(fmt.Sprintf("job-%d", i), 20/(1+9*i), func(j *wire.Job) { j.DueS, j.EstimateS = &due, 10 })
+		}
+		require.Equal(t, map[bool]string{false: "job-1", true: "job-0"}[thrift], w.desk.order(w.now)[0].ID)
+	}
+}
+
 // Guaranteed work of low rank that is placed bit by bit takes nothing from work
 // of higher rank; only when nothing of it finds room for most of the
 // guarantee's time it does.
