--- a/internal/machines/machines_test.go
+++ b/internal/machines/machines_test.go
@@ -38,14 +38,28 @@
 	return err
 }
 
-// A thousand machines take a few dozen changes, and what a follower reads is
-// what was recorded, whatever comes and goes.
+// A thousand machines that come fifty at a time take a few dozen changes.
 func TestManyMachinesShareKeys(t *testing.T) {
+	w := &writer{t, &fakes.View{State: fakes.NewState()}, NewBook()}
+	writes := 0
+	for round := range 20 {
+		fresh := Group{}
+		for i := range 50 {
+			fresh[fmt.Sprintf("m-%03d%03d", round, i)] = Record{Addr: "10.1.0.232:9000", Type: "big", Zone: "a"}
+		}
+		list := w.book.Plan(0, fresh, nil, 7000)
+		writes += len(list)
+		require.NoError(t, w.commit(list))
+	}
+	require.LessOrEqual(t, writes, 60)
+}
+
+// What a follower reads is what was recorded, whatever comes and goes.
+func TestRecordsAreWhatIsThere(t *testing.T) {
 	st := fakes.NewState()
 	w := &writer{t, &fakes.View{State: st}, NewBook()}
 	rng := fakes.Rand(7)
 	there := Group{}
-	writes := 0
 	for round := range 60 {
 		fresh, drop := Group{}, []string{}
 		for i := range rng.IntN(50) {
@@ -62,7 +76,6 @@
 			require.NoError(t, err)
 			require.Less(t, len(b), 7000)
 		}
-		writes += len(list)
 		require.NoError(t, w.commit(list))
 		for id, r := range fresh {
 			there[id] = r
@@ -80,7 +93,6 @@
 		read.Each(func(id string, r Record) { got[id] = r })
 		require.Equal(t, there, got)
 	}
-	require.Less(t, writes, 60*16)
 }
 
 // A write that seemed lost and is carried out late must not take machines off
