--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -82,7 +82,10 @@
 			}
 		}
 	}
-	over := d.overloaded(out, now)
+	// Without thrift machines are rented for all that waits, and more can't be
+	// had: of work with deadlines the smallest rests go first, so that most jobs are
+	// in time. With thrift work waits by plan, and deadlines decide.
+	tight := !d.timing.Economy
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
 		lx, ly := d.lateness(x, now), d.lateness(y, now)
@@ -98,10 +101,7 @@
 		if x.covered != y.covered {
 			return x.covered
 		}
-		if hx, hy := d.fresh(x, now), d.fresh(y, now); over[x.Level] && hx != hy {
-			return hx
-		}
-		if u, v := x.remaining(), y.remaining(); over[x.Level] && x.DueS != nil && y.DueS != nil && u != v {
+		if u, v := x.remaining(), y.remaining(); tight && x.DueS != nil && y.DueS != nil && u != v {
 			return u < v
 		}
 		if x.due() != y.due() {
@@ -115,28 +115,6 @@
 	return out
 }
 
-// overloaded tells the ranks of which not all jobs can be in time: what waits
-// is more than the machines, less what higher ranks have of them, can begin in
-// the time that is left, or any where no thrift is in order: there machines are
-// rented for all that waits, and more can't be had. There, what can
-// still start in time goes first and then the smallest rests, so that most
-// jobs are in time. Other placers' teams are taken to wait alike.
-func (d *Desk) overloaded(list []*job, now clock.Micros) (over [4]bool) {
-	var work, slack [4]float64
-	for _, j := range list {
-		if j.DueS != nil && !j.late(now) {
-			work[j.Level] += j.remaining()
-			slack[j.Level] += j.remaining() * max((j.due()-now).Seconds()-j.EstimateS, 0)
-		}
-	}
-	room := float64(d.usable) / 1e6
-	for l := len(over) - 1; l >= 0; l-- {
-		over[l] = !d.timing.Economy && work[l] > 0 || work[l]*work[l]*float64(len(d.known)) > room*slack[l]*float64(len(d.teams))
-		room -= float64(d.taken[l]) / 1e6 // lower ranks have what this one leaves
-	}
-	return over
-}
-
 // finish is when a job's tasks should start so that it is finished within its
 // class's time: of jobs without a deadline, those with long tasks can wait least.
 func (d *Desk) finish(j *job) clock.Micros {
@@ -147,12 +125,6 @@
 	return j.since + within - clock.FromSeconds(j.EstimateS)
 }
 
-// fresh tells that the tasks of a job can still start within their class's time.
-func (d *Desk) fresh(j *job, now clock.Micros) bool {
-	within, ok := d.timing.Waits[j.Class]
-	return ok && now <= j.since+within
-}
-
 // remaining is the work of a job that waits, in CPU seconds.
 func (j *job) remaining() float64 {
 	return float64(j.waiting()) * j.Need.CPUs() * max(j.EstimateS, 1)
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -177,7 +177,6 @@
 	usable   int64                      // CPUs of all of them
 	shelved  int                        // how many they are
 	ranks    [4]int                     // tasks seen on machines, by rank
-	taken    [4]int64                   // and the CPUs they take
 	sizes    map[int64]int              // and by the CPUs they take
 	full     full                       // what found no room in this round
 	counts   Counts
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -137,7 +137,6 @@
 	if t.there = t.Phase != wire.TaskExited; t.there {
 		m.ranks[t.Rank]++
 		d.ranks[t.Rank]++
-		d.taken[t.Rank] += t.Need.CPU
 		d.sizes[t.Need.CPU]++
 	}
 }
@@ -156,7 +155,6 @@
 	if t.there {
 		m.ranks[t.Rank]--
 		d.ranks[t.Rank]--
-		d.taken[t.Rank] -= t.Need.CPU
 		if d.sizes[t.Need.CPU]--; d.sizes[t.Need.CPU] == 0 {
 			delete(d.sizes, t.Need.CPU)
 		}
