--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -44,6 +44,40 @@
 	return ok
 }
 
+// slow is a way to a state service that answers renewals late.
+type slow struct {
+	*fakes.View
+	by time.Duration
+}
+
+func (s slow) Extend(ctx context.Context, hold uint64, timeout time.Duration) error {
+	time.Sleep(min(s.by, timeout))
+	if s.by > timeout {
+		return state.ErrUnknown
+	}
+	return s.View.Extend(ctx, hold, timeout)
+}
+
+// The state service answers two seconds late for a minute: duties are kept.
+func TestASlowStateServiceCostsNoDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		v := slow{&fakes.View{State: fakes.NewState()}, 2 * time.Second}
+		k := NewKeeper(NewBook("a", []string{"a", "b", "c"}, duties), v, clock.NewSteady(), timing, quiet)
+		go k.Run(ctx)                                                        //nolint:errcheck // ends with the context
+		go state.NewReplica(v, k.Apply, quiet).Run(ctx, make(chan struct{})) //nolint:errcheck // ends with the context
+		time.Sleep(5 * time.Second)
+		for range 60 {
+			_, ok := k.Mine(duties[0])
+			require.True(t, ok)
+			time.Sleep(time.Second)
+		}
+		cancel()
+		time.Sleep(4 * time.Second) // the last renewal comes back
+	})
+}
+
 // Each takes the duty it is preferred for; each duty has one holder.
 func TestDutiesAreSpread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -217,6 +217,10 @@
 	return sent + k.timing.TTL.LessDrift() - 300*clock.Millisecond
 }
 
+// extendTimeout bounds a renewal. A service that answers slowly still renews the
+// hold: giving up sooner would lose every duty to it, and all in vain.
+const extendTimeout = 3 * time.Second
+
 func (k *Keeper) step(ctx context.Context) {
 	inc, hold := k.current()
 	now := k.clock.Now()
@@ -241,7 +245,7 @@
 		return
 	}
 	if due {
-		err := k.store.Extend(ctx, hold, time.Second)
+		err := k.store.Extend(ctx, hold, extendTimeout)
 		switch {
 		case err == nil:
 			k.mu.Lock()
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -84,7 +84,9 @@
 	}
 }
 
-const callTimeout = 2 * time.Second
+// callTimeout bounds a call. The service may answer slowly for a while: a call
+// that is given up too soon has been carried out all the same.
+const callTimeout = 3 * time.Second
 
 func (c *Client) call(ctx context.Context, method, target string, body any, timeout time.Duration) (*httpx.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
