Read again: a dead check mended, what was written twice made one

- The fleet's plan asked a view for its tasks, which a placer's mirror no longer carries: machines set aside with tasks on them were asked for in vain, each step.
What is returned stays the same, since an owner never lets a machine with tasks go.
- A view sorts the tasks that it tells of, not all that the machine has: it is made for every change and asker.
- One piece each, where there were two or three: the writes of machines' records as a transaction, what a record costs, how long a fetch takes, when a job may end at best, a machine found lost on the list, an answer handed on by a peer.
Bound was Summary's.
No behaviour changes; the tests keep their assertions.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -236,7 +236,7 @@
 	if f.log.Enabled(context.Background(), slog.LevelDebug) {
 		for _, v := range in.Views {
 			f.log.Debug("machine", "id", v.ID, "type", v.Type, "spot", v.Spot, "usable", v.Usable, "silent", v.Silent, "sick", v.Sick,
-				"noticed", v.Noticed, "free_cpus", v.Free.CPUs(), "free_gb", float64(v.Free.Mem)/1e6, "tasks", len(v.Tasks), "idle_s", v.Idle.Seconds())
+				"noticed", v.Noticed, "free_cpus", v.Free.CPUs(), "free_gb", float64(v.Free.Mem)/1e6, "tasks", v.Count, "idle_s", v.Idle.Seconds())
 		}
 	}
 	for _, r := range in.Rented {
@@ -305,25 +305,26 @@
 		}
 	}
 	var gone []string
+	lost := func(id string) {
+		gone = append(gone, id)
+		f.gone[id] = began // an older list may still show it
+		f.strike(id)
+	}
 	// The same holds of a machine that was recorded, and so was there, before
 	// the moment that the list describes, by the time of day. A new holder, to
 	// whom every machine is new, tells by that which ones the owners need not wait for.
 	for _, id := range f.others.RecordedBefore(wall.UnixMilli() - (2*f.lag + 2*f.skew + 2*clock.Second).Duration().Milliseconds()) {
 		if f.listedAt[id] < began && f.gone[id] == 0 {
-			gone = append(gone, id)
-			f.gone[id] = began
-			f.strike(id)
+			lost(id)
 		}
 	}
 	for id := range f.rented {
 		absent := f.listedAt[id] < began
 		if first := f.known[id]; absent && first != 0 && began > (first+2*f.lag).PlusDrift()+clock.Second {
-			gone = append(gone, id)
-			f.gone[id] = began // an older list may still show it
-		} else if began <= f.listedAt[id]+3*f.lag+2*clock.Second {
-			continue
+			lost(id)
+		} else if began > f.listedAt[id]+3*f.lag+2*clock.Second {
+			f.strike(id)
 		}
-		f.strike(id)
 	}
 	if len(gone) > 0 {
 		slices.Sort(gone)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -262,11 +262,11 @@
 			if listed {
 				out = append(out, Return{v.ID, "silent for its whole lease"})
 			}
-		case v.Sick && len(v.Tasks) == 0:
+		case v.Sick && v.Count == 0:
 			out = append(out, Return{v.ID, "several jobs failed on it, or it is slow"})
-		case v.Draining && len(v.Tasks) == 0:
+		case v.Draining && v.Count == 0:
 			out = append(out, Return{v.ID, "set aside for return"})
-		case v.Accounted && len(v.Tasks) == 0 && v.Idle > in.Knobs.IdleReturn && !(demand && v.Usable):
+		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !(demand && v.Usable):
 			out = append(out, Return{v.ID, "idle"})
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,7 +37,7 @@
 	// Away tells that this controller has no contact with the state service now.
 	Away() bool
 	// Submit hands a submission to a controller that has; ok is false when none is known.
-	Submit(body []byte) (a peer.SubmitAnswer, ok bool)
+	Submit(body []byte) (r httpx.Response, ok bool)
 }
 
 // Front answers users.
@@ -146,16 +146,15 @@
 func (f *Front) submit(ctx context.Context, body []byte) (r httpx.Response) {
 	began := f.wall()
 	defer func() { f.log.Debug("answered a submission", "status", r.Status, "after", f.wall().Sub(began)) }()
-	away := f.others.Away()
-	if away {
-		if a, ok := f.others.Submit(body); ok && a.Status != 503 {
-			return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}
+	if f.others.Away() {
+		if o, ok := f.others.Submit(body); ok && o.Status != 503 {
+			return o
 		}
+		return f.Accept(ctx, body)
 	}
-	r = f.Accept(ctx, body)
-	if r.Status == 503 && !away {
-		if a, ok := f.others.Submit(body); ok {
-			return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}
+	if r = f.Accept(ctx, body); r.Status == 503 {
+		if o, ok := f.others.Submit(body); ok {
+			return o
 		}
 	}
 	return r
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -12,6 +12,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 // Record is what is kept of one machine.
@@ -25,6 +26,9 @@
 	AtMS int64 `json:"w,omitempty"`
 }
 
+// cost is at most how many bytes a machine's record takes of its group's value.
+func (r Record) cost(id string) int { return len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 66 }
+
 // Group is the value of one key.
 type Group map[string]Record
 
@@ -112,6 +116,16 @@
 	Group Group
 }
 
+// Into adds the write and its condition to a transaction. A key without machines is dropped.
+func (w Write) Into(m *wire.Multi) {
+	op := wire.Op{Put: w.Key, Value: w.Group}
+	if len(w.Group) == 0 {
+		op = wire.Op{Drop: w.Key}
+	}
+	m.When = append(m.When, wire.Cond{Key: w.Key, Stamp: w.Stamp})
+	m.Then = append(m.Then, op)
+}
+
 // perGroup bounds how many machines share a key, and what a change of one costs.
 const perGroup = 32
 
@@ -139,13 +153,13 @@
 			edit(key)[id] = r
 			continue
 		}
-		cost := len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 66
+		cost := r.cost(id)
 		for into == nil || len(into) >= perGroup || size+cost > most {
 			key := fmt.Sprintf("%s%03d/%d", state.Machines, part, n)
 			n++
 			into, size = edit(key), 0
 			for id, r := range into {
-				size += len(id) + len(r.Addr) + len(r.Type) + len(r.Zone) + 66
+				size += r.cost(id)
 			}
 			if len(into) == 0 {
 				break
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -318,7 +318,7 @@
 const submitTimeout = 800 * time.Millisecond
 
 // Submit hands a submission to a peer that has said lately that it reaches the state service.
-func (n *Node) Submit(body []byte) (a peer.SubmitAnswer, ok bool) {
+func (n *Node) Submit(body []byte) (r httpx.Response, ok bool) {
 	host := ""
 	n.mu.Lock()
 	for h, at := range n.contact {
@@ -328,13 +328,14 @@
 	}
 	n.mu.Unlock()
 	if host == "" {
-		return a, false
+		return r, false
 	}
+	var a peer.SubmitAnswer
 	if err := n.peers[host].Call("Submit", peer.SubmitQuery{Body: body}, &a, submitTimeout); err != nil {
 		n.log.Debug("handing a submission on", "peer", host, "err", err)
-		return a, false
+		return r, false
 	}
-	return a, a.Status != 0
+	return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}, a.Status != 0
 }
 
 // askTimeout bounds a question to a peer on a user's behalf.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -346,12 +346,7 @@
 func (o *Owner) write(ctx context.Context, part int, h claim.Held, list []machines.Write) error {
 	m := wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty(part), Stamp: h.Stamp}}}
 	for _, w := range list {
-		m.When = append(m.When, wire.Cond{Key: w.Key, Stamp: w.Stamp})
-		if len(w.Group) > 0 {
-			m.Then = append(m.Then, wire.Op{Put: w.Key, Value: w.Group})
-		} else {
-			m.Then = append(m.Then, wire.Op{Drop: w.Key})
-		}
+		w.Into(&m)
 	}
 	rev, err := o.store.Commit(ctx, m)
 	if err != nil {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -398,11 +398,13 @@
 	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.quiet && !m.doubt && !m.sick && now >= m.shunUntil
 }
 
-// inOrder lists a machine's tasks by age.
-func (m *machine) inOrder() []*task {
+// inOrder lists by age those of a machine's tasks that changed after a version.
+func (m *machine) inOrder(after uint64) []*task {
 	out := make([]*task, 0, len(m.tasks))
 	for _, k := range m.tasks {
-		out = append(out, k)
+		if k.version > after {
+			out = append(out, k)
+		}
 	}
 	slices.SortFunc(out, func(a, b *task) int {
 		return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.id.Attempt, b.id.Attempt),
@@ -439,7 +441,7 @@
 // earlier answer can arrive after the forget and start the attempt once more.
 func (t *Table) orders(m *machine, inReport bool, now clock.Micros) []wire.Order {
 	out := []wire.Order{}
-	ids := m.inOrder()
+	ids := m.inOrder(0)
 	for _, k := range ids {
 		if len(out) >= maxOrders {
 			return out
@@ -904,11 +906,13 @@
 	if v.Whole || m.imagesAt > after {
 		v.Images = m.images
 	}
-	for _, k := range m.inOrder() {
-		if v.Whole || k.version > after {
-			v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
-				Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since})
-		}
+	shown := after
+	if v.Whole {
+		shown = 0
+	}
+	for _, k := range m.inOrder(shown) {
+		v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
+			Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since})
 	}
 	for _, d := range m.left {
 		if !v.Whole && d.version > after {
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -132,9 +132,12 @@
 
 // late tells that a job can't meet its deadline any more.
 func (j *job) late(now clock.Micros) bool {
-	return j.DueS != nil && now+clock.FromSeconds(j.EstimateS*0.7) > j.due()
+	return j.DueS != nil && j.ends(now) > j.due()
 }
 
+// ends is when a job's last task may be over at best.
+func (j *job) ends(now clock.Micros) clock.Micros { return now + clock.FromSeconds(j.EstimateS*0.7) }
+
 // How late a job is.
 const (
 	inTime   = iota
@@ -146,7 +149,7 @@
 	if !j.late(now) {
 		return inTime
 	}
-	if now+clock.FromSeconds(j.EstimateS*0.7) <= j.since+clock.FromSeconds(*j.DueS*d.timing.Times[j.Class]) {
+	if j.ends(now) <= j.since+clock.FromSeconds(*j.DueS*d.timing.Times[j.Class]) {
 		return overdue
 	}
 	return hopeless
@@ -225,8 +228,8 @@
 			zone: m.Zone, term: m.Term, asked: true, instance: m.instance, since: now}
 		d.bind(b, m)
 		m.free = m.free.Minus(j.Need)
-		if rate := d.fetch[m.Type]; rate > 0 && !slices.Contains(m.Images, j.Image) {
-			m.fetchUntil, m.fetchImage = now+clock.FromSeconds(j.ImageGB/rate), j.Image
+		if fetch, ok := d.fetchTime(j, m); ok && !slices.Contains(m.Images, j.Image) {
+			m.fetchUntil, m.fetchImage = now+fetch, j.Image
 		}
 		for _, v := range victims {
 			// Room that is being made is spoken for: the mirror shows it as taken.
@@ -342,25 +345,22 @@
 		}
 		return nil, nil, false
 	}
+	prefer := func(some []*mirror) {
+		if len(some) > 0 {
+			list = some
+		}
+	}
 	if !d.timing.Economy && d.fragile(j) {
 		// Without thrift the machines that are not taken are its own, also in pieces.
-		if o := ordinary(list); len(o) > 0 {
-			list = o
-		}
+		prefer(ordinary(list))
 	}
 	if _, hasty := d.timing.Waits[j.Class]; bare && hasty {
 		// To start soon counts for more than to leave large pieces whole.
-		if c := calm(j, list, now); len(c) > 0 {
-			list = c
-		}
-	}
-	if h := d.harmless(j, list); len(h) > 0 {
-		list = h
+		prefer(calm(j, list, now))
 	}
+	prefer(d.harmless(j, list))
 	if bare {
-		if c := calm(j, list, now); len(c) > 0 {
-			list = c
-		}
+		prefer(calm(j, list, now))
 	}
 	if !d.small(j) {
 		list = d.draw(list, d.timing.Sample)
@@ -381,11 +381,10 @@
 // others for a moment: its image is on some machines, and room may come up there
 // sooner than it is fetched. What is fetched for nothing is paid for.
 func (d *Desk) patient(j *job, list []*mirror, now clock.Micros) bool {
-	rate := d.fetch[list[0].Type]
-	if !d.timing.Economy || !d.imaged[j.Image].any() || rate <= 0 || len(list)*8 >= d.shelved {
+	fetch, ok := d.fetchTime(j, list[0])
+	if !d.timing.Economy || !d.imaged[j.Image].any() || !ok || len(list)*8 >= d.shelved {
 		return false
 	}
-	fetch := clock.FromSeconds(j.ImageGB / rate)
 	if within, ok := d.timing.Waits[j.Class]; ok && now+fetch > j.since+within-fetch/2 {
 		return false // a moment lost is a start too late
 	}
@@ -460,10 +459,9 @@
 // fragile tells that the time for a job leaves none to notice that a machine
 // was taken and run its tasks once more.
 func (d *Desk) fragile(j *job) bool {
-	if within, ok := d.timing.Finishes[j.Class]; ok && within < clock.FromSeconds(2*j.EstimateS)+d.timing.Lease {
-		return true
-	}
-	return j.DueS != nil && clock.FromSeconds(*j.DueS) < clock.FromSeconds(2*j.EstimateS)+d.timing.Lease
+	twice := clock.FromSeconds(2*j.EstimateS) + d.timing.Lease
+	within, ok := d.timing.Finishes[j.Class]
+	return ok && within < twice || j.DueS != nil && clock.FromSeconds(*j.DueS) < twice
 }
 
 // turn is a machine's place in the order in which a team's small tasks gather.
@@ -479,11 +477,18 @@
 // and not on one that must fetch it.
 func (d *Desk) hurried(j *job, m *mirror, now clock.Micros) bool {
 	within, ok := d.timing.Waits[j.Class]
+	fetch, known := d.fetchTime(j, m)
+	return ok && known && now <= j.since+within && now+fetch > j.since+within
+}
+
+// fetchTime is how long a machine's type takes to fetch a job's image; ok is
+// false while that is not known.
+func (d *Desk) fetchTime(j *job, m *mirror) (fetch clock.Micros, ok bool) {
 	rate := d.fetch[m.Type]
-	if !ok || rate <= 0 || now > j.since+within {
-		return false
+	if rate <= 0 {
+		return 0, false
 	}
-	return now+clock.FromSeconds(j.ImageGB/rate) > j.since+within
+	return clock.FromSeconds(j.ImageGB / rate), true
 }
 
 func (d *Desk) draw(from []*mirror, n int) []*mirror {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -313,7 +313,8 @@
 				poke(c)
 			}
 		}
-		gap := roundGap(p.desk.Bound(), (p.clock.Now() - began).Duration())
+		_, _, bound := p.desk.Summary()
+		gap := roundGap(bound, (p.clock.Now() - began).Duration())
 		p.mu.Unlock()
 		pause(ctx, gap)
 	}
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -68,16 +68,6 @@
 	return !rest.Empty() || now >= o.settling+settleGap
 }
 
-// Bound is how many tasks are on machines, or may be.
-func (d *Desk) Bound() (n int) {
-	for _, tm := range d.teams {
-		for _, j := range tm.jobs {
-			n += len(j.bound)
-		}
-	}
-	return n
-}
-
 // Answered takes the answer to a round.
 func (d *Desk) Answered(host string, r *peer.Round, ans *peer.RoundAnswer, now clock.Micros) {
 	o := d.owners[host]
