Sockets are split by the settings' limit: idle connections make room, order lines are bounded

Ruled out: users' connections (39 to 60), peers, state service (8), cloud (4). Now inbound and order lines share what the services leave, 6 to 1; the one idle for longest makes room. Stories: TestServerMakesRoomForNewcomers (without the guard the newcomer gets 503), TestAFleetOfLinesStaysWithinItsSockets.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,13 @@
 // Lease is the workers' lease.
 func (s *Settings) Lease() clock.Micros { return clock.FromSeconds(s.Params.Workers.LeaseS) }
 
+// Sockets splits the limit: so many connections of users and workers, so many to
+// workers' own addresses; the rest is for the peers, the services and listening.
+func (s *Settings) Sockets() (inbound, orders int) {
+	rest := s.Params.Limits.Sockets - 24 - 6*s.Params.Count
+	return max(8, rest*6/7), max(2, rest/7)
+}
+
 // Load reads a settings file.
 func Load(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -1,6 +1,7 @@
 package httpx
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -27,15 +28,17 @@
 	ctx   context.Context
 	open  atomic.Int64
 	held  atomic.Int64 // bytes of requests that are not complete yet
+	used  *list.List   // connections, the latest used last; the event loop's own
 	eng   gnet.Engine
 	ready chan struct{}
 	wg    sync.WaitGroup
 }
 
 // NewServer makes a server that holds at most max connections and budget bytes
-// of requests that are not complete, and closes connections that are idle.
+// of requests that are not complete, and closes connections that are idle: after
+// a while, or when others come and there is no room for more.
 func NewServer(handler Handler, max int, budget int64, idle time.Duration, log *slog.Logger) *Server {
-	return &Server{handler: handler, max: int64(max), budget: budget, idle: idle, log: log, ready: make(chan struct{})}
+	return &Server{handler: handler, max: int64(max), budget: budget, idle: idle, log: log, ready: make(chan struct{}), used: list.New()}
 }
 
 // conn is the inbox between the event loop and the connection's goroutine.
@@ -45,6 +48,8 @@
 	buf  []byte
 	wake chan struct{}
 	gone bool
+	busy bool          // a request of it is being answered
+	at   *list.Element // its place among those that the event loop knows
 }
 
 // Run serves on addr until ctx ends.
@@ -76,13 +81,16 @@
 	return gnet.None
 }
 
-// OnOpen starts the connection's goroutine, unless there are too many.
+// OnOpen starts the connection's goroutine. When there are too many, the one that
+// was idle for longest makes room: a controller that is left alone with a fleet
+// holds the connections of workers that have given up on it, too.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if s.open.Add(1) > s.max {
+	if s.open.Add(1) > s.max && !s.closeIdle() {
 		return AppendResponse(nil, Response{Status: 503, RetryAfter: 1, Close: true,
 			Body: []byte(`{"error":"too many connections"}`)}), gnet.Close
 	}
 	k := &conn{c: c, wake: make(chan struct{}, 1)}
+	k.at = s.used.PushBack(k)
 	c.SetContext(k)
 	s.wg.Add(1)
 	go func() {
@@ -92,10 +100,35 @@
 	return nil, gnet.None
 }
 
+// closeIdle closes the connection that was used longest ago and has no request
+// under way; false when there is none.
+func (s *Server) closeIdle() bool {
+	for e := s.used.Front(); e != nil; e = e.Next() {
+		k := e.Value.(*conn)
+		k.mu.Lock()
+		idle := !k.busy && len(k.buf) == 0
+		k.mu.Unlock()
+		if !idle {
+			continue
+		}
+		s.used.Remove(e)
+		k.at = nil
+		if err := k.c.Close(); err != nil {
+			s.log.Debug("closing an idle connection", "err", err)
+		}
+		return true
+	}
+	return false
+}
+
 // OnClose tells the goroutine that its peer is gone.
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	s.open.Add(-1)
 	if k, ok := c.Context().(*conn); ok {
+		if k.at != nil {
+			s.used.Remove(k.at)
+			k.at = nil
+		}
 		k.mu.Lock()
 		k.gone = true
 		s.held.Add(-int64(len(k.buf)))
@@ -117,6 +150,9 @@
 	if err != nil {
 		return gnet.Close
 	}
+	if k.at != nil {
+		s.used.MoveToBack(k.at)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.buf = append(k.buf, b...)
@@ -153,6 +189,7 @@
 			k.mu.Unlock()
 			return nil, nil
 		}
+		k.busy = false
 		var r *Request
 		var used int
 		var err error
@@ -160,6 +197,7 @@
 			r, used, err = ParseRequest(k.buf, bodyLimit)
 		}
 		if r != nil {
+			k.busy = true
 			s.held.Add(-int64(used))
 			k.buf = append(k.buf[:0], k.buf[used:]...)
 			if len(k.buf) == 0 && cap(k.buf) > 16<<10 {
--- a/internal/httpx/server_test.go
+++ b/internal/httpx/server_test.go
@@ -100,3 +100,28 @@
 	}
 	<-one // one of the two was cut off
 }
+
+// With all its connections in use a server closes the one that was idle for
+// longest, not the newcomer's.
+func TestServerMakesRoomForNewcomers(t *testing.T) {
+	addr := serve(t, 1<<20)
+	ask := func(c net.Conn) string {
+		_, err := c.Write([]byte("GET /x HTTP/1.1\r\n\r\n"))
+		require.NoError(t, err)
+		b := make([]byte, 4096)
+		n, _ := c.Read(b)
+		return string(b[:n])
+	}
+	var conns []net.Conn
+	for range 8 {
+		c := dial(t, addr)
+		require.Contains(t, ask(c), "200 OK")
+		conns = append(conns, c)
+	}
+	require.Contains(t, ask(conns[0]), "200 OK") // now the second is the one idle for longest
+	require.Contains(t, ask(dial(t, addr)), "200 OK")
+	_, err := conns[1].Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Contains(t, ask(conns[0]), "200 OK")
+	require.Contains(t, ask(conns[7]), "200 OK")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,8 @@
 	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), urgent, c,
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
 	wall := time.Now
-	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost,
+	_, lines := set.Sockets()
+	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost, lines,
 		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
 	desk := placer.NewDesk(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
 		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"), Times: times(p.Objectives),
@@ -158,7 +159,8 @@
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	limits := n.set.Params.Limits
-	srv := httpx.NewServer(n.handle, max(16, limits.Sockets*2/3), int64(limits.MemoryMB*(1<<20)/8), 90*time.Second, n.log)
+	inbound, _ := n.set.Sockets()
+	srv := httpx.NewServer(n.handle, inbound, int64(limits.MemoryMB*(1<<20)/8), 90*time.Second, n.log)
 	g.Go(func() error { return srv.Run(ctx, n.set.Listen) })
 	g.Go(func() error { return peer.Serve(ctx, n.set.PeerListen, &service{n}) })
 	g.Go(func() error { return n.fleet.Run(ctx) })
--- /dev/null
+++ b/internal/owner/lines_test.go
@@ -0,0 +1,45 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+)
+
+// A controller that is left alone with 1,800 machines orders all of them about
+// and never has more lines to them than its sockets allow; couriers that find
+// none wait for those that are out.
+func TestAFleetOfLinesStaysWithinItsSockets(t *testing.T) {
+	l := newLines(40)
+	out := map[string]*httpx.Client{}
+	sent, waits := 0, 0
+	for i := 0; sent < 1800; i++ {
+		id := fmt.Sprintf("m-%d", i%1800)
+		if out[id] != nil {
+			continue
+		}
+		if !l.room(id) {
+			waits++
+			for id, c := range out { // one comes back, and is told that others wait
+				require.True(t, l.put(id, c))
+				delete(out, id)
+				break
+			}
+			continue
+		}
+		out[id] = l.take(id, "10.0.0.1:1")
+		sent++
+		require.LessOrEqual(t, len(l.of), 40)
+	}
+	require.Positive(t, waits)
+	for id, c := range out {
+		l.put(id, c)
+	}
+	require.Equal(t, 40, l.idle.Len())
+	l.keep(func(string) bool { return false })
+	require.Empty(t, l.of)
+	require.Zero(t, l.idle.Len())
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -59,15 +59,15 @@
 	mu      sync.Mutex
 	table   *Table
 	records *machines.Book
-	clients map[string]*httpx.Client
+	lines   *lines
 	changed chan struct{}
 	wake    chan struct{}
 }
 
 // New makes an owner.
-func New(ctx context.Context, host, instance string, parts, txnOps, valueMost int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
+func New(ctx context.Context, host, instance string, parts, txnOps, valueMost, mostLines int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
 	return &Owner{ctx: ctx, wall: wall, host: host, instance: instance, parts: parts, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
-		table: NewTable(t, jobs), records: machines.NewBook(), clients: map[string]*httpx.Client{},
+		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
@@ -84,6 +84,11 @@
 func (o *Owner) notify() {
 	close(o.changed)
 	o.changed = make(chan struct{})
+	o.poke()
+}
+
+// poke has the couriers looked after.
+func (o *Owner) poke() {
 	select {
 	case o.wake <- struct{}{}:
 	default:
@@ -284,12 +289,7 @@
 			o.mu.Lock()
 			before := o.table.Version()
 			drop := o.table.Tick(o.clock.Now())
-			for id, c := range o.clients {
-				if _, here := o.table.PartOf(id); !here {
-					c.Close()
-					delete(o.clients, id)
-				}
-			}
+			o.lines.keep(func(id string) bool { _, here := o.table.PartOf(id); return here })
 			if o.table.Version() != before {
 				o.notify()
 			}
@@ -372,16 +372,14 @@
 		if h, mine := o.claims.Mine(Duty(part)); !mine || h.Term != term {
 			continue
 		}
+		if !o.lines.room(id) {
+			return // they are looked at again when a courier is back
+		}
 		addr, orders := o.table.TakeOrders(id, now)
 		if orders == nil {
 			continue
 		}
-		c := o.clients[id]
-		if c == nil || c.Addr() != addr {
-			c = httpx.NewClient(addr, 1, 256<<10)
-			o.clients[id] = c
-		}
-		go o.courier(ctx, id, c, orders)
+		go o.courier(ctx, id, o.lines.take(id, addr), orders)
 	}
 }
 
@@ -394,6 +392,9 @@
 	r, err := o.post(ctx, c, orders)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.lines.put(id, c) {
+		o.poke()
+	}
 	now := o.clock.Now()
 	if err != nil {
 		o.log.Debug("orders had no answer", "machine", id, "err", err)
