Very small limits, long answers and records of an earlier release are served

Now: smaller records of progress that name their size, ends in place where a transaction takes one change, pages instead of what can't be held, batches by bytes, old machine records read until their machine is gone (while one is there, any task of a job found may have been asked for). What is done without is logged.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -87,6 +87,27 @@
 	return max(8, rest*6/7), max(2, rest/7)
 }
 
+// Without tells what the service does without under limits that are very small:
+// it starts and serves all the same.
+func (s *Settings) Without() (out []string) {
+	p := &s.Params
+	say := func(small bool, format string, args ...any) {
+		if small {
+			out = append(out, fmt.Sprintf(format, args...))
+		}
+	}
+	n := float64(max(p.Count, 1))
+	in, lines := s.Sockets()
+	say(p.State.TxnOps < 2, "params.state.txn_ops is %d: ends of jobs stay in their own records, which are read at every start", p.State.TxnOps)
+	say(p.State.ValueKB < 2, "params.state.value_kb is %g: jobs whose record takes more are refused, progress is written in many small records", p.State.ValueKB)
+	say(p.State.RPS/n < 3 || p.State.WriteRPS/n < 1, "params.state.rps and write_rps leave %.2g requests and %.2g changes a second to each controller: take-overs and submissions are slow",
+		p.State.RPS/n, p.State.WriteRPS/n)
+	say(in+lines+24+6*p.Count > p.Limits.Sockets, "params.machine_limits.fd_limit is %d: fewer than the peers, the services and %d other connections take", p.Limits.Sockets, in+lines)
+	say(p.Limits.MemoryMB < 48, "params.machine_limits.memory_mb is %g: the collector runs often, long requests are cut off", p.Limits.MemoryMB)
+	say(p.Limits.CoreShare > 0 && p.Limits.CoreShare < 0.02, "params.machine_limits.core_share is %g: rounds of decisions are far apart", p.Limits.CoreShare)
+	return out
+}
+
 // Load reads a settings file.
 func Load(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
@@ -150,12 +171,6 @@
 			return fmt.Errorf("field %s must be more than 0", field)
 		}
 	}
-	if p.State.ValueKB < 6 {
-		return errors.New("field params.state.value_kb must be at least 6: a record of progress takes that")
-	}
-	if p.State.TxnOps < 4 {
-		return errors.New("field params.state.txn_ops must be at least 4")
-	}
 	seen := map[string]bool{}
 	for i, t := range p.Teams {
 		if t.Name == "" || seen[t.Name] {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,9 +30,9 @@
 	rps   float64
 }
 
-// NewCloud makes a client for the cloud.
-func NewCloud(addr string, rps float64) *Cloud {
-	return &Cloud{rps: rps, http: httpx.NewClient(addr, 4, 4<<20), limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
+// NewCloud makes a client for the cloud; answers over limit bytes are refused.
+func NewCloud(addr string, rps float64, limit int) *Cloud {
+	return &Cloud{rps: rps, http: httpx.NewClient(addr, 4, limit), limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
 }
 
 // errNoCapacity is the cloud's refusal to rent.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -249,6 +249,10 @@
 		if err := json.Unmarshal(it.Value, &rec); err != nil {
 			return nil, nil, err
 		}
+		if end, over := rec.End(); over {
+			f.book.Keep(id, end)
+			return &end, nil, nil
+		}
 		return nil, &rec, nil
 	}
 	it, found, err = f.store.Get(ctx, state.Final+id)
--- a/internal/httpx/client.go
+++ b/internal/httpx/client.go
@@ -99,12 +99,21 @@
 		return nil, err
 	}
 	k.buf = k.buf[:0]
+	whole := 0 // bytes of the response, once its head tells
 	for {
 		if len(k.buf) == cap(k.buf) {
-			k.buf = append(k.buf, make([]byte, max(4096, len(k.buf)))...)[:len(k.buf)]
+			k.buf = append(k.buf, make([]byte, max(4096, len(k.buf), min(whole, limit)-len(k.buf)))...)[:len(k.buf)]
 		}
 		n, err := k.c.Read(k.buf[len(k.buf):cap(k.buf)])
 		k.buf = k.buf[:len(k.buf)+n]
+		if len(k.buf) < whole && err == nil {
+			continue // a long list comes in many pieces: it is looked at once
+		}
+		if whole == 0 {
+			if whole = responseSize(k.buf); len(k.buf) < whole && whole <= limit && err == nil {
+				continue
+			}
+		}
 		r, _, perr := ParseResponse(k.buf, limit)
 		if perr != nil {
 			return nil, perr
--- a/internal/httpx/parse.go
+++ b/internal/httpx/parse.go
@@ -201,6 +201,16 @@
 		Close: h.close || proto == "HTTP/1.0"}, used, nil
 }
 
+// responseSize is how many bytes the response takes that begins with b, as far
+// as its head tells; 0 when it does not.
+func responseSize(b []byte) int {
+	h, err := parseHead(b)
+	if err != nil || h.length < 0 || h.chunked {
+		return 0
+	}
+	return h.size + h.length
+}
+
 // ParseResponse reads one response from b; (nil, 0, nil) while it is not complete.
 func ParseResponse(b []byte, limit int) (*Response, int, error) {
 	h, err := parseHead(b)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -20,6 +20,14 @@
 	// Marked jobs may be begun without a mark of their own: each of their tasks
 	// counts as asked for from the acceptance on.
 	Marked bool `json:"marked,omitempty"`
+	// Over is the phase that the job ended in. Only where a transaction takes a
+	// single change does the end stand here: elsewhere the record is replaced by a Final.
+	Over string `json:"over,omitempty"`
+}
+
+// End is the final state of a job whose record tells that it is over.
+func (r *Record) End() (f Final, over bool) {
+	return Final{Phase: r.Over, Team: r.Team, Tasks: r.Tasks}, r.Over != ""
 }
 
 // Job is an accepted job that is not final.
@@ -83,9 +91,15 @@
 			return
 		}
 		var spec Record
-		if json.Unmarshal(e.Value, &spec) == nil {
-			b.active[id] = New(spec, e.Stamp)
+		if json.Unmarshal(e.Value, &spec) != nil {
+			return
+		}
+		if f, over := spec.End(); over {
+			delete(b.active, id)
+			b.keep(id, f)
+			return
 		}
+		b.active[id] = New(spec, e.Stamp)
 	} else if id, ok := strings.CutPrefix(e.Key, state.Final); ok && e.Value != nil {
 		var f Final
 		if json.Unmarshal(e.Value, &f) == nil && f.Phase != "" {
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -63,11 +63,40 @@
 	}
 	g := Group{}
 	if e.Value != nil && json.Unmarshal(e.Value, &g) != nil {
-		return nil, nil // not understood: what was known stays
+		var r earlier
+		if !elder(e.Key) || json.Unmarshal(e.Value, &r) != nil || r.Type == "" {
+			return nil, nil // not understood: what was known stays
+		}
+		g = Group{strings.TrimPrefix(e.Key, state.Machines): {Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}}
 	}
 	return b.Set(e.Key, g, e.Stamp)
 }
 
+// earlier is the record of the release before machines shared keys: one to a
+// key, under the machine's own name. It stays there until its machine is gone.
+type earlier struct {
+	Addr string `json:"addr"`
+	Type string `json:"type"`
+	Zone string `json:"zone"`
+	Spot bool   `json:"spot"`
+}
+
+// elder tells a key of that release from one of a partition's groups.
+func elder(key string) bool {
+	return !strings.Contains(strings.TrimPrefix(key, state.Machines), "/")
+}
+
+// Elder tells that there are machines which an earlier release has recorded:
+// tasks may be on them of which its placers left no mark.
+func (b *Book) Elder() bool {
+	for key, g := range b.groups {
+		if elder(key) && len(g.machines) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Set notes what a key holds since a revision.
 func (b *Book) Set(key string, g Group, stamp uint64) (came Group, went []string) {
 	old := b.groups[key].machines
@@ -126,6 +155,14 @@
 	m.Then = append(m.Then, op)
 }
 
+// Size is about how many bytes the write takes of a transaction.
+func (w Write) Size() (n int) {
+	for id, r := range w.Group {
+		n += r.cost(id)
+	}
+	return n
+}
+
 // perGroup bounds how many machines share a key, and what a change of one costs.
 const perGroup = 32
 
--- a/internal/machines/machines_test.go
+++ b/internal/machines/machines_test.go
@@ -114,3 +114,26 @@
 	require.Empty(t, came)
 	require.Equal(t, []string{"m-1", "m-2"}, went)
 }
+
+// Records of the release before machines shared keys are read as they are, until
+// their machines are gone.
+func TestRecordsOfAnEarlierRelease(t *testing.T) {
+	w := &writer{t, &fakes.View{State: fakes.NewState()}, NewBook()}
+	old := map[string]any{"addr": "10.1.0.1:9000", "type": "big", "zone": "a", "spot": true}
+	rev, err := w.view.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Machines + "m-000007", Value: old}}})
+	require.NoError(t, err)
+	raw, err := json.Marshal(old)
+	require.NoError(t, err)
+	came, _ := w.book.Apply(state.Event{Key: state.Machines + "m-000007", Value: raw, Stamp: rev})
+	require.Equal(t, Group{"m-000007": {Addr: "10.1.0.1:9000", Type: "big", Zone: "a", Spot: true}}, came)
+	require.True(t, w.book.Elder())
+	require.NoError(t, w.commit(w.book.Plan(3, Group{"m-000008": {Addr: "x", Type: "big", Zone: "a"}}, nil, 7000)))
+	require.True(t, w.book.Elder())
+	require.NoError(t, w.commit(w.book.Plan(3, nil, []string{"m-000007"}, 7000)))
+	require.False(t, w.book.Elder())
+	_, there := w.book.Find("m-000007")
+	require.False(t, there)
+	_, found, err := w.view.Get(t.Context(), state.Machines+"m-000007")
+	require.NoError(t, err)
+	require.False(t, found)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,10 +76,13 @@
 	for _, o := range set.Peers {
 		peers[o.Host] = peer.NewClient(o.Addr)
 	}
-	client := state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count)
+	client := state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count, answerMost(p.Limits.MemoryMB))
 	return assemble(ctx, set, knobs, client, state.Urgent{Client: client}, peers, log)
 }
 
+// answerMost is the longest answer of a service that is taken, by the memory there is.
+func answerMost(memoryMB float64) int { return int(min(max(memoryMB/16, 1), 32) * (1 << 20)) }
+
 // assemble wires a controller to a state service and to peers. What users or
 // other controllers wait for, accepted jobs and claims, goes the urgent way.
 func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, peers map[string]Peer, log *slog.Logger) *Node {
@@ -124,7 +127,7 @@
 	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
 		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, urgent, n.book, c, log)
 	n.front = front.New(urgent, n, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
-	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS), n.keeper, n.store, n, c,
+	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS, answerMost(p.Limits.MemoryMB)), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
 			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
 		knobs.HireBackoff, clock.FromSeconds(p.Cloud.ListLagS), clock.FromSeconds(p.SkewMS/1000), wall, n.keptCatalog, log)
@@ -159,6 +162,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	limits := n.set.Params.Limits
+	for _, w := range n.set.Without() {
+		n.log.Error("a limit is very small", "what", w)
+	}
 	inbound, _ := n.set.Sockets()
 	srv := httpx.NewServer(n.handle, inbound, int64(limits.MemoryMB*(1<<20)/8), 90*time.Second, n.log)
 	g.Go(func() error { return srv.Run(ctx, n.set.Listen) })
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -333,7 +333,11 @@
 		list := o.records.Plan(p, came[p], went[p], o.valueMost)
 		o.mu.Unlock()
 		for len(list) > 0 {
-			n := min(len(list), o.txnOps)
+			n, size := 0, 0
+			for n < min(len(list), o.txnOps) && (n == 0 || size+list[n].Size() < wire.MaxMulti) {
+				size += list[n].Size()
+				n++
+			}
 			if err := o.write(ctx, p, h, list[:n]); err != nil {
 				o.log.Debug("recording machines", "part", p, "err", err)
 				break
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -192,7 +192,7 @@
 func (j *job) begun() bool { return len(j.bound) > 0 || j.doneCount > 0 || j.lastStart > 0 }
 
 func (d *Desk) placeJob(j *job, most int, now clock.Micros) (placed int) {
-	if j.parked && j.team.unknown == 0 {
+	if j.parked && j.team.unknown == 0 && j.mark >= j.former {
 		j.unpark()
 	}
 	for placed < most {
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -5,8 +5,11 @@
 package placer
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
@@ -14,9 +17,37 @@
 	"github.com/merlinlatch/merlinlatch/internal/res"
 )
 
-// ChunkTasks is how many tasks one record of progress covers.
+// ChunkTasks is how many tasks one record of progress covers, where a record may
+// be as large as that takes.
 const ChunkTasks = 32768
 
+// chunkID names a record of progress: the tasks from N*Size on. Where records
+// must be smaller they say so, and each is read by its own size.
+type chunkID struct{ N, Size int }
+
+func (c chunkID) String() string {
+	if c.Size == ChunkTasks {
+		return strconv.Itoa(c.N)
+	}
+	return fmt.Sprintf("%d.%d", c.N, c.Size)
+}
+
+func parseChunk(text string) (c chunkID, ok bool) {
+	n, size, small := strings.Cut(text, ".")
+	c.Size = ChunkTasks
+	var err, err2 error
+	c.N, err = strconv.Atoi(n)
+	if small {
+		c.Size, err2 = strconv.Atoi(size)
+	}
+	return c, err == nil && err2 == nil && c.N >= 0 && c.Size > 0 && c.Size%8 == 0
+}
+
+// chunkTasks is how many tasks a record of at most so many bytes covers.
+func chunkTasks(most int) int {
+	return min(ChunkTasks, max(1, (most-2)/4*3/8)*64)
+}
+
 // Timing and sizes of placing.
 type Timing struct {
 	Sample, Batch int
@@ -52,6 +83,7 @@
 
 type job struct {
 	*jobs.Job
+	per        int // tasks that a record of its progress covers
 	team       *team
 	mark       int  // tasks from here on were never asked for: so the state service says
 	former     int  // tasks up to here a former placer may have asked for
@@ -165,7 +197,9 @@
 	machines map[string]*mirror
 	owners   map[string]*ownerState
 	registry map[string]bool
-	progress map[string]map[int][]byte
+	progress map[string]map[chunkID][]byte
+	chunk    int  // tasks that a record of progress covers
+	elder    bool // machines recorded by an earlier release are there: it left no marks
 	marks    map[string]marks
 	rng      *rand.Rand
 	acks     map[string]map[string]bool // job: hosts that took its cancellation
@@ -185,7 +219,7 @@
 // NewDesk makes an empty desk.
 func NewDesk(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Desk {
 	d := &Desk{marks: map[string]marks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
-		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[int][]byte{},
+		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID][]byte{}, chunk: ChunkTasks,
 		rng: rand.New(rand.NewPCG(seed, 1)), acks: map[string]map[string]bool{}, wall: wall}
 	for _, tm := range teams {
 		d.known[tm.Name] = tm
@@ -258,13 +292,16 @@
 }
 
 func (d *Desk) addJob(tm *team, spec *jobs.Job, now clock.Micros) {
-	j := &job{Job: spec, team: tm, mark: d.markOf(tm.Name, spec), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
+	j := &job{Job: spec, per: d.chunk, team: tm, mark: d.markOf(tm.Name, spec), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
 		zones: map[string]int{}, dirty: map[int]bool{}, failedOn: map[string]clock.Micros{},
 		unsettled: map[peer.TaskID]string{}, acked: map[peer.TaskID]uint64{}, since: now}
 	if spec.Stamp < tm.stamp {
 		j.former = min(j.mark, j.Tasks)
-		if j.former > 0 && (j.OneZone || j.Spread) {
-			j.former = j.Tasks // where its other tasks are decides where these may go
+		if j.former > 0 && (j.OneZone || j.Spread) || d.elder {
+			// Where its other tasks are decides where these may go. And while
+			// machines of an earlier release are there, which left no marks,
+			// any task may have been asked for.
+			j.former = j.Tasks
 		}
 		j.next, j.parked = j.former, j.former > 0
 	}
@@ -274,7 +311,7 @@
 	for chunk, bits := range d.progress[spec.ID] {
 		for i, b := range bits {
 			for k := range 8 {
-				if n := chunk*ChunkTasks + i*8 + k; b&(1<<k) != 0 && n < spec.Tasks {
+				if n := chunk.N*chunk.Size + i*8 + k; b&(1<<k) != 0 && n < spec.Tasks {
 					j.markDone(n)
 				}
 			}
@@ -300,15 +337,15 @@
 }
 
 // Progress takes a record of completed tasks.
-func (d *Desk) Progress(id string, chunk int, bits []byte) {
+func (d *Desk) Progress(id string, chunk chunkID, bits []byte) {
 	if d.progress[id] == nil {
-		d.progress[id] = map[int][]byte{}
+		d.progress[id] = map[chunkID][]byte{}
 	}
 	d.progress[id][chunk] = bits
 }
 
 // DropProgress takes note that a record of completed tasks is gone.
-func (d *Desk) DropProgress(id string, chunk int) { delete(d.progress[id], chunk) }
+func (d *Desk) DropProgress(id string, chunk chunkID) { delete(d.progress[id], chunk) }
 
 // Register takes note of a machine's record.
 func (d *Desk) Register(id string, there bool) {
@@ -336,13 +373,13 @@
 	if !j.isDone(n) {
 		j.done[n/64] |= 1 << (n % 64)
 		j.doneCount++
-		j.dirty[n/ChunkTasks] = true
+		j.dirty[n/j.per] = true
 	}
 }
 
 // chunk gives the bits of one record of progress.
 func (j *job) chunk(c int) []byte {
-	lo, hi := c*ChunkTasks, min((c+1)*ChunkTasks, j.Tasks)
+	lo, hi := c*j.per, min((c+1)*j.per, j.Tasks)
 	out := make([]byte, (hi-lo+7)/8)
 	for n := lo; n < hi; n++ {
 		if j.isDone(n) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net/url"
-	"strconv"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -85,6 +85,7 @@
 	p := &Placer{teams: o.Teams, parts: o.PartDuties, owners: o.Owners, claims: claims, store: store, book: book, clock: c,
 		txnOps: o.TxnOps, valueMost: o.ValueMost, urgent: urgent, progress: o.ProgressEvery, log: log, desk: desk, records: machines.NewBook(), wake: make(chan struct{}, 1),
 		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), acked: make(chan struct{}), running: context.Background()}
+	desk.chunk = chunkTasks(o.ValueMost)
 	for h := range o.Owners {
 		p.senders[h] = make(chan struct{}, 1)
 	}
@@ -114,17 +115,17 @@
 		switch {
 		case strings.HasPrefix(e.Key, state.Active):
 			id := strings.TrimPrefix(e.Key, state.Active)
-			if e.Value == nil {
-				p.desk.DropJob(id)
-			} else if j, ok := p.book.Find(id); ok {
+			if j, ok := p.book.Find(id); ok && e.Value != nil {
 				p.desk.AddJob(j, now)
+			} else {
+				p.desk.DropJob(id)
 			}
 		case strings.HasPrefix(e.Key, state.Progress):
 			id, c, _ := strings.Cut(strings.TrimPrefix(e.Key, state.Progress), "/")
-			n, err := strconv.Atoi(c)
+			n, ok := parseChunk(c)
 			var text string
 			switch {
-			case err != nil:
+			case !ok:
 			case e.Value == nil:
 				p.desk.DropProgress(id, n)
 			case json.Unmarshal(e.Value, &text) == nil:
@@ -140,6 +141,7 @@
 			p.desk.Marks(e.Key, jobs, e.Stamp)
 		case strings.HasPrefix(e.Key, state.Machines):
 			came, went := p.records.Apply(e)
+			p.desk.elder = p.records.Elder()
 			for _, id := range went {
 				p.desk.Register(id, false)
 			}
@@ -405,6 +407,11 @@
 		j.uncertain = true
 		m := wire.Multi{When: []wire.Cond{cond, {Key: state.Active + j.ID, Stamp: j.Stamp}}, Then: []wire.Op{
 			{Put: state.Final + j.ID, Value: jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks}}, {Drop: state.Active + j.ID}}}
+		if p.txnOps < len(m.Then) {
+			over := j.Record
+			over.Over = phase
+			m.Then = []wire.Op{{Put: state.Active + j.ID, Value: over}}
+		}
 		var rest []wire.Op // more records of progress than the transaction takes
 		for c := range p.desk.progress[j.ID] {
 			if op := (wire.Op{Drop: progressKey(j.ID, c)}); len(m.Then) < p.txnOps {
@@ -423,8 +430,8 @@
 			p.mu.Lock()
 			p.desk.DropJob(j.ID)
 			p.mu.Unlock()
-			if len(rest) > 0 {
-				if _, err := p.store.Commit(ctx, wire.Multi{When: []wire.Cond{cond}, Then: rest}); err != nil {
+			for some := range slices.Chunk(rest, p.txnOps) {
+				if _, err := p.store.Commit(ctx, wire.Multi{When: []wire.Cond{cond}, Then: some}); err != nil {
 					p.log.Info("dropping progress", "job", j.ID, "err", err)
 				}
 			}
@@ -448,26 +455,31 @@
 	return ctx.Err()
 }
 
-func progressKey(id string, chunk int) string {
-	return fmt.Sprintf("%s%s/%d", state.Progress, id, chunk)
+func progressKey(id string, chunk chunkID) string {
+	return fmt.Sprintf("%s%s/%s", state.Progress, id, chunk)
 }
 
+// progressWrite is a record of a job's progress that is to be written.
+type progressWrite struct {
+	j     *job
+	chunk int
+	ends  map[peer.TaskID]string // that are settled with it
+}
+
+// size is about how many bytes it takes of a transaction.
+func (w *progressWrite) size() int { return min(w.j.per, w.j.Tasks)/6 + 300 }
+
 // writeProgress writes down which tasks are done, and then lets their machines forget them.
 func (p *Placer) writeProgress(ctx context.Context) {
-	type write struct {
-		j     *job
-		chunk int
-		ends  map[peer.TaskID]string
-	}
 	p.mu.Lock()
-	byTeam := map[*team][]write{}
+	byTeam := map[*team][]progressWrite{}
 	for _, tm := range p.desk.teams {
 		for _, j := range tm.jobs {
 			if j.finishing {
 				continue
 			}
 			for c := range j.dirty {
-				byTeam[tm] = append(byTeam[tm], write{j: j, chunk: c})
+				byTeam[tm] = append(byTeam[tm], progressWrite{j: j, chunk: c})
 			}
 			if len(j.dirty) == 0 {
 				for id, e := range j.unsettled {
@@ -480,7 +492,10 @@
 	p.mu.Unlock()
 	for tm, list := range byTeam {
 		for len(list) > 0 {
-			n := min(len(list), p.txnOps)
+			n := 1
+			for size := list[0].size(); n < min(len(list), p.txnOps) && size+list[n].size() < wire.MaxMulti; n++ {
+				size += list[n].size()
+			}
 			if !p.store.Spare(n) {
 				n = 1
 				if !p.store.Spare(1) {
@@ -496,11 +511,11 @@
 			for i := range list[:n] {
 				w := &list[i]
 				m.When = append(m.When, wire.Cond{Key: state.Active + w.j.ID, Stamp: w.j.Stamp})
-				m.Then = append(m.Then, wire.Op{Put: progressKey(w.j.ID, w.chunk), Value: base64.StdEncoding.EncodeToString(w.j.chunk(w.chunk))})
+				m.Then = append(m.Then, wire.Op{Put: progressKey(w.j.ID, chunkID{w.chunk, w.j.per}), Value: base64.StdEncoding.EncodeToString(w.j.chunk(w.chunk))})
 				delete(w.j.dirty, w.chunk)
 				w.ends = map[peer.TaskID]string{}
 				for id, e := range w.j.unsettled {
-					if id.N/ChunkTasks == w.chunk {
+					if id.N/w.j.per == w.chunk {
 						w.ends[id] = e
 					}
 				}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -73,11 +73,12 @@
 	}
 }
 
-// NewClient makes a client that keeps to one of share parts of the budget.
-func NewClient(addr string, rps, writes float64, share int) *Client {
+// NewClient makes a client that keeps to one of share parts of the budget;
+// answers over limit bytes are refused.
+func NewClient(addr string, rps, writes float64, share, limit int) *Client {
 	n := float64(max(share, 1))
 	return &Client{
-		http:   httpx.NewClient(addr, 8, 8<<20),
+		http:   httpx.NewClient(addr, 8, limit),
 		reqs:   rate.NewLimiter(rate.Limit(rps/n*0.95), max(1, int(rps/n*0.9))),
 		writes: rate.NewLimiter(rate.Limit(writes/n*0.65), max(13, int(writes/n))),
 		urgent: rate.NewLimiter(rate.Limit(writes/n*0.3), max(8, int(writes/n/2))),
@@ -247,6 +248,11 @@
 	var ch wire.Changes
 	q := fmt.Sprintf("%s?prefix=%s&after=%d&block_ms=%d", wire.PathChanges, url.QueryEscape(prefix), rev, block.Milliseconds())
 	r, err := c.call(ctx, "GET", q, nil, block+5*time.Second)
+	if errors.Is(err, httpx.ErrTooLarge) {
+		// An answer has no limit of size. What can't be held is read page by
+		// page instead: asking for the same again would fail for ever.
+		return ch, ErrTooOld
+	}
 	if err != nil {
 		return ch, err
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -31,6 +31,7 @@
 	MaxTasks = 100_000
 	MaxHire  = 50
 	MaxList  = 500
+	MaxMulti = 48 << 10 // bytes of a transaction's values: what they are wrapped in comes on top
 )
 
 // Phases of a job.
