Holds last 24 s, and one that has ended is not waited for

Ruled out: a hold much shorter, which would not outlast an outage of the state service of 20 s. 24 s do: the last renewal is at most 1.5 s old, the next tried within 0.5 s after the outage.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -50,6 +50,7 @@
 	seen   map[string]string // incarnations as last looked at, and since when
 	since  map[string]clock.Micros
 	giving map[string]uint64 // duties being handed over: the stamp of their claim
+	left   map[string]bool   // hosts that were registered and are not any more
 
 	incarnation string
 	hold        uint64
@@ -62,7 +63,7 @@
 	sort.Strings(hosts)
 	return &Book{host: host, hosts: hosts, duties: duties, nodes: map[string]registered{},
 		claims: map[string]Held{}, freeAt: map[string]clock.Micros{}, seen: map[string]string{},
-		since: map[string]clock.Micros{}, giving: map[string]uint64{}}
+		since: map[string]clock.Micros{}, giving: map[string]uint64{}, left: map[string]bool{}}
 }
 
 // Peers is how many other controllers there are.
@@ -73,10 +74,14 @@
 	if name, ok := strings.CutPrefix(e.Key, state.Nodes); ok {
 		var r Registration
 		if e.Value == nil || json.Unmarshal(e.Value, &r) != nil {
+			if _, there := b.nodes[name]; there {
+				b.left[name] = true
+			}
 			delete(b.nodes, name)
 			return
 		}
 		b.nodes[name] = registered{r, e.Stamp}
+		delete(b.left, name)
 		return
 	}
 	name, ok := strings.CutPrefix(e.Key, state.Claims)
@@ -177,8 +182,9 @@
 	Multi wire.Multi
 }
 
-// Wanted decides which free claims to take: its own preferred ones at once,
-// those of an absent controller after the grace, any claim after twice that.
+// Wanted decides which free claims to take: its own preferred ones at once, also
+// those of a controller whose hold has just ended, those of one that was never
+// seen after the grace, any claim after twice that.
 func (b *Book) Wanted(now, grace clock.Micros) []Take {
 	if !b.registeredMe() || !b.Confirmed(now) {
 		return nil
@@ -227,7 +233,10 @@
 			return true
 		}
 		_, there := b.nodes[h]
-		if there && free < 2*grace || !there && free < grace {
+		if there && free < 2*grace || !there && !b.left[h] && free < grace {
+			// One that was never seen may be about to start. One whose hold has
+			// ended was away for all its time: its workers' leases are about to
+			// end as well, and those who wait are not served.
 			return false
 		}
 	}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -3,8 +3,8 @@
 # objective asks for work to be finished within a fixed time: then it need be no
 # earlier than its deadline, and machines are rented with thrift.
 
-hold_ttl_s = 27        # how long a controller acts without hearing from the state service
-hold_renew_s = 2       # how often it asks
+hold_ttl_s = 24        # how long a controller acts without hearing from the state service
+hold_renew_s = 1.5     # how often it asks
 resign_after_s = 5     # cut off for so long while a peer is not: give duties up
 hold_grace_s = 3       # free duties wait so long for their preferred controller
 hand_over_s = 15       # duties go back to their preferred controller when it has been back so long
