Stories of a whole fleet: restart together, sockets, the work of a round

1,800 machines whose controllers all restart, with a rolling restart behind it; the split of the sockets; machines looked at and told of in a round, on 60 and on 1,800 machines.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -62,3 +62,16 @@
 		require.Contains(t, s.Without()[0], c.want)
 	}
 }
+
+// Connections of workers and users, lines to workers and what the services take
+// stay within the limit; one controller alone can hold the reports of 1,800 machines.
+func TestSocketsAreSplit(t *testing.T) {
+	for limit, least := range map[int]int{2993: 1800 + 600, 4190: 1800, 1200: 800} {
+		s := Settings{}
+		s.Params.Count, s.Params.Limits.Sockets = 3, limit
+		in, lines := s.Sockets()
+		require.LessOrEqual(t, in+lines+24, limit)
+		require.GreaterOrEqual(t, in, least)
+		require.GreaterOrEqual(t, lines, limit/10)
+	}
+}
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -41,6 +42,8 @@
 	clock   clock.Clock
 	workers []*fakes.Worker
 	at      map[string]string // the controller that a worker reports to
+	began   map[string]clock.Micros
+	reportS float64
 
 	mu  sync.Mutex
 	up  map[string]*process
@@ -96,8 +99,11 @@
 	return fmt.Errorf("no such method: %s", method)
 }
 
-func newCluster(t *testing.T, workers int) *cluster {
-	c := &cluster{t: t, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, at: map[string]string{}}
+func newCluster(t *testing.T, workers int) *cluster { return newClusterOf(t, workers, 0.5) }
+
+// newClusterOf makes a cluster whose workers report every so many seconds.
+func newClusterOf(t *testing.T, workers int, reportS float64) *cluster {
+	c := &cluster{t: t, reportS: reportS, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
 	_, err := (&fakes.View{State: c.st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
@@ -121,6 +127,7 @@
 	set.Params.Count = 3
 	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 12}, {Name: "blue"}}
 	set.Params.Workers.LeaseS = 16
+	set.Params.Workers.ReportS = c.reportS
 	set.Params.State.TxnOps = 12
 	set.Params.State.ValueKB = 8
 	set.Params.Cloud.RPS = 1
@@ -186,7 +193,7 @@
 	}
 }
 
-func (c *cluster) report(w *fakes.Worker) {
+func (c *cluster) report(w *fakes.Worker) (answered bool) {
 	sent := c.clock.Now()
 	r := w.Report(sent)
 	r.Addr = "" // no way to the worker but by its reports
@@ -200,7 +207,7 @@
 	case resp.Status == 200:
 		require.NoError(c.t, json.Unmarshal(resp.Body, &a))
 		w.Take(a, sent)
-		return
+		return true
 	case resp.Status == 421 && json.Unmarshal(resp.Body, &e) == nil && e.Steward != "":
 		c.at[w.ID] = e.Steward
 	default:
@@ -210,6 +217,7 @@
 			}
 		}
 	}
+	return false
 }
 
 func (c *cluster) running() (n int) {
@@ -454,3 +462,84 @@
 		}
 	})
 }
+
+// runFleet lets time pass for a large fleet: workers report every five seconds
+// and when something has changed. It holds the rules against what runs.
+func (c *cluster) runFleet(d, lasts time.Duration) {
+	const step = 500 * time.Millisecond
+	again := map[string]bool{} // reports that nobody has answered: to the next controller a moment later
+	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
+		now := c.clock.Now()
+		on := map[string]string{}
+		for i, w := range c.workers {
+			changed := n%10 == i%10 || again[w.ID]
+			for key, k := range w.Tasks {
+				if c.began[key] == 0 {
+					c.began[key], changed = now, true
+				}
+				if lasts > 0 && k.Phase != wire.TaskExited && now > c.began[key]+clock.FromDuration(lasts) {
+					k.Phase, k.Cause, changed = wire.TaskExited, wire.CauseDone, true
+				}
+			}
+			if changed {
+				again[w.ID] = !c.report(w)
+			}
+			for _, k := range w.Tasks {
+				if k.Phase != wire.TaskExited {
+					require.Empty(c.t, on[k.Task], "%s runs on two machines", k.Task)
+					on[k.Task] = w.ID
+				}
+			}
+		}
+		time.Sleep(step)
+	}
+}
+
+// All controllers of a fleet of 1,800 machines end at once, come back within
+// moments of each other, and are restarted one after the other right behind
+// that. What runs goes on, nothing runs twice, and every accepted job is
+// answered for all along and done in the end.
+func TestAFleetWhoseControllersRestartTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClusterOf(t, 1800, 5)
+		c.runFleet(8*time.Second, 0)
+		const many = 24
+		for i := range many {
+			body := strings.Replace(submission(fmt.Sprintf("job-%d", i), 100+i), `"red"`, `"blue"`, 1)
+			require.Equal(t, 201, c.do(hosts[i%3], "POST", wire.PathJobs, body).Status)
+		}
+		c.runFleet(8*time.Second, 0)
+		tasks := many*100 + many*(many-1)/2
+		require.Equal(t, tasks, c.running())
+		for _, h := range hosts {
+			c.crash(h)
+		}
+		c.runFleet(3*time.Second, 0)
+		for i, h := range hosts {
+			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+			c.start(h)
+		}
+		c.runFleet(4*time.Second, 0)
+		for _, h := range hosts {
+			require.Equal(t, 200, c.do(h, "GET", wire.PathReady, "").Status, "ready soon")
+			c.crash(h)
+			time.Sleep(200 * time.Millisecond)
+			c.start(h)
+			c.runFleet(5*time.Second, 0)
+			for i := range many {
+				require.NotEqual(t, "404", c.phase(hosts[i%3], fmt.Sprintf("job-%d", i)))
+			}
+		}
+		c.runFleet(10*time.Second, 0)
+		require.Equal(t, tasks, c.running(), "what ran before runs still")
+		for _, w := range c.workers {
+			for task, n := range w.Starts {
+				require.Equal(t, 1, n, task)
+			}
+		}
+		c.runFleet(20*time.Second, time.Second)
+		for i := range many {
+			require.Equal(t, wire.Done, c.phase(hosts[i%3], fmt.Sprintf("job-%d", i)))
+		}
+	})
+}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -530,6 +530,7 @@
 	var bestCost clock.Micros
 	looked := 0
 	in.walk(0, d.rng.Uint64(), func(m *mirror) bool {
+		d.counts.Looked++
 		if !someRank(&m.ranks, most) || now < j.failedOn[m.ID] || !j.allowed(m) {
 			return false
 		}
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -185,6 +185,7 @@
 // Counts is what happened since the start, for the logs.
 type Counts struct {
 	Placed, Refused, Preempted, Done, Stopped, Failed, Lost int
+	Looked                                                  int          // machines looked at in search of room
 	FetchCPUs                                               clock.Micros // CPU time from placing tasks until they ran
 }
 
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -217,6 +217,7 @@
 		most *= 10
 	}
 	in.walk(levelOf(j.Need.CPU), d.rng.Uint64(), func(m *mirror) bool {
+		d.counts.Looked++
 		if j.Need.Fits(m.free) && m.free.Mem > 0 && now >= j.failedOn[m.ID] && j.allowed(m) &&
 			!(m.refused && now < m.refusedAt+refusedFor) {
 			out = append(out, m)
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -935,3 +935,35 @@
 		require.False(t, w.desk.machines["m-0"].Sick)
 	}
 }
+
+// What a round of decisions and a poll cost does not grow with machines that are
+// not touched: neither those with room nor those without.
+func TestTheWorkOfARoundDoesNotGrowWithTheFleet(t *testing.T) {
+	work := func(machines int) (looked, told int) {
+		w := newWorldOf(t, 9, machines, 0)
+		w.settle(8)
+		w.addJob("job-1", 6, nil)
+		before := w.desk.counts.Looked
+		w.place()
+		looked = w.desk.counts.Looked - before
+		require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 6)
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+			in := w.desk.Cursor(h.name)
+			ans := h.table.Poll(in, h.instance, w.now)
+			told += len(ans.Machines)
+			w.desk.Hear(h.name, in, &ans, w.now)
+		}
+		// A job for which no machine is large enough searches none of them.
+		w.addJob("job-2", 1, func(j *wire.Job) { j.CPUs = 64 })
+		before = w.desk.counts.Looked
+		w.place()
+		require.Equal(t, before, w.desk.counts.Looked)
+		return looked, told
+	}
+	smallLooked, smallTold := work(60)
+	largeLooked, largeTold := work(1800)
+	require.LessOrEqual(t, largeLooked, smallLooked+12, "machines looked at")
+	require.LessOrEqual(t, largeTold, 6, "machines told of")
+	require.LessOrEqual(t, smallTold, 6)
+}
