A finish within a time for work that has deadlines is one more deadline: thrift

At 485 s 256 tasks ran on 1,132 machines. Now only a finish asked for work without deadlines puts it off.

--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -30,11 +30,16 @@
 	Economy                                    bool
 }
 
-// Economy tells whether thrift is in order: no objective asks for work to be
-// finished within a fixed time, so that it need be no earlier than its deadline.
+// Economy tells whether thrift is in order: work need be no earlier than its
+// deadline. It is not where an objective asks for work without deadlines to be
+// finished within a fixed time; for work with deadlines that is one more deadline.
 func Economy(s *config.Settings) bool {
+	due := map[string]bool{}
 	for _, o := range s.Params.Objectives {
-		if o.Kind == "finished" {
+		due[o.Class] = due[o.Class] || o.Kind == "deadline"
+	}
+	for _, o := range s.Params.Objectives {
+		if o.Kind == "finished" && !due[o.Class] {
 			return false
 		}
 	}
