Under thrift idle machines go back although something waits

Cause: a machine was kept while anything waited; on a fleet of 1,197 machines something does at every moment. Now one is kept for what the plan puts on it. Without thrift all are kept, as before.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -65,8 +65,9 @@
 }
 
 type bin struct {
-	kind Kind
-	free res.Amounts
+	kind  Kind
+	free  res.Amounts
+	taken bool // something that waits is to go there
 }
 
 // take puts as many tasks of a demand into the bin as fit, at most so many.
@@ -81,6 +82,7 @@
 		}
 	}
 	b.free = b.free.Minus(d.Need.Times(int64(n)))
+	b.taken = b.taken || n > 0
 	return n
 }
 
@@ -96,12 +98,14 @@
 	}
 	var bins []*bin
 	viewed := map[string]bool{}
+	room := map[string]*bin{}
 	var used, have int64
 	for i := range in.Views {
 		v := &in.Views[i]
 		viewed[v.ID] = true
 		if v.Usable {
-			bins = append(bins, &bin{kind: Kind{v.Type, v.Zone, v.Spot}, free: v.Free})
+			room[v.ID] = &bin{kind: Kind{v.Type, v.Zone, v.Spot}, free: v.Free}
+			bins = append(bins, room[v.ID])
 			used += v.Cap.CPU - v.Free.CPU
 			have += v.Cap.CPU
 		}
@@ -181,7 +185,7 @@
 	sort.SliceStable(hires, func(a, b int) bool {
 		return hires[a].Type+hires[a].Zone < hires[b].Type+hires[b].Zone || hires[a].Spot && !hires[b].Spot
 	})
-	return hires, giveBack(in, types)
+	return hires, giveBack(in, types, room)
 }
 
 // trim keeps thrifty deployments from renting machines for work that those at
@@ -247,10 +251,15 @@
 	return list, price
 }
 
-// giveBack decides which machines are of no more use.
-func giveBack(in Input, types map[string]wire.MachineType) (out []Return) {
+// giveBack decides which machines are of no more use. On a large fleet something
+// waits at every moment, so with thrift an idle machine is kept only for what is
+// to go to that machine; without thrift, for anything that waits.
+func giveBack(in Input, types map[string]wire.MachineType, room map[string]*bin) (out []Return) {
 	viewed := map[string]bool{}
-	demand := len(in.Demands) > 0
+	wanted := func(id string) bool {
+		b := room[id]
+		return b != nil && len(in.Demands) > 0 && (b.taken || !in.Knobs.Economy)
+	}
 	for i := range in.Views {
 		v := &in.Views[i]
 		viewed[v.ID] = true
@@ -266,7 +275,7 @@
 			out = append(out, Return{v.ID, "several jobs failed on it, or it is slow"})
 		case v.Draining && v.Count == 0:
 			out = append(out, Return{v.ID, "set aside for return"})
-		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !(demand && v.Usable):
+		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !wanted(v.ID):
 			out = append(out, Return{v.ID, "idle"})
 		}
 	}
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -114,3 +114,19 @@
 	}
 	return r
 }
+
+// On a large fleet something waits all the time. Under thrift that keeps the
+// machines it is to go to, and not all others.
+func TestIdleMachinesGoBackAlthoughSomethingWaits(t *testing.T) {
+	in := input()
+	in.Demands = waiting(3, nil)
+	for _, id := range []string{"m-1", "m-2", "m-3", "m-4"} {
+		in.Views = append(in.Views, peer.MachineView{ID: id, Type: "big", Zone: "a", Usable: true, Accounted: true,
+			Cap: res.Have(32, 0, 128), Free: res.Have(32, 0, 128), Idle: 90 * sec})
+	}
+	_, returns := Plan(in)
+	require.Empty(t, returns, "without thrift they are kept while anything waits")
+	in.Knobs.Economy = true
+	_, returns = Plan(in)
+	require.Equal(t, []Return{{"m-3", "idle"}, {"m-4", "idle"}}, returns)
+}
