Machines belong to controllers of their own zone

Now a machine's partition is one whose preferred controller is in its zone; zones without one go anywhere.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -6,6 +6,7 @@
 package claim
 
 import (
+	"slices"
 	"sort"
 	"strings"
 
@@ -66,6 +67,12 @@
 		since: map[string]clock.Micros{}, giving: map[string]uint64{}, left: map[string]bool{}}
 }
 
+// Preferred names the controller that the i-th duty is meant for.
+func Preferred(hosts []string, i int) string {
+	hosts = slices.Sorted(slices.Values(hosts))
+	return hosts[i%len(hosts)]
+}
+
 // Peers is how many other controllers there are.
 func (b *Book) Peers() int { return len(b.hosts) - 1 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -74,9 +75,9 @@
 type Controllers interface {
 	Demands(ctx context.Context) []peer.Demand
 	Views() []peer.MachineView
-	Drain(ctx context.Context, ids []string) (ready []string)
-	Gone(ctx context.Context, ids []string)
-	RecordedBefore(atMS int64) []string
+	Drain(ctx context.Context, list []peer.Machine) (ready []string)
+	Gone(ctx context.Context, list []peer.Machine)
+	RecordedBefore(atMS int64) []peer.Machine
 }
 
 // Claims tells whether the fleet is held.
@@ -304,30 +305,30 @@
 			delete(f.gone, id) // no list is as old as that
 		}
 	}
-	var gone []string
-	lost := func(id string) {
-		gone = append(gone, id)
+	var gone []peer.Machine
+	lost := func(id, zone string) {
+		gone = append(gone, peer.Machine{ID: id, Zone: zone})
 		f.gone[id] = began // an older list may still show it
 		f.strike(id)
 	}
 	// The same holds of a machine that was recorded, and so was there, before
 	// the moment that the list describes, by the time of day. A new holder, to
 	// whom every machine is new, tells by that which ones the owners need not wait for.
-	for _, id := range f.others.RecordedBefore(wall.UnixMilli() - (2*f.lag + 2*f.skew + 2*clock.Second).Duration().Milliseconds()) {
-		if f.listedAt[id] < began && f.gone[id] == 0 {
-			lost(id)
+	for _, m := range f.others.RecordedBefore(wall.UnixMilli() - (2*f.lag + 2*f.skew + 2*clock.Second).Duration().Milliseconds()) {
+		if f.listedAt[m.ID] < began && f.gone[m.ID] == 0 {
+			lost(m.ID, m.Zone)
 		}
 	}
-	for id := range f.rented {
+	for id, r := range f.rented {
 		absent := f.listedAt[id] < began
 		if first := f.known[id]; absent && first != 0 && began > (first+2*f.lag).PlusDrift()+clock.Second {
-			lost(id)
+			lost(id, r.Zone)
 		} else if began > f.listedAt[id]+3*f.lag+2*clock.Second {
 			f.strike(id)
 		}
 	}
 	if len(gone) > 0 {
-		slices.Sort(gone)
+		slices.SortFunc(gone, func(a, b peer.Machine) int { return strings.Compare(a.ID, b.ID) })
 		f.log.Info("machines are on the cloud's list no more", "machines", gone)
 		f.others.Gone(ctx, gone)
 	}
@@ -398,21 +399,21 @@
 // giveBack returns machines that their owners have set aside.
 func (f *Fleet) giveBack(ctx context.Context, list []Return) {
 	why := map[string]string{}
-	ids := make([]string, 0, len(list))
-	var failed []string
+	zone := map[string]string{}
+	var some, failed []peer.Machine
 	for _, r := range list {
 		if f.rented[r.ID].Phase == wire.MachineFailed {
-			failed = append(failed, r.ID)
+			failed = append(failed, peer.Machine{ID: r.ID, Zone: r.Zone})
 		}
-		if len(ids) < 100 {
-			ids = append(ids, r.ID)
-			why[r.ID] = r.Why
+		if len(some) < 100 {
+			some = append(some, peer.Machine{ID: r.ID, Zone: r.Zone})
+			why[r.ID], zone[r.ID] = r.Why, r.Zone
 		}
 	}
 	if len(failed) > 0 {
 		f.others.Gone(ctx, failed) // the cloud's own word that they have stopped
 	}
-	ready := f.others.Drain(ctx, ids)
+	ready := f.others.Drain(ctx, some)
 	if len(ready) == 0 {
 		return
 	}
@@ -424,10 +425,12 @@
 		return
 	}
 	now := f.clock.Now()
+	var gone []peer.Machine
 	for _, id := range ready {
+		gone = append(gone, peer.Machine{ID: id, Zone: zone[id]})
 		f.log.Info("returned a machine", "machine", id, "why", why[id])
 		f.gone[id] = now
 		f.strike(id)
 	}
-	f.others.Gone(ctx, ready)
+	f.others.Gone(ctx, gone)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -70,19 +70,23 @@
 	records map[string]int64
 }
 
-func (o *others) RecordedBefore(at int64) (out []string) {
+func (o *others) RecordedBefore(at int64) (out []peer.Machine) {
 	for id, w := range o.records {
 		if w < at {
-			out = append(out, id)
+			out = append(out, peer.Machine{ID: id})
 		}
 	}
 	return out
 }
 
-func (o *others) Demands(context.Context) []peer.Demand          { return o.demands }
-func (o *others) Views() []peer.MachineView                      { return o.views }
-func (o *others) Drain(_ context.Context, ids []string) []string { return o.ready }
-func (o *others) Gone(_ context.Context, ids []string)           { o.gone = append(o.gone, ids...) }
+func (o *others) Demands(context.Context) []peer.Demand              { return o.demands }
+func (o *others) Views() []peer.MachineView                          { return o.views }
+func (o *others) Drain(_ context.Context, _ []peer.Machine) []string { return o.ready }
+func (o *others) Gone(_ context.Context, list []peer.Machine) {
+	for _, m := range list {
+		o.gone = append(o.gone, m.ID)
+	}
+}
 
 type held struct{ term uint64 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -60,8 +60,8 @@
 
 // Return is a decision to give a machine back.
 type Return struct {
-	ID  string
-	Why string
+	ID, Zone string
+	Why      string
 }
 
 type bin struct {
@@ -266,17 +266,17 @@
 		r, listed := in.Rented[v.ID]
 		switch {
 		case r.Phase == wire.MachineFailed:
-			out = append(out, Return{v.ID, "failed"})
+			out = append(out, Return{v.ID, v.Zone, "failed"})
 		case v.Silent:
 			if listed {
-				out = append(out, Return{v.ID, "silent for its whole lease"})
+				out = append(out, Return{v.ID, v.Zone, "silent for its whole lease"})
 			}
 		case v.Sick && v.Count == 0:
-			out = append(out, Return{v.ID, "several jobs failed on it, or it is slow"})
+			out = append(out, Return{v.ID, v.Zone, "several jobs failed on it, or it is slow"})
 		case v.Draining && v.Count == 0:
-			out = append(out, Return{v.ID, "set aside for return"})
+			out = append(out, Return{v.ID, v.Zone, "set aside for return"})
 		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !wanted(v.ID):
-			out = append(out, Return{v.ID, "idle"})
+			out = append(out, Return{v.ID, v.Zone, "idle"})
 		}
 	}
 	for _, r := range in.Rented {
@@ -285,11 +285,11 @@
 		}
 		age := in.Now - r.Since
 		if r.Phase == wire.MachineFailed {
-			out = append(out, Return{r.ID, "failed"})
+			out = append(out, Return{r.ID, r.Zone, "failed"})
 		} else if r.Up {
-			out = append(out, Return{r.ID, "its worker is gone"})
+			out = append(out, Return{r.ID, r.Zone, "its worker is gone"})
 		} else if t, ok := types[r.Type]; ok && age.Seconds() > max(t.BootS, 5)*in.Knobs.BootPatience {
-			out = append(out, Return{r.ID, "never came up"})
+			out = append(out, Return{r.ID, r.Zone, "never came up"})
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -128,5 +128,5 @@
 	require.Empty(t, returns, "without thrift they are kept while anything waits")
 	in.Knobs.Economy = true
 	_, returns = Plan(in)
-	require.Equal(t, []Return{{"m-3", "idle"}, {"m-4", "idle"}}, returns)
+	require.Equal(t, []Return{{"m-3", "a", "idle"}, {"m-4", "a", "idle"}}, returns)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,9 +96,14 @@
 	}
 	parts := partsPerController * p.Count
 	valueMost := int(p.State.ValueKB * 1024 * 0.9)
-	duties, partDuties := []string{}, []string{}
+	zoneOf := map[string]string{set.Host: set.Zone}
+	for _, o := range set.Peers {
+		zoneOf[o.Host] = o.Zone
+	}
+	duties, partDuties, partZones := []string{}, []string{}, []string{}
 	for i := range parts {
 		partDuties = append(partDuties, owner.Duty(i))
+		partZones = append(partZones, zoneOf[claim.Preferred(hosts, i)])
 	}
 	duties = append(duties, partDuties...)
 	teams := make([]placer.Team, 0, len(p.Teams))
@@ -114,7 +119,7 @@
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
 	wall := time.Now
 	_, lines := set.Sockets()
-	n.owner = owner.New(ctx, set.Host, instance, parts, p.State.TxnOps, valueMost, lines,
+	n.owner = owner.New(ctx, set.Host, instance, owner.NewSplit(partZones), p.State.TxnOps, valueMost, lines,
 		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
 	desk := placer.NewDesk(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
 		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"), Times: times(p.Objectives),
@@ -402,19 +407,19 @@
 func (n *Node) Views() []peer.MachineView { return n.placer.Views() }
 
 // RecordedBefore lists the machines that were on record by a time of day.
-func (n *Node) RecordedBefore(atMS int64) []string { return n.owner.RecordedBefore(atMS) }
+func (n *Node) RecordedBefore(atMS int64) []peer.Machine { return n.owner.RecordedBefore(atMS) }
 
 // Drain asks all owners to set machines aside.
-func (n *Node) Drain(_ context.Context, ids []string) []string {
-	out := n.owner.Drain(ids)
-	each(n, "Drain", peer.DrainQuery{Machines: ids}, func(a peer.DrainAnswer) { out = append(out, a.Ready...) })
+func (n *Node) Drain(_ context.Context, list []peer.Machine) []string {
+	out := n.owner.Drain(list)
+	each(n, "Drain", peer.DrainQuery{Machines: list}, func(a peer.DrainAnswer) { out = append(out, a.Ready...) })
 	return out
 }
 
 // Gone tells all owners of machines that are gone for certain.
-func (n *Node) Gone(_ context.Context, ids []string) {
-	n.owner.Gone(ids)
-	each(n, "Gone", peer.GoneNote{Machines: ids}, func(peer.DrainAnswer) {})
+func (n *Node) Gone(_ context.Context, list []peer.Machine) {
+	n.owner.Gone(list)
+	each(n, "Gone", peer.GoneNote{Machines: list}, func(peer.DrainAnswer) {})
 }
 
 type localOwner struct{ o *owner.Owner }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -36,18 +36,41 @@
 // Duty names the claim of a partition.
 func Duty(part int) string { return fmt.Sprintf("part-%03d", part) }
 
-// Partition gives the partition of a machine.
-func Partition(machine string, parts int) int {
+// Split tells which partition a machine belongs to. Those of a zone belong to
+// partitions whose preferred controllers are in that zone: when it is cut off from
+// the others, its machines stay with a controller that reaches them, and no other
+// machines lose theirs. Machines of a zone without controllers go anywhere.
+type Split struct {
+	all    []int
+	byZone map[string][]int
+}
+
+// NewSplit splits the machines; zones holds the zone of each partition's preferred controller.
+func NewSplit(zones []string) Split {
+	s := Split{byZone: map[string][]int{}}
+	for p, z := range zones {
+		s.all = append(s.all, p)
+		s.byZone[z] = append(s.byZone[z], p)
+	}
+	return s
+}
+
+// Of gives the partition of a machine.
+func (s Split) Of(machine, zone string) int {
+	list := s.byZone[zone]
+	if len(list) == 0 {
+		list = s.all
+	}
 	h := fnv.New32a()
 	h.Write([]byte(machine))
-	return int(h.Sum32() % uint32(parts))
+	return list[h.Sum32()%uint32(len(list))]
 }
 
 // Owner serves the partitions that this process holds.
 type Owner struct {
 	host      string
 	instance  string
-	parts     int
+	split     Split
 	txnOps    int
 	valueMost int // bytes of a record
 	claims    Claims
@@ -67,8 +90,8 @@
 }
 
 // New makes an owner.
-func New(ctx context.Context, host, instance string, parts, txnOps, valueMost, mostLines int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
-	return &Owner{ctx: ctx, wall: wall, host: host, instance: instance, parts: parts, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
+func New(ctx context.Context, host, instance string, split Split, txnOps, valueMost, mostLines int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
+	return &Owner{ctx: ctx, wall: wall, host: host, instance: instance, split: split, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
 		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
@@ -111,10 +134,10 @@
 func (o *Owner) recorded(came machines.Group, went []string) {
 	now := o.clock.Now()
 	for _, id := range went {
-		o.table.Registered(id, o.partition(id), Registered{}, false, now)
+		o.table.Registered(id, 0, Registered{}, false, now)
 	}
 	for id, r := range came {
-		o.table.Registered(id, o.partition(id), r, true, now)
+		o.table.Registered(id, o.split.Of(id, r.Zone), r, true, now)
 	}
 }
 
@@ -124,14 +147,14 @@
 	defer o.mu.Unlock()
 	now := o.clock.Now()
 	changed := false
-	for p := range o.parts {
+	for _, p := range o.split.all {
 		h, mine := o.claims.Mine(Duty(p))
 		term, have := o.table.Part(p)
 		switch {
 		case mine && (!have || term != h.Term):
 			found := machines.Group{}
 			o.records.Each(func(id string, r Registered) {
-				if o.partition(id) == p {
+				if o.split.Of(id, r.Zone) == p {
 					found[id] = r
 				}
 			})
@@ -174,7 +197,7 @@
 	if err := json.Unmarshal(body, &r); err != nil || !validMachine(r.Machine) || r.Session == 0 || r.Tick == 0 {
 		return refuse(400, "not a report", "", 0)
 	}
-	part := o.partition(r.Machine)
+	part := o.split.Of(r.Machine, r.Zone)
 	h, mine := o.claims.Mine(Duty(part))
 	if !mine {
 		if holder, ok := o.claims.Holder(Duty(part)); ok && holder != o.host {
@@ -247,36 +270,33 @@
 	}
 }
 
-// partition gives the partition of a machine.
-func (o *Owner) partition(id string) int { return Partition(id, o.parts) }
-
 // Drain keeps machines free for their return.
-func (o *Owner) Drain(ids []string) []string {
+func (o *Owner) Drain(list []peer.Machine) []string {
 	o.Reconcile()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ready := o.table.Drain(ids, o.partition, o.clock.Now())
+	ready := o.table.Drain(list, o.split.Of, o.clock.Now())
 	o.notify()
 	return ready
 }
 
 // RecordedBefore lists the machines that were recorded by a time of day, and are on record still.
-func (o *Owner) RecordedBefore(atMS int64) (out []string) {
+func (o *Owner) RecordedBefore(atMS int64) (out []peer.Machine) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.records.Each(func(id string, r Registered) {
 		if r.AtMS > 0 && r.AtMS < atMS {
-			out = append(out, id)
+			out = append(out, peer.Machine{ID: id, Zone: r.Zone})
 		}
 	})
 	return out
 }
 
 // Gone takes the word that machines are gone for certain.
-func (o *Owner) Gone(ids []string) {
+func (o *Owner) Gone(list []peer.Machine) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Gone(ids, o.partition, o.clock.Now())
+	o.table.Gone(list, o.split.Of, o.clock.Now())
 	o.notify()
 }
 
@@ -319,16 +339,22 @@
 	parts := map[int]bool{}
 	for id, r := range fresh {
 		r.AtMS = o.wall().UnixMilli()
-		p := o.partition(id)
+		p := o.split.Of(id, r.Zone)
 		if came[p] == nil {
 			came[p] = machines.Group{}
 		}
 		came[p][id], parts[p] = r, true
 	}
+	o.mu.Lock()
 	for _, id := range drop {
-		p := o.partition(id)
+		r, ok := o.records.Find(id)
+		if !ok {
+			continue
+		}
+		p := o.split.Of(id, r.Zone)
 		went[p], parts[p] = append(went[p], id), true
 	}
+	o.mu.Unlock()
 	for p := range parts {
 		h, mine := o.claims.Mine(Duty(p))
 		if !mine {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -778,14 +778,15 @@
 }
 
 // Gone takes the word that machines are gone for certain.
-func (t *Table) Gone(ids []string, part func(string) int, now clock.Micros) {
-	for _, id := range ids {
-		m := t.machines[id]
+func (t *Table) Gone(list []peer.Machine, part func(id, zone string) int, now clock.Micros) {
+	for _, x := range list {
+		m := t.machines[x.ID]
 		if m == nil {
-			if _, ok := t.parts[part(id)]; !ok {
+			p := part(x.ID, x.Zone)
+			if _, ok := t.parts[p]; !ok {
 				continue
 			}
-			m = t.add(id, part(id), Registered{}, now)
+			m = t.add(x.ID, p, Registered{Zone: x.Zone}, now)
 		}
 		m.gone, m.answered = true, now
 		clear(m.tasks)
@@ -794,20 +795,21 @@
 }
 
 // Drain keeps machines free of new tasks and names those that hold nothing.
-func (t *Table) Drain(ids []string, part func(string) int, now clock.Micros) (ready []string) {
-	for _, id := range ids {
-		m := t.machines[id]
+func (t *Table) Drain(list []peer.Machine, part func(id, zone string) int, now clock.Micros) (ready []string) {
+	for _, x := range list {
+		m := t.machines[x.ID]
 		if m == nil {
-			if _, ok := t.parts[part(id)]; !ok {
+			p := part(x.ID, x.Zone)
+			if _, ok := t.parts[p]; !ok {
 				continue
 			}
-			m = t.add(id, part(id), Registered{}, now) // not up yet
+			m = t.add(x.ID, p, Registered{Zone: x.Zone}, now) // not up yet
 			m.draining = true
-			ready = append(ready, id)
+			ready = append(ready, x.ID)
 			continue
 		}
 		if m.gone || m.silent || len(m.tasks) == 0 && (m.accounted || !m.registered) {
-			ready = append(ready, id)
+			ready = append(ready, x.ID)
 			m.draining = true
 			t.touch(m)
 		}
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -340,15 +340,15 @@
 // lease, and gets none after that.
 func TestDrainOnlyWhenEmpty(t *testing.T) {
 	s := newScene(t)
-	part := func(string) int { return 0 }
+	part := func(string, string) int { return 0 }
 	require.True(t, s.lease(0, 1))
-	require.Empty(t, s.table.Drain([]string{"m-1"}, part, s.now))
+	require.Empty(t, s.table.Drain([]peer.Machine{{ID: "m-1"}}, part, s.now))
 	s.now += 6 * sec
 	s.table.Tick(s.now)
-	require.Equal(t, []string{"m-1"}, s.table.Drain([]string{"m-1"}, part, s.now))
+	require.Equal(t, []string{"m-1"}, s.table.Drain([]peer.Machine{{ID: "m-1"}}, part, s.now))
 	require.False(t, s.lease(1, 2))
-	require.Equal(t, []string{"m-9"}, s.table.Drain([]string{"m-9"}, part, s.now), "one that never reported")
-	s.table.Gone([]string{"m-1"}, part, s.now)
+	require.Equal(t, []string{"m-9"}, s.table.Drain([]peer.Machine{{ID: "m-9"}}, part, s.now), "one that never reported")
+	s.table.Gone([]peer.Machine{{ID: "m-1"}}, part, s.now)
 	r := s.w.Report(s.now)
 	_, ok := s.table.Report(&r, 0, s.now)
 	require.False(t, ok, "a late report of a returned machine")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -178,14 +178,17 @@
 	RetryAfter int
 }
 
+// Machine names a machine and its zone, which tells its partition.
+type Machine struct{ ID, Zone string }
+
 // DrainQuery asks an owner to keep machines free for their return.
-type DrainQuery struct{ Machines []string }
+type DrainQuery struct{ Machines []Machine }
 
 // DrainAnswer names those that hold neither task nor lease and get none any more.
 type DrainAnswer struct{ Ready []string }
 
 // GoneNote tells an owner of machines that are gone for certain.
-type GoneNote struct{ Machines []string }
+type GoneNote struct{ Machines []Machine }
 
 // Service is what every controller offers to its peers.
 type Service interface {
