--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -231,6 +231,9 @@
 	if m == nil {
 		m = t.add(r.Machine, part, Registered{Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, now)
 	}
+	if m.part != part {
+		return ans, false // it says now that it is of another zone: that is not understood
+	}
 	if m.gone || r.Session < m.session && m.heard || m.silent && m.heard && r.Session <= m.session {
 		return ans, false
 	}
