--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -82,10 +82,6 @@
 			}
 		}
 	}
-	// Without thrift machines are rented for all that waits, and more can't be
-	// had: of work with deadlines the smallest rests go first, so that most jobs are
-	// in time. With thrift work waits by plan, and deadlines decide.
-	tight := !d.timing.Economy
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
 		lx, ly := d.lateness(x, now), d.lateness(y, now)
@@ -101,7 +97,9 @@
 		if x.covered != y.covered {
 			return x.covered
 		}
-		if u, v := x.remaining(), y.remaining(); tight && x.DueS != nil && y.DueS != nil && u != v {
+		// Of work with deadlines the smallest rests go first, so that most jobs are in
+		// time: what waits longer than by plan waits for machines that can't be had.
+		if u, v := x.remaining(), y.remaining(); x.DueS != nil && y.DueS != nil && u != v {
 			return u < v
 		}
 		if x.due() != y.due() {
