--- /dev/null
+++ b/internal/owner/leases.go
@@ -0,0 +1,131 @@
+package owner
+
+import (
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+)
+
+type lastRound struct {
+	seq    uint64
+	answer peer.RoundAnswer
+	at     clock.Micros
+}
+
+// Round carries out what a placing controller has for this owner.
+func (t *Table) Round(in peer.Round, incarnation string, now clock.Micros) peer.RoundAnswer {
+	last := t.rounds[in.From]
+	if in.Seq == last.seq && in.Seq != 0 {
+		return last.answer
+	}
+	ans := peer.RoundAnswer{Incarnation: incarnation, Refused: make([]bool, len(in.Asks)), Versions: make([]uint64, len(in.Asks))}
+	if in.Seq < last.seq {
+		for i := range ans.Refused {
+			ans.Refused[i] = true
+		}
+		return ans
+	}
+	t.fence(in.Terms)
+	for _, job := range in.Cancels {
+		t.cancelled[job] = now
+		for _, m := range t.machines {
+			for id, k := range m.tasks {
+				if id.Job == job {
+					t.end(m, k, 0)
+				}
+			}
+		}
+	}
+	for _, s := range in.Stops {
+		if m := t.machines[s.Machine]; m != nil {
+			if k := m.tasks[s.ID]; k != nil {
+				t.end(m, k, s.GraceS)
+			}
+		}
+	}
+	for _, s := range in.Settles {
+		if m := t.machines[s.Machine]; m != nil {
+			if k := m.tasks[s.ID]; k != nil && k.exited() {
+				k.settled = true
+			}
+		}
+	}
+	for _, id := range in.Slow {
+		if m := t.machines[id]; m != nil && !m.sick {
+			m.sick = true
+			t.touch(m)
+		}
+	}
+	for i, a := range in.Asks {
+		ans.Refused[i] = !t.lease(a, in.Terms[a.Team], now)
+		ans.Versions[i] = t.version
+	}
+	t.rounds[in.From] = lastRound{in.Seq, ans, now}
+	return ans
+}
+
+// fence refuses, from now on, what comes under lower terms of these teams.
+func (t *Table) fence(terms map[string]uint64) {
+	for team, term := range terms {
+		t.teamTerms[team] = max(t.teamTerms[team], term)
+	}
+}
+
+// lease grants room for one task, or refuses. A second start of a task that is
+// on the machine already is refused.
+func (t *Table) lease(a peer.Ask, term uint64, now clock.Micros) bool {
+	m := t.machines[a.Machine]
+	if m == nil || term == 0 || term < t.teamTerms[a.Team] || a.ID.Attempt>>32 != term ||
+		t.parts[m.part] != a.Term || !m.usable(now) || t.cancelled[a.ID.Job] > 0 {
+		return false
+	}
+	for id, k := range m.tasks {
+		if id.Job == a.ID.Job && id.N == a.ID.N && !k.exited() {
+			return false
+		}
+	}
+	_, all := m.inUse()
+	free := m.cap.Minus(all)
+	var victims []*task
+	for _, v := range a.Victims {
+		k := m.tasks[v]
+		if k == nil || k.exited() || k.stop || (k.rank >= a.Rank && !a.Over) {
+			continue
+		}
+		if a.Need.Fits(free) {
+			break // room enough by now: nobody else need be stopped
+		}
+		victims = append(victims, k)
+		free = free.Plus(k.need)
+	}
+	if !a.Need.Fits(free) {
+		return false
+	}
+	for _, v := range victims {
+		t.end(m, v, t.graceOf(v))
+	}
+	k := &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, covered: a.Covered, since: now}
+	m.tasks[a.ID] = k
+	t.note(m, a.Image, a.ImageGB)
+	m.idleSince = now
+	t.show(m, k)
+	return true
+}
+
+func (t *Table) graceOf(k *task) float64 {
+	if j, ok := t.jobs.Find(k.id.Job); ok {
+		return j.Grace()
+	}
+	return 0
+}
+
+// end stops a task; a lease of which nothing was sent just ends.
+func (t *Table) end(m *machine, k *task, grace float64) {
+	switch {
+	case !k.sent:
+		t.remove(m, k)
+	case k.exited():
+	case !k.stop || grace < k.grace:
+		k.stop, k.grace, k.lastSend = true, grace, 0
+		t.show(m, k)
+	}
+}
--- /dev/null
+++ b/internal/owner/reports.go
@@ -0,0 +1,162 @@
+package owner
+
+import (
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Report takes a worker's report and decides the answer. ok is false when the
+// report is of a former session: it must not be answered with 200.
+func (t *Table) Report(r *wire.Report, part int, now clock.Micros) (ans wire.ReportAnswer, ok bool) {
+	m := t.machines[r.Machine]
+	if m == nil {
+		m = t.add(r.Machine, part, Registered{Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, now)
+	}
+	if m.part != part {
+		return ans, false // it says now that it is of another zone: that is not understood
+	}
+	if m.gone || r.Session < m.session && m.heard || m.silent && m.heard && r.Session <= m.session {
+		return ans, false
+	}
+	if r.Token > m.token && r.Token>>32 > t.parts[part] {
+		return ans, false // a later term than ours: not ours to command
+	}
+	if m.heard && r.Session == m.reported[0] && r.Tick <= m.reported[1] {
+		// A copy that comes late, or a worker that began anew without telling:
+		// answering it would keep a machine alive of which nothing new is known.
+		return ans, false
+	}
+	// An answer to /orders may have overtaken this report: then it tells nothing
+	// new, but its worker waits for the answer.
+	fresh := !m.heard || r.Session > m.session || r.Tick > m.tick
+	m.reported = [2]uint64{r.Session, r.Tick}
+	if fresh {
+		m.Addr = r.Addr
+		t.absorb(m, r, true, now)
+		m.quietUntil = 0
+	}
+	m.answered = now
+	if m.quiet {
+		m.quiet = false
+		t.touch(m)
+	}
+	ans.Token = m.token
+	ans.Orders = []wire.Order{}
+	if fresh && m.accounted {
+		ans.Orders = t.orders(m, true, now)
+	}
+	return ans, true
+}
+
+// absorb takes what a worker says of itself, from a report or from the answer
+// to /orders. Older words than the newest known are dropped.
+func (t *Table) absorb(m *machine, r *wire.Report, isReport bool, now clock.Micros) {
+	if m.heard && (r.Session < m.session || r.Session == m.session && r.Tick <= m.tick) {
+		return
+	}
+	changed := !m.heard
+	if !m.heard || r.Session > m.session {
+		// A session lasts its whole lease from its own beginning, answered or
+		// not, and it may have begun as late as now.
+		m.answered = now
+	}
+	if m.heard && r.Session > m.session {
+		// A new session: whatever ran in an earlier one was killed, and no
+		// order that names an earlier one is executed.
+		for _, k := range m.tasks {
+			if k.sent || k.seen {
+				t.remove(m, k)
+			}
+		}
+		changed = true
+	}
+	if m.silent {
+		m.silent, changed = false, true
+	}
+	m.heard, m.session, m.tick = true, r.Session, r.Tick
+	m.seenToken = max(m.seenToken, r.Token)
+	if m.doubt && r.Token >= m.token {
+		m.doubt, changed = false, true
+	}
+	if !m.accounted && r.Token >= baseToken(t.parts[m.part]) {
+		m.accounted = true
+		t.showAll(m) // who did not believe its tasks so far looks at all of them now
+	}
+	if n := r.NoticeS != nil; n != m.noticed {
+		m.noticed, changed = n, true
+	}
+	listed := make(map[peer.TaskID]bool, len(r.Tasks))
+	for _, tr := range r.Tasks {
+		job, n, ok := wire.SplitTask(tr.Task)
+		if !ok {
+			continue
+		}
+		id := peer.TaskID{Job: job, N: n, Attempt: tr.Attempt}
+		listed[id] = true
+		k := m.tasks[id]
+		if k == nil {
+			k = &task{id: id, since: now, found: true}
+			if j, ok := t.jobs.Find(job); ok {
+				k.team, k.rank, k.need = j.Team, j.Level, j.Need
+				t.note(m, j.Image, j.ImageGB)
+			}
+			m.tasks[id] = k
+		}
+		if !k.seen || k.phase != tr.Phase {
+			t.show(m, k)
+			if tr.Phase == wire.TaskExited {
+				t.exit(m, k, tr.Cause, now)
+			}
+		}
+		k.seen, k.sent, k.phase, k.cause = true, true, tr.Phase, tr.Cause
+	}
+	if len(listed) < len(m.tasks) {
+		for id, k := range m.tasks {
+			if listed[id] || !k.sent {
+				continue
+			}
+			switch {
+			case k.seen:
+				t.remove(m, k) // forgotten
+			case k.stop && isReport && r.Tick > k.sentTick && (k.risk == 0 || m.seenToken > k.risk):
+				// Never started, and no copy of its run can arrive any more.
+				t.remove(m, k)
+			}
+		}
+	}
+	if len(m.tasks) > 0 {
+		m.idleSince = now
+	}
+	if changed {
+		t.touch(m)
+		t.due[m.id] = m
+	}
+}
+
+// exit keeps account of failures: a machine on which several jobs fail in a
+// row is sick, unless the jobs fail everywhere.
+func (t *Table) exit(m *machine, k *task, cause string, now clock.Micros) {
+	switch cause {
+	case wire.CauseDone:
+		m.errors = 0
+		clear(m.errJobs)
+		delete(t.failing, k.id.Job)
+	case wire.CauseError:
+		f := t.failing[k.id.Job]
+		if f == nil {
+			f = map[string]bool{}
+			t.failing[k.id.Job] = f
+		}
+		f[m.id] = true
+		if len(f) > 2 {
+			return // the job's own mistake
+		}
+		m.errors++
+		m.errJobs[k.id.Job] = true
+		m.shunUntil = now + min(5*clock.Second<<min(m.errors, 4), 60*clock.Second)
+		if len(m.errJobs) >= t.timing.SickErrors || m.errors >= 8 {
+			m.sick = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/placer/preempt.go
@@ -0,0 +1,153 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+)
+
+// makeWay stops tasks of lower rank of the job's own team, where the team's
+// limit leaves no room for it. It is placed once they are gone for certain.
+func (d *Desk) makeWay(j *job, now clock.Micros) {
+	if j.stalled == 0 {
+		j.stalled = now
+	}
+	if j.late(now) || !d.waitedOut(j, now) {
+		return
+	}
+	used := j.team.used.Plus(j.team.held)
+	var cand []*binding
+	for _, o := range j.team.jobs {
+		for _, b := range o.bound {
+			switch {
+			case b.stopping:
+				used = used.Minus(o.Need)
+			case o.Level < j.Level && !b.asked:
+				cand = append(cand, b)
+			}
+		}
+	}
+	sort.Slice(cand, func(a, b int) bool {
+		if cand[a].since != cand[b].since {
+			return cand[a].since > cand[b].since
+		}
+		return cand[a].id.String() < cand[b].id.String()
+	})
+	wanted := j.Need.Times(int64(j.waiting()))
+	for _, b := range cand {
+		if within(used.Plus(wanted), j.team.Limit) {
+			return
+		}
+		used = used.Minus(b.job.Need)
+		d.counts.Preempted++
+		d.stop(b, b.job.Grace())
+	}
+}
+
+// waitedOut tells that a job has waited long enough to take room from others.
+func (d *Desk) waitedOut(j *job, now clock.Micros) bool {
+	return j.stalled != 0 && now >= j.stalled+d.timing.PreemptAfter
+}
+
+// preemptStep is how much lost work makes a difference: below it, small tasks
+// gather where they do otherwise.
+const preemptStep = 5 * clock.Second
+
+// preempt looks for room that tasks of lower rank hold or, for a job within
+// its team's guarantee, tasks that other teams run beyond theirs; the least
+// work is lost. Work that is late already takes no room from others: it would
+// be as late, and what it stops would be late too. Like any search, it looks at
+// some of the machines in question, not at the fleet.
+func (d *Desk) preempt(j *job, in *rooms, now clock.Micros) (best *mirror, victims []peer.TaskID, over bool) {
+	if in == nil || j.late(now) {
+		return nil, nil, false
+	}
+	// Work of higher rank goes first, but a guarantee is not put off for long:
+	// while nothing at all of it finds room.
+	owed := d.timing.Guarantee > 0 && j.dry != 0 && now >= j.dry+d.timing.Guarantee*3/5
+	most := j.Level - 1 // the highest rank that may be stopped
+	if j.covered && owed {
+		most = len(d.ranks) - 1
+	} else if j.covered {
+		most = j.Level
+	}
+	if !someRank(&d.ranks, most) || d.full.knowsVictims(j, owed) {
+		return nil, nil, false
+	}
+	var bestCost clock.Micros
+	looked := 0
+	in.walk(0, d.rng.Uint64(), func(m *mirror) bool {
+		d.counts.Looked++
+		if !someRank(&m.ranks, most) || now < j.failedOn[m.ID] || !j.allowed(m) {
+			return false
+		}
+		looked++
+		v, cost, o := d.victims(j, m, owed, now)
+		if len(v) > 0 && (best == nil || cost/preemptStep < bestCost/preemptStep ||
+			cost/preemptStep == bestCost/preemptStep && d.better(j, m, best)) {
+			best, victims, bestCost, over = m, v, cost, o
+		}
+		// What has hardly begun is as good a choice as any.
+		return looked >= 8*d.timing.Sample || best != nil && bestCost < preemptStep
+	})
+	if best == nil && in == &d.rooms {
+		d.full.noteVictims(j, owed)
+	}
+	return best, victims, over
+}
+
+// someRank tells that there are tasks of a rank up to the given one.
+func someRank(ranks *[4]int, most int) bool {
+	for r := 0; r <= most; r++ {
+		if ranks[r] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// victims picks the tasks to stop on a machine to make room for one of a job;
+// none when that makes no room.
+func (d *Desk) victims(j *job, m *mirror, owed bool, now clock.Micros) (out []peer.TaskID, cost clock.Micros, over bool) {
+	var cand []*seen
+	for _, t := range m.tasks {
+		if !t.there || t.Stopping || now < t.markedUntil || t.Team == "" || t.Covered && t.Rank >= j.Level {
+			continue
+		}
+		if t.Rank < j.Level || j.covered && t.Team != j.team.Name && (t.Rank == j.Level || owed) {
+			cand = append(cand, t)
+		}
+	}
+	slices.SortFunc(cand, func(a, b *seen) int {
+		if a.Covered != b.Covered && a.Rank == b.Rank {
+			if b.Covered {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(b.began, a.began), cmp.Compare(a.ID.Attempt, b.ID.Attempt))
+	})
+	free := m.free
+	for _, t := range cand {
+		if j.Need.Fits(free) {
+			break
+		}
+		free = free.Plus(t.Need)
+		out = append(out, t.ID)
+		cost += now - t.began + clock.Second
+		over = over || t.Rank >= j.Level
+		if t.Covered {
+			cost += 100 * clock.Second // what is guaranteed goes last
+		}
+	}
+	if over {
+		cost += 1000 * clock.Second // lower ranks first
+	}
+	if !j.Need.Fits(free) {
+		return nil, 0, false
+	}
+	return out, cost, over
+}
--- /dev/null
+++ b/internal/placer/turns.go
@@ -0,0 +1,119 @@
+package placer
+
+import (
+	"math"
+	"sort"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+func (j *job) due() clock.Micros {
+	if j.DueS == nil {
+		return math.MaxInt64
+	}
+	return j.since + clock.FromSeconds(*j.DueS)
+}
+
+// cover marks the jobs that are within the team's guarantee: each fits there
+// together with the team's earlier unfinished jobs.
+func (tm *team) cover() {
+	if tm.Guarantee.CPU == 0 && tm.Guarantee.GPU == 0 {
+		return
+	}
+	list := make([]*job, 0, len(tm.jobs))
+	for _, j := range tm.jobs {
+		list = append(list, j)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Stamp < list[b].Stamp })
+	var sum res.Amounts
+	for _, j := range list {
+		sum = sum.Plus(j.Need.Times(int64(j.Tasks)))
+		j.covered = sum.CPU <= tm.Guarantee.CPU && sum.GPU <= tm.Guarantee.GPU
+	}
+}
+
+// order sorts the jobs that have tasks to place: what can still meet its
+// deadline first, by rank, guarantee, deadline and age; then what can still be
+// in time by the longer measure that an objective sets, in the same order; then
+// what is late, the longest tasks first.
+func (d *Desk) order(now clock.Micros) []*job {
+	var out []*job
+	for _, tm := range d.teams {
+		tm.cover()
+		for _, j := range tm.jobs {
+			if !j.cancelling && !j.finishing && j.waiting() > 0 && now >= j.backoff {
+				out = append(out, j)
+			}
+		}
+	}
+	sort.Slice(out, func(a, b int) bool {
+		x, y := out[a], out[b]
+		lx, ly := d.lateness(x, now), d.lateness(y, now)
+		if lx != ly {
+			return lx < ly
+		}
+		if lx == hopeless && x.EstimateS != y.EstimateS {
+			return x.EstimateS > y.EstimateS
+		}
+		if x.Level != y.Level {
+			return x.Level > y.Level
+		}
+		if x.covered != y.covered {
+			return x.covered
+		}
+		// Of work with deadlines the smallest rests go first, so that most jobs are in
+		// time: what waits longer than by plan waits for machines that can't be had.
+		if u, v := x.remaining(), y.remaining(); x.DueS != nil && y.DueS != nil && u != v {
+			return u < v
+		}
+		if x.due() != y.due() {
+			return x.due() < y.due()
+		}
+		if fx, fy := d.finish(x), d.finish(y); fx != fy {
+			return fx < fy
+		}
+		return x.Stamp < y.Stamp
+	})
+	return out
+}
+
+// finish is when a job's tasks should start so that it is finished within its
+// class's time: of jobs without a deadline, those with long tasks can wait least.
+func (d *Desk) finish(j *job) clock.Micros {
+	within, ok := d.timing.Finishes[j.Class]
+	if !ok {
+		return math.MaxInt64
+	}
+	return j.since + within - clock.FromSeconds(j.EstimateS)
+}
+
+// remaining is the work of a job that waits, in CPU seconds.
+func (j *job) remaining() float64 {
+	return float64(j.waiting()) * j.Need.CPUs() * max(j.EstimateS, 1)
+}
+
+// late tells that a job can't meet its deadline any more.
+func (j *job) late(now clock.Micros) bool {
+	return j.DueS != nil && j.ends(now) > j.due()
+}
+
+// ends is when a job's last task may be over at best.
+func (j *job) ends(now clock.Micros) clock.Micros { return now + clock.FromSeconds(j.EstimateS*0.7) }
+
+// How late a job is.
+const (
+	inTime   = iota
+	overdue  // but not by the longer measure of its class's objectives
+	hopeless // nothing is left to be in time for but the end of all
+)
+
+func (d *Desk) lateness(j *job, now clock.Micros) int {
+	if !j.late(now) {
+		return inTime
+	}
+	if j.ends(now) <= j.since+clock.FromSeconds(*j.DueS*d.timing.Times[j.Class]) {
+		return overdue
+	}
+	return hopeless
+}
