--- a/internal/fakes/state.go
+++ b/internal/fakes/state.go
@@ -30,6 +30,9 @@
 	next    uint64
 	changed chan struct{}
 
+	mostOps   int // changes a transaction may have, bytes that a value may have; 0: any
+	mostBytes int
+
 	down    bool // answers 503 to all
 	mute    bool // executes transactions and gives no answer
 	capture bool // keeps transactions back, gives no answer
@@ -54,6 +57,13 @@
 	v.cut = cut
 }
 
+// SetLimits bounds the changes of a transaction and the bytes of a value.
+func (s *State) SetLimits(ops, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mostOps, s.mostBytes = ops, bytes
+}
+
 // SetMute lets transactions be executed without an answer.
 func (s *State) SetMute(mute bool) {
 	s.mu.Lock()
@@ -221,6 +231,14 @@
 			return s.rev, fmt.Errorf("%w: no such lease", state.ErrRefused)
 		}
 	}
+	if s.mostOps > 0 && len(m.Then) > s.mostOps {
+		return s.rev, fmt.Errorf("%w: too many changes", state.ErrRefused)
+	}
+	for _, op := range m.Then {
+		if b, err := json.Marshal(op.Value); s.mostBytes > 0 && (err != nil || len(b) > s.mostBytes) {
+			return s.rev, fmt.Errorf("%w: a value of %d bytes", state.ErrRefused, len(b))
+		}
+	}
 	s.rev++
 	for _, op := range m.Then {
 		if op.Drop != "" {
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -44,6 +44,8 @@
 	at      map[string]string // the controller that a worker reports to
 	began   map[string]clock.Micros
 	reportS float64
+	txnOps  int
+	valueKB float64
 
 	mu  sync.Mutex
 	up  map[string]*process
@@ -103,7 +105,11 @@
 
 // newClusterOf makes a cluster whose workers report every so many seconds.
 func newClusterOf(t *testing.T, workers int, reportS float64) *cluster {
-	c := &cluster{t: t, reportS: reportS, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
+	return newClusterWith(t, workers, &cluster{reportS: reportS, txnOps: 12, valueKB: 8})
+}
+
+func newClusterWith(t *testing.T, workers int, given *cluster) *cluster {
+	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
 	_, err := (&fakes.View{State: c.st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
@@ -128,8 +134,8 @@
 	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 12}, {Name: "blue"}}
 	set.Params.Workers.LeaseS = 16
 	set.Params.Workers.ReportS = c.reportS
-	set.Params.State.TxnOps = 12
-	set.Params.State.ValueKB = 8
+	set.Params.State.TxnOps = c.txnOps
+	set.Params.State.ValueKB = c.valueKB
 	set.Params.Cloud.RPS = 1
 	peers := map[string]Peer{}
 	for _, h := range hosts {
@@ -267,6 +273,37 @@
 	})
 }
 
+// A state service that takes one change a transaction and half a kilobyte a
+// value: jobs run, are withdrawn, and stay known over restarts of all controllers.
+func TestVerySmallLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClusterWith(t, 4, &cluster{reportS: 0.5, txnOps: 1, valueKB: 0.5})
+		c.st.SetLimits(1, 512)
+		c.run(5*time.Second, 0)
+		for i := range 3 {
+			r := c.do("a", "POST", wire.PathJobs, submission(fmt.Sprintf("job-%d", i), 5))
+			require.Equal(t, 201, r.Status, string(r.Body))
+		}
+		c.run(4*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		require.Equal(t, 200, c.do("b", "POST", wire.PathJobs+"/job-2/withdraw", "").Status)
+		c.run(30*time.Second, 4*time.Second)
+		for range 2 {
+			for _, h := range hosts {
+				require.Equal(t, wire.Done, c.phase(h, "job-0"))
+				require.Equal(t, wire.Done, c.phase(h, "job-1"))
+				require.Equal(t, wire.Cancelled, c.phase(h, "job-2"))
+			}
+			for _, h := range hosts {
+				c.crash(h)
+				c.start(h)
+			}
+			c.run(6*time.Second, 0)
+		}
+		require.Zero(t, c.running())
+	})
+}
+
 // Every controller ends at once and comes back: what runs goes on, what was
 // accepted is done, nothing runs twice.
 func TestAllControllersDownAtOnce(t *testing.T) {
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -64,6 +65,7 @@
 	ended    map[string]bool
 	limit    float64              // CPUs; 0: none
 	marks    map[string]MarkWrite // on record, with their stamps
+	elder    bool                 // an earlier release has recorded machines
 }
 
 func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
@@ -125,6 +127,7 @@
 	w.stamp++
 	w.desk = NewDesk(Timing{Sample: 3, Batch: 10, PreemptAfter: sec}, fmt.Sprintf("desk-%d", w.term),
 		[]Team{{Name: red, Limit: res.Have(w.limit, 0, 0)}}, []string{"h0", "h1"}, w.term, func() int64 { return 0 })
+	w.desk.elder = w.elder
 	for id := range w.registry {
 		w.desk.Register(id, true)
 	}
@@ -590,6 +593,46 @@
 	require.Greater(t, w.running(), 8, "the rest of the first job goes on once the machines are accounted for")
 }
 
+// The release before left no marks. What its placer may have asked for waits until
+// all machines are accounted for, and is marked before it is asked for again.
+func TestTakeOverFromAnEarlierRelease(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 16, nil)
+	w.settle(4)
+	require.Equal(t, 16, w.running())
+	clear(w.marks)
+	w.elder = true
+	w.boot(w.hosts[0])
+	w.newDesk()
+	w.gain(0, 0) // and the machines of partition 0 are silent from now on
+	for _, id := range []string{"m-1", "m-3"} {
+		for _, r := range w.workers[id].InOrder() {
+			r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+		}
+	}
+	for range 12 {
+		w.now += 100 * clock.Millisecond
+		for _, id := range []string{"m-1", "m-3"} {
+			w.report(id, true)
+			w.courier(id, false, true)
+		}
+		for _, h := range w.hosts {
+			w.poll(h, false)
+		}
+		w.place()
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+		}
+		w.check("unaccounted")
+	}
+	require.Equal(t, 8, w.running(), "those of the machines that are silent, and no more")
+	w.now += 2 * lease
+	w.settle(30)
+	require.Equal(t, 8, w.running(), "those that were lost")
+	require.Equal(t, 16, w.desk.markOf(red, w.active["job-1"]))
+}
+
 // A partition moves; the former owner's last answer comes late and shows a
 // machine that the new owner has never heard of, for it is gone. It does not stay.
 func TestALateWordOfAFormerOwnerBringsNoMachineBack(t *testing.T) {
@@ -936,6 +979,29 @@
 	}
 }
 
+// Records of progress cover as many tasks as fit; each is read by the size it names.
+func TestRecordsOfProgressNameTheirSize(t *testing.T) {
+	require.Equal(t, ChunkTasks, chunkTasks(7372))
+	require.Zero(t, chunkTasks(100)%64)
+	require.LessOrEqual(t, base64.StdEncoding.EncodedLen(chunkTasks(700)/8)+2, 700)
+	for _, c := range []chunkID{{0, ChunkTasks}, {3, ChunkTasks}, {7, 4096}} {
+		got, ok := parseChunk(c.String())
+		require.True(t, ok)
+		require.Equal(t, c, got)
+	}
+	require.Equal(t, "3", chunkID{3, ChunkTasks}.String(), "as ever")
+	for _, odd := range []string{"", "x", "1.", "1.7", "-1", "1.-8"} {
+		_, ok := parseChunk(odd)
+		require.False(t, ok, odd)
+	}
+	w := newWorldOf(t, 1, 4, 0)
+	w.desk.Progress("job-1", chunkID{1, 8}, []byte{0b101})
+	w.addJob("job-1", 20, nil)
+	j := w.desk.teams[red].jobs["job-1"]
+	require.Equal(t, 2, j.doneCount)
+	require.True(t, j.isDone(8) && j.isDone(10))
+}
+
 // What a round of decisions and a poll cost does not grow with machines that are
 // not touched: neither those with room nor those without.
 func TestTheWorkOfARoundDoesNotGrowWithTheFleet(t *testing.T) {
