--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -187,12 +187,7 @@
 	}
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.others.Views(), Demands: f.others.Demands(ctx),
 		Refused: f.refused, Knobs: f.knobs, MaxCount: f.most}
-	for _, v := range in.Views {
-		if r, ok := f.rented[v.ID]; ok && v.Accounted && !r.Up {
-			r.Up = true
-			f.rented[v.ID] = r
-		}
-	}
+	f.notice(in.Views, now)
 	hires, returns := Plan(in)
 	if now > f.told+10*clock.Second {
 		f.told = now
@@ -217,6 +212,30 @@
 	}
 }
 
+// notice takes from the views which machines' workers have reported, and since
+// when some are silent or gone.
+func (f *Fleet) notice(views []peer.MachineView, now clock.Micros) {
+	here := make(map[string]bool, len(views))
+	for _, v := range views {
+		here[v.ID] = !v.Silent
+		if r, ok := f.rented[v.ID]; ok && v.Accounted && !r.Up {
+			r.Up = true
+			f.rented[v.ID] = r
+		}
+	}
+	for id, r := range f.rented {
+		switch {
+		case here[id] && r.Lost != 0:
+			r.Lost = 0
+		case !here[id] && r.Up && r.Lost == 0:
+			r.Lost = now
+		default:
+			continue
+		}
+		f.rented[id] = r
+	}
+}
+
 // tell logs how the fleet stands.
 func (f *Fleet) tell(in Input) {
 	var have, used, waiting, large, pieces int64
@@ -289,7 +308,7 @@
 			if ok {
 				since = min(old.Since, since)
 			}
-			f.rented[r.ID] = Rented{Kind: Kind{r.Type, r.Zone, r.Spot}, ID: r.ID, Phase: r.Phase, Since: since, Up: old.Up}
+			f.rented[r.ID] = Rented{Kind: Kind{r.Type, r.Zone, r.Spot}, ID: r.ID, Phase: r.Phase, Since: since, Up: old.Up, Lost: old.Lost}
 			f.listedAt[r.ID] = began
 			if f.known[r.ID] == 0 {
 				f.known[r.ID] = f.clock.Now()
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -29,6 +29,7 @@
 	Phase string
 	Since clock.Micros // of the rental request, on our clock
 	Up    bool         // its worker has reported
+	Lost  clock.Micros // since when its worker is silent, or gone; 0: it is not
 }
 
 // Knobs of the plan.
@@ -251,6 +252,13 @@
 	return list, price
 }
 
+// lostFor tells that the worker of a machine was silent for long enough to give
+// the machine back. One that is dead is soon listed as failed; what is listed as
+// running hangs or is cut off, and may be back sooner than another has booted.
+func (r Rented) lostFor(now clock.Micros, types map[string]wire.MachineType) bool {
+	return r.Lost != 0 && now >= r.Lost+clock.FromSeconds(types[r.Type].BootS)
+}
+
 // giveBack decides which machines are of no more use. On a large fleet something
 // waits at every moment, so with thrift an idle machine is kept only for what is
 // to go to that machine; without thrift, for anything that waits.
@@ -268,7 +276,7 @@
 		case r.Phase == wire.MachineFailed:
 			out = append(out, Return{v.ID, v.Zone, "failed"})
 		case v.Silent:
-			if listed {
+			if listed && r.lostFor(in.Now, types) {
 				out = append(out, Return{v.ID, v.Zone, "silent for its whole lease"})
 			}
 		case v.Sick && v.Count == 0:
@@ -287,6 +295,9 @@
 		if r.Phase == wire.MachineFailed {
 			out = append(out, Return{r.ID, r.Zone, "failed"})
 		} else if r.Up {
+			if !r.lostFor(in.Now, types) {
+				continue
+			}
 			out = append(out, Return{r.ID, r.Zone, "its worker is gone"})
 		} else if t, ok := types[r.Type]; ok && age.Seconds() > max(t.BootS, 5)*in.Knobs.BootPatience {
 			out = append(out, Return{r.ID, r.Zone, "never came up"})
