--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -546,26 +546,22 @@
 	require.Equal(t, 4, w.running())
 }
 
-// A new placer takes over while a machine can't be reached. What was never
-// asked for starts at once; what may have been waits.
-func TestTakeOverStartsWhatWasNeverAskedFor(t *testing.T) {
-	w := newWorldOf(t, 1, 4, 0)
-	w.settle(8)
-	w.addJob("job-1", 40, nil) // more than there is room for
-	w.settle(4)
-	require.Equal(t, 16, w.running())
-	w.addJob("job-2", 3, nil)
+// takeOverWithoutPartition0 has a new placer take over while the first controller
+// begins anew and its machines are silent. All tasks on the others, m-1 and m-3,
+// are done, so that there is room, and a second goes by.
+func (w *world) takeOverWithoutPartition0() {
 	w.boot(w.hosts[0])
 	w.newDesk()
-	w.gain(0, 0) // and the machines of partition 0 are silent from now on
-	for _, id := range []string{"m-1", "m-3"} {
+	w.gain(0, 0)
+	others := []string{"m-1", "m-3"}
+	for _, id := range others {
 		for _, r := range w.workers[id].InOrder() {
 			r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
 		}
 	}
 	for range 12 {
 		w.now += 100 * clock.Millisecond
-		for _, id := range []string{"m-1", "m-3"} {
+		for _, id := range others {
 			w.report(id, true)
 			w.courier(id, false, true)
 		}
@@ -578,6 +574,18 @@
 		}
 		w.check("unaccounted")
 	}
+}
+
+// A new placer takes over while a machine can't be reached. What was never
+// asked for starts at once; what may have been waits.
+func TestTakeOverStartsWhatWasNeverAskedFor(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 40, nil) // more than there is room for
+	w.settle(4)
+	require.Equal(t, 16, w.running())
+	w.addJob("job-2", 3, nil)
+	w.takeOverWithoutPartition0()
 	started := map[string]int{}
 	for _, id := range []string{"m-1", "m-3"} {
 		for _, r := range w.workers[id].Tasks {
@@ -603,29 +611,7 @@
 	require.Equal(t, 16, w.running())
 	clear(w.marks)
 	w.elder = true
-	w.boot(w.hosts[0])
-	w.newDesk()
-	w.gain(0, 0) // and the machines of partition 0 are silent from now on
-	for _, id := range []string{"m-1", "m-3"} {
-		for _, r := range w.workers[id].InOrder() {
-			r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
-		}
-	}
-	for range 12 {
-		w.now += 100 * clock.Millisecond
-		for _, id := range []string{"m-1", "m-3"} {
-			w.report(id, true)
-			w.courier(id, false, true)
-		}
-		for _, h := range w.hosts {
-			w.poll(h, false)
-		}
-		w.place()
-		for _, h := range w.hosts {
-			w.send(h, true, true)
-		}
-		w.check("unaccounted")
-	}
+	w.takeOverWithoutPartition0()
 	require.Equal(t, 8, w.running(), "those of the machines that are silent, and no more")
 	w.now += 2 * lease
 	w.settle(30)
