Ends of jobs wait for their budget before their users hear nothing

A guest's swarm of one-task jobs ends 15 times a second, at two changes each, where a controller has 8 a second: each end was tried for 3 s, failed for want of budget and was tried again, and its polls got 503 all the while, for over 75 s. Ruled out: lost records, conflicts (no state error but the budget in the logs). Change: a job is left unanswered only from the moment its transaction is sent; ends go many to a transaction, a few transactions a team at a time, and take one change each while many wait.

--- a/internal/fakes/state.go
+++ b/internal/fakes/state.go
@@ -206,6 +206,14 @@
 	return rev, err
 }
 
+// CommitAt is Commit, with a word right before.
+func (v *View) CommitAt(ctx context.Context, m wire.Multi, sending func() error) (uint64, error) {
+	if err := sending(); err != nil {
+		return 0, fmt.Errorf("%w: %w", state.ErrRefused, err)
+	}
+	return v.Commit(ctx, m)
+}
+
 // Release carries out the transactions that were kept back, and tells how many held.
 func (s *State) Release() (applied int) {
 	s.mu.Lock()
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -58,7 +58,7 @@
 		p.mu.Unlock()
 		poke(p.wake)
 		if ready {
-			err := p.finish(ctx, j, wire.Cancelled)
+			err := p.finish(ctx, p.urgent, []*job{j}, wire.Cancelled, false)
 			p.mu.Lock()
 			j.finishing = false
 			p.mu.Unlock()
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -79,6 +79,7 @@
 	strange map[string]bool // recorded machines that are not cleared
 	unknown int             // how many they are, as of this round
 	held    res.Amounts     // and what they could hold
+	ending  int             // transactions under way that write ends of its jobs
 }
 
 type job struct {
@@ -96,6 +97,7 @@
 	zones      map[string]int
 	cancelling bool
 	uncertain  bool // its final record may have been written
+	unanswered bool // and a try to write it had no definite answer
 	finishing  bool
 	dirty      map[int]bool           // chunks to be written
 	unsettled  map[peer.TaskID]string // ended as done, not written yet: on which machine
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -30,6 +30,7 @@
 // Store takes transactions.
 type Store interface {
 	Commit(ctx context.Context, m wire.Multi) (uint64, error)
+	CommitAt(ctx context.Context, m wire.Multi, sending func() error) (uint64, error)
 	Spare(n int) bool
 }
 
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -177,15 +178,15 @@
 	return true
 }
 
-// Ready lists jobs whose tasks are all done and whose end is to be written.
-func (d *Desk) Ready() (out []*job) {
-	for _, tm := range d.teams {
-		for _, j := range tm.jobs {
-			if j.doneCount == j.Tasks && !j.finishing && !j.cancelling {
-				out = append(out, j)
-			}
+// Ready lists a team's jobs whose tasks are all done and whose end is to be
+// written, those that were accepted first in front.
+func (d *Desk) Ready(tm *team) (out []*job) {
+	for _, j := range tm.jobs {
+		if j.doneCount == j.Tasks && !j.finishing && !j.cancelling {
+			out = append(out, j)
 		}
 	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.Stamp, b.Stamp) })
 	return out
 }
 
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -241,7 +241,7 @@
 			w.record(id, true)
 		}
 	}
-	for _, j := range w.desk.Ready() {
+	for _, j := range w.desk.Ready(w.desk.teams[red]) {
 		w.end(j.ID, wire.Done)
 	}
 }
--- a/internal/placer/writes.go
+++ b/internal/placer/writes.go
@@ -58,15 +58,7 @@
 		case <-tick.C:
 		case <-p.writes:
 		}
-		p.mu.Lock()
-		ready := p.desk.Ready()
-		for _, j := range ready {
-			j.finishing = true
-		}
-		p.mu.Unlock()
-		for _, j := range ready {
-			go p.finish(ctx, j, wire.Done) //nolint:errcheck // tried until it is written or the team is lost
-		}
+		p.startEnds(ctx)
 		if now := p.clock.Now(); now >= last+p.progress {
 			last = now
 			p.writeProgress(ctx)
@@ -85,69 +77,183 @@
 	return wire.Cond{Key: state.Claims + Duty(t.Name), Stamp: h.Stamp}, nil
 }
 
-// finish writes a job's final state, on the condition that the team is held
-// and the job's record is as it was accepted. While it may have been written
-// without this process knowing, the job's user is told nothing from here.
-func (p *Placer) finish(ctx context.Context, j *job, phase string) error {
-	unknown := false
-	for try := 0; ctx.Err() == nil; try++ {
-		cond, err := p.mine(j.team)
-		if err != nil {
-			return err
-		}
-		p.mu.Lock()
-		gone := j.team.jobs[j.ID] != j || p.desk.teams[j.team.Name] != j.team
-		j.uncertain = true
-		m := wire.Multi{When: []wire.Cond{cond, {Key: state.Active + j.ID, Stamp: j.Stamp}}, Then: []wire.Op{
-			{Put: state.Final + j.ID, Value: jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks}}, {Drop: state.Active + j.ID}}}
-		if p.txnOps < len(m.Then) {
-			over := j.Record
-			over.Over = phase
-			m.Then = []wire.Op{{Put: state.Active + j.ID, Value: over}}
-		}
-		var rest []wire.Op // more records of progress than the transaction takes
-		for c := range p.desk.progress[j.ID] {
-			if op := (wire.Op{Drop: progressKey(j.ID, c)}); len(m.Then) < p.txnOps {
-				m.Then = append(m.Then, op)
-			} else {
-				rest = append(rest, op)
+// endsAtOnce is how many transactions with ends of one team's jobs are under way
+// at a time: the budget goes round among the teams, whatever one of them has.
+const endsAtOnce = 3
+
+// mostEnds bounds the changes of a transaction with ends: those who wait for the
+// budget wait for one another.
+const mostEnds = 12
+
+// startEnds has the ends of jobs written that are due, as many to a transaction
+// as it takes. A job keeps being answered for until its end is about to be sent.
+func (p *Placer) startEnds(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := min(p.txnOps, mostEnds)
+	for _, tm := range p.desk.teams {
+		ready := p.desk.Ready(tm)
+		// Where many wait for the budget, each end costs one change instead of two.
+		brief := most < 2 || len(ready) > most/2
+		for len(ready) > 0 && tm.ending < endsAtOnce {
+			n, ops := 0, 0
+			for n < len(ready) {
+				if ops += p.changes(ready[n], brief); n > 0 && ops > most {
+					break
+				}
+				n++
+			}
+			batch := ready[:n]
+			ready = ready[n:]
+			for _, j := range batch {
+				j.finishing = true
 			}
+			tm.ending++
+			go func() {
+				defer poke(p.writes)
+				if err := p.finish(ctx, p.store, batch, wire.Done, brief); err != nil {
+					p.log.Debug("ends of jobs", "team", tm.Name, "err", err)
+				}
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				tm.ending--
+			}()
 		}
+	}
+}
+
+// changes is how many changes the end of a job takes. The lock is held.
+func (p *Placer) changes(j *job, brief bool) int {
+	n := 2 + len(p.desk.progress[j.ID])
+	if brief {
+		n--
+	}
+	return n
+}
+
+var errChanged = errors.New("some of the jobs are over already")
+
+// finish writes the final states of jobs of one team, on the condition that the
+// team is held and each job's record is as it was accepted. While one may have
+// been written without this process knowing, that job's user is told nothing
+// from here. That begins only when the transaction is about to be sent: with
+// hundreds of ends a minute most of the time is spent waiting for the budget,
+// and jobs of which nothing is told for so long count as forgotten.
+func (p *Placer) finish(ctx context.Context, store Store, batch []*job, phase string, brief bool) error {
+	tm := batch[0].team
+	for try := 0; ctx.Err() == nil; try++ {
+		p.mu.Lock()
+		batch = slices.DeleteFunc(batch, func(j *job) bool { return !p.active(j) })
+		m, rest := p.endsOf(batch, phase, brief)
 		p.mu.Unlock()
-		if gone {
+		if len(batch) == 0 {
 			return nil
 		}
-		_, err = p.store.Commit(ctx, m)
-		if err == nil {
-			p.book.Keep(j.ID, jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks})
+		_, err := store.CommitAt(ctx, m, func() error {
+			if _, err := p.mine(tm); err != nil {
+				return err
+			}
 			p.mu.Lock()
-			p.desk.DropJob(j.ID)
-			p.mu.Unlock()
+			defer p.mu.Unlock()
+			for _, j := range batch {
+				if !p.active(j) {
+					return errChanged
+				}
+			}
+			for _, j := range batch {
+				j.uncertain = true
+			}
+			return nil
+		})
+		if err == nil {
+			p.over(batch, phase)
 			for some := range slices.Chunk(rest, p.txnOps) {
-				if _, err := p.store.Commit(ctx, wire.Multi{When: []wire.Cond{cond}, Then: some}); err != nil {
-					p.log.Info("dropping progress", "job", j.ID, "err", err)
+				if _, err := p.store.Commit(ctx, wire.Multi{When: m.When[:1], Then: some}); err != nil {
+					p.log.Info("dropping progress", "team", tm.Name, "err", err)
 				}
 			}
-			p.log.Info("job is over", "job", j.ID, "class", j.Class, "phase", phase, "tasks", j.Tasks,
-				"after_s", (p.clock.Now() - j.since).Seconds(), "last_start_s", (j.lastStart - j.since).Seconds(), "again", j.again)
 			return nil
 		}
+		if errors.Is(err, errLost) {
+			return err
+		}
 		if try%32 == 0 { // once in a while: an outage lasts many tries
-			p.log.Info("writing the end of a job", "job", j.ID, "tries", try+1, "err", err)
+			p.log.Info("writing the ends of jobs", "job", batch[0].ID, "jobs", len(batch), "tries", try+1, "err", err)
 		}
-		if unknown = unknown || !errors.Is(err, state.ErrRefused); !unknown {
-			p.mu.Lock()
-			j.uncertain = false
-			p.mu.Unlock()
+		refused := errors.Is(err, state.ErrRefused)
+		p.mu.Lock()
+		for _, j := range batch {
+			j.unanswered = j.unanswered || !refused
+			j.uncertain = j.unanswered
 		}
+		unknown := batch[0].unanswered
+		p.mu.Unlock()
 		if phase == wire.Cancelled && (!unknown || try >= 2) {
 			return err // its user asks again
 		}
+		if errors.Is(err, state.ErrConflict) && len(batch) > 1 {
+			// One of them is over already, by an earlier try that had no answer:
+			// it must not keep the others from their end.
+			for _, j := range batch {
+				if err := p.finish(ctx, store, []*job{j}, phase, brief); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
 		pause(ctx, 300*time.Millisecond)
 	}
 	return ctx.Err()
 }
 
+// active tells that a job is still this placer's to end. The lock is held.
+func (p *Placer) active(j *job) bool {
+	return j.team.jobs[j.ID] == j && p.desk.teams[j.team.Name] == j.team
+}
+
+// endsOf makes the transaction that ends jobs of one team, its first condition
+// being the team's claim; rest are drops of progress that it has no room for. The lock is held.
+func (p *Placer) endsOf(batch []*job, phase string, brief bool) (m wire.Multi, rest []wire.Op) {
+	if len(batch) == 0 {
+		return m, nil
+	}
+	tm := batch[0].team
+	m.When = []wire.Cond{{Key: state.Claims + Duty(tm.Name), Stamp: tm.stamp}}
+	for _, j := range batch {
+		m.When = append(m.When, wire.Cond{Key: state.Active + j.ID, Stamp: j.Stamp})
+		if brief || p.txnOps < 2 {
+			over := jobs.Record{Over: phase}
+			over.ID, over.Team, over.Tasks = j.ID, j.Team, j.Tasks
+			m.Then = append(m.Then, wire.Op{Put: state.Active + j.ID, Value: over})
+		} else {
+			m.Then = append(m.Then, wire.Op{Put: state.Final + j.ID, Value: jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks}},
+				wire.Op{Drop: state.Active + j.ID})
+		}
+	}
+	for _, j := range batch {
+		for c := range p.desk.progress[j.ID] {
+			if op := (wire.Op{Drop: progressKey(j.ID, c)}); len(m.Then) < p.txnOps {
+				m.Then = append(m.Then, op)
+			} else {
+				rest = append(rest, op)
+			}
+		}
+	}
+	return m, rest
+}
+
+// over takes note that jobs' ends are written.
+func (p *Placer) over(batch []*job, phase string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, j := range batch {
+		p.book.Keep(j.ID, jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks})
+		p.desk.DropJob(j.ID)
+		p.log.Info("job is over", "job", j.ID, "class", j.Class, "phase", phase, "tasks", j.Tasks,
+			"after_s", (p.clock.Now() - j.since).Seconds(), "last_start_s", (j.lastStart - j.since).Seconds(), "again", j.again)
+	}
+}
+
 func progressKey(id string, chunk chunkID) string {
 	return fmt.Sprintf("%s%s/%s", state.Progress, id, chunk)
 }
--- /dev/null
+++ b/internal/placer/writes_test.go
@@ -0,0 +1,92 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// narrow is a state service that takes few changes a second from this controller.
+type narrow struct {
+	*fakes.View
+	budget  *rate.Limiter
+	changes int
+}
+
+func (n *narrow) CommitAt(ctx context.Context, m wire.Multi, sending func() error) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	if err := n.budget.WaitN(ctx, len(m.Then)); err != nil {
+		return 0, fmt.Errorf("%w: %w", state.ErrRefused, state.ErrBudget)
+	}
+	n.changes += len(m.Then)
+	return n.View.CommitAt(ctx, m, sending)
+}
+
+// always holds every duty.
+type always struct{ claim.Held }
+
+func (a always) Mine(string) (claim.Held, bool) { return a.Held, true }
+func (a always) Holder(string) (string, bool)   { return "h", true }
+
+// Hundreds of jobs of one task each are done within moments, far more than there
+// are changes to spare. While their ends wait for the budget each of them is
+// answered for: only what is being written at the moment may get a retry.
+func TestEndsThatWaitForTheBudgetAreAnsweredFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		st := &narrow{View: &fakes.View{State: fakes.NewState()}, budget: rate.NewLimiter(8, 13)}
+		stamp, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Claims + Duty(red), Value: claim.Record{}}}})
+		require.NoError(t, err)
+		desk := NewDesk(Timing{}, "i", []Team{{Name: red}}, nil, 1, func() int64 { return 0 })
+		desk.Gain(red, 1, stamp, nil, 0)
+		book := jobs.NewBook()
+		p := New(desk, Options{TxnOps: 12, ValueMost: 4000}, always{claim.Held{Record: claim.Record{Term: 1}, Stamp: stamp}}, st, st, book,
+			clock.NewSteady(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		const many = 300
+		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
+		for i := range many {
+			rec := jobs.Record{Job: wire.Job{ID: name(i), Team: red, Tasks: 1}}
+			stamp, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Active + name(i), Value: rec}}})
+			require.NoError(t, err)
+			desk.AddJob(jobs.New(rec, stamp), 0)
+			desk.teams[red].jobs[name(i)].markDone(0)
+		}
+		go p.writeLoop(ctx) //nolint:errcheck // ends with the context
+		began := time.Now()
+		for over := 0; over < many; {
+			time.Sleep(500 * time.Millisecond)
+			over = 0
+			retries := 0
+			for i := range many {
+				a := p.Status(peer.JobQuery{Team: red, ID: name(i)})
+				require.True(t, a.Known && a.Found)
+				if a.Retry {
+					retries++
+				}
+				if a.State.Phase == wire.Done {
+					over++
+				}
+			}
+			require.LessOrEqual(t, retries, endsAtOnce*mostEnds)
+			require.Less(t, time.Since(began), 60*time.Second)
+		}
+		require.LessOrEqual(t, st.changes, many+mostEnds, "one change for each")
+	})
+}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -53,6 +53,11 @@
 // what the others have left of their part when its own is spent: after an
 // outage users come all at once.
 func (u Urgent) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
+	return u.CommitAt(ctx, m, nil)
+}
+
+// CommitAt is Commit, with a word right before the transaction is sent.
+func (u Urgent) CommitAt(ctx context.Context, m wire.Multi, sending func() error) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	budget := u.Client.urgent
@@ -60,7 +65,7 @@
 		budget = nil
 	}
 	for {
-		rev, err := u.commit(ctx, m, budget)
+		rev, err := u.commit(ctx, m, budget, sending)
 		if !errors.Is(err, errBusy) {
 			return rev, err
 		}
@@ -90,11 +95,22 @@
 const callTimeout = 3 * time.Second
 
 func (c *Client) call(ctx context.Context, method, target string, body any, timeout time.Duration) (*httpx.Response, error) {
+	return c.callAt(ctx, method, target, body, timeout, nil)
+}
+
+// callAt calls sending, if there is one, when the budget is had and the request
+// is about to be sent. Its error stands for a refusal.
+func (c *Client) callAt(ctx context.Context, method, target string, body any, timeout time.Duration, sending func() error) (*httpx.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := c.reqs.Wait(ctx); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRefused, ErrBudget)
 	}
+	if sending != nil {
+		if err := sending(); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+	}
 	var b []byte
 	if body != nil {
 		var err error
@@ -178,10 +194,17 @@
 
 // Commit carries out a transaction and gives its revision.
 func (c *Client) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
-	return c.commit(ctx, m, c.writes)
+	return c.commit(ctx, m, c.writes, nil)
+}
+
+// CommitAt is Commit, with a word right before the transaction is sent: what
+// holds only from then on, or must hold still at that moment, is settled there
+// and not before the wait for the budget. If sending fails nothing is sent.
+func (c *Client) CommitAt(ctx context.Context, m wire.Multi, sending func() error) (uint64, error) {
+	return c.commit(ctx, m, c.writes, sending)
 }
 
-func (c *Client) commit(ctx context.Context, m wire.Multi, budget *rate.Limiter) (uint64, error) {
+func (c *Client) commit(ctx context.Context, m wire.Multi, budget *rate.Limiter, sending func() error) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if n := len(m.Then); n > 0 && budget != nil {
@@ -192,7 +215,7 @@
 	if m.When == nil {
 		m.When = []wire.Cond{}
 	}
-	r, err := c.call(ctx, "POST", wire.PathMulti, m, callTimeout)
+	r, err := c.callAt(ctx, "POST", wire.PathMulti, m, callTimeout, sending)
 	if err != nil {
 		return 0, err
 	}
