--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,15 +77,17 @@
 		peers[o.Host] = peer.NewClient(o.Addr)
 	}
 	client := state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count, answerMost(p.Limits.MemoryMB))
-	return assemble(ctx, set, knobs, client, state.Urgent{Client: client}, peers, log)
+	urgent := state.Urgent{Client: client}
+	return assemble(ctx, set, knobs, client, urgent, state.Users{Urgent: urgent}, peers, log)
 }
 
 // answerMost is the longest answer of a service that is taken, by the memory there is.
 func answerMost(memoryMB float64) int { return int(min(max(memoryMB/16, 1), 32) * (1 << 20)) }
 
 // assemble wires a controller to a state service and to peers. What users or
-// other controllers wait for, accepted jobs and claims, goes the urgent way.
-func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, peers map[string]Peer, log *slog.Logger) *Node {
+// other controllers wait for, accepted jobs and claims, goes the urgent way, and
+// what users ask a way of its own.
+func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, users front.Store, peers map[string]Peer, log *slog.Logger) *Node {
 	p := &set.Params
 	n := &Node{fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, contact: map[string]time.Time{}, loaded: make(chan struct{})}
 	c := clock.NewSteady()
@@ -131,7 +133,7 @@
 	}
 	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
 		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, urgent, n.book, c, log)
-	n.front = front.New(urgent, n, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
+	n.front = front.New(users, n, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS, answerMost(p.Limits.MemoryMB)), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
 			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -148,7 +148,7 @@
 	require.NoError(c.t, err)
 	ctx, kill := context.WithCancel(c.t.Context())
 	p := &process{view: &fakes.View{State: c.st}, kill: kill}
-	p.Node = assemble(ctx, set, knobs, p.view, p.view, peers, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	p.Node = assemble(ctx, set, knobs, p.view, p.view, p.view, peers, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	c.mu.Lock()
 	c.up[host] = p
 	c.mu.Unlock()
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -40,6 +40,20 @@
 	reqs   *rate.Limiter
 	writes *rate.Limiter
 	urgent *rate.Limiter // changes that users or other controllers wait for
+	asks   *rate.Limiter // keys read on users' behalf
+}
+
+// Users is the way of what users ask: reads for them have a part of the budget
+// and no more, so that however often they ask, also for jobs that nobody knows,
+// holds are renewed and jobs accepted. Their changes go the urgent way.
+type Users struct{ Urgent }
+
+// Get reads a key while the users' part of the budget lasts.
+func (u Users) Get(ctx context.Context, key string) (wire.Item, bool, error) {
+	if !u.asks.Allow() {
+		return wire.Item{}, false, fmt.Errorf("%w: %w", ErrRefused, ErrBudget)
+	}
+	return u.Client.Get(ctx, key)
 }
 
 // Urgent is a client whose changes have a part of the budget to themselves.
@@ -85,6 +99,7 @@
 	return &Client{
 		http:   httpx.NewClient(addr, 8, limit),
 		reqs:   rate.NewLimiter(rate.Limit(rps/n*0.95), max(1, int(rps/n*0.9))),
+		asks:   rate.NewLimiter(rate.Limit(rps/n*0.4), max(2, int(rps/n*0.4))),
 		writes: rate.NewLimiter(rate.Limit(writes/n*0.65), max(13, int(writes/n))),
 		urgent: rate.NewLimiter(rate.Limit(writes/n*0.3), max(8, int(writes/n/2))),
 	}
--- a/internal/state/client_test.go
+++ b/internal/state/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -16,6 +18,11 @@
 // answering serves each connection with one raw answer, on loopback; an empty
 // one closes without a word.
 func answering(t *testing.T, answers ...string) *state.Client {
+	return answeringAt(t, 1000, answers...)
+}
+
+// answeringAt does so for a client that may send so many requests a second.
+func answeringAt(t *testing.T, rps float64, answers ...string) *state.Client {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -33,7 +40,7 @@
 			c.Close()
 		}
 	}()
-	return state.NewClient(l.Addr().String(), 1000, 1000, 1, 1<<20)
+	return state.NewClient(l.Addr().String(), rps, 1000, 1, 1<<20)
 }
 
 func raw(status int, body string) string {
@@ -95,3 +102,23 @@
 	_, err = answering(t, raw(200, `{"ledger_rev":3,"log":[`+strings.Repeat(" ", 2<<20)+`]}`)).Watch(t.Context(), "a", 1, 0)
 	require.ErrorIs(t, err, state.ErrTooOld)
 }
+
+// Users ask for jobs that nobody knows, again and again: their reads are refused
+// when their part of the budget is spent, and a hold is renewed all the same.
+func TestAskingLeavesRoomForHolds(t *testing.T) {
+	answers := make([]string, 100)
+	for i := range answers {
+		answers[i] = raw(404, `{"ledger_rev":7}`)
+	}
+	c := answeringAt(t, 5, answers...)
+	users := state.Users{Urgent: state.Urgent{Client: c}}
+	began, read := time.Now(), 0
+	for range 50 {
+		if _, _, err := users.Get(t.Context(), "k"); !errors.Is(err, state.ErrBudget) {
+			read++
+		}
+	}
+	require.LessOrEqual(t, read, 3+int(2*time.Since(began).Seconds()))
+	// The stand-in's word is that there is no such hold: it was asked.
+	require.ErrorIs(t, c.Extend(t.Context(), 1, 3*time.Second), state.ErrNoHold)
+}
