A controller that its workers can't reach hands its machines over

Change: controllers count the machines that come to them astray and say so when greeted; whoever has left half of its machines unheard while peers meet them registers as cut off, hands over the duties that need workers, at once and all of them, and takes its part back once it reaches workers. Stories: the lease of no worker ends, nothing starts twice; without the word to the keeper the story fails. Ruled out: judging by one's own silence alone (all its machines may be gone).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -27,6 +27,9 @@
 // Registration is the value of a controller's key, attached to its hold.
 type Registration struct {
 	Incarnation string `json:"incarnation"`
+	// Deaf tells that this controller is cut off from the workers: it should hold
+	// no duty that needs them, and its other duties go on.
+	Deaf bool `json:"deaf,omitempty"`
 }
 
 // Held is a claim as the replica last showed it.
@@ -45,6 +48,7 @@
 	host   string
 	hosts  []string // all controllers, sorted
 	duties []string // all claims, in a fixed order
+	bound  int      // the first so many of them need the workers
 	nodes  map[string]registered
 	claims map[string]Held
 	freeAt map[string]clock.Micros
@@ -58,11 +62,12 @@
 	until       clock.Micros // this incarnation may act until then
 }
 
-// NewBook makes a book for host; hosts names all controllers, duties all claims.
-func NewBook(host string, hosts, duties []string) *Book {
+// NewBook makes a book for host; hosts names all controllers, duties all claims,
+// of which the first so many need the workers.
+func NewBook(host string, hosts, duties []string, bound int) *Book {
 	hosts = append([]string(nil), hosts...)
 	sort.Strings(hosts)
-	return &Book{host: host, hosts: hosts, duties: duties, nodes: map[string]registered{},
+	return &Book{host: host, hosts: hosts, duties: duties, bound: bound, nodes: map[string]registered{},
 		claims: map[string]Held{}, freeAt: map[string]clock.Micros{}, seen: map[string]string{},
 		since: map[string]clock.Micros{}, giving: map[string]uint64{}, left: map[string]bool{}}
 }
@@ -139,33 +144,68 @@
 	return h, ok
 }
 
-// HandOver picks a duty held here whose preferred controller has been back for
-// a while, and gives the write that frees it. From now on this controller does
-// not act on the duty, whether the write succeeds or not: should its answer
-// be lost, another may hold the duty already.
-func (b *Book) HandOver(now, after clock.Micros) (duty string, m wire.Multi, ok bool) {
+// barred tells that the i-th duty needs the workers and that a controller is cut
+// off from them.
+func (b *Book) barred(i int, host string) bool { return i < b.bound && b.nodes[host].Deaf }
+
+// elsewhere tells that some other controller could hold the i-th duty.
+func (b *Book) elsewhere(i int) bool {
+	for h, r := range b.nodes {
+		if h != b.host && r.Incarnation != "" && !b.barred(i, h) {
+			return true
+		}
+	}
+	return false
+}
+
+// HandOver picks duties held here that others should have, and gives the writes
+// that free them: one whose preferred controller has been back for a while, or
+// all that need the workers when this controller is cut off from them. From now
+// on this controller does not act on them, whether the writes succeed or not:
+// should an answer be lost, another may hold the duty already.
+func (b *Book) HandOver(now, after clock.Micros) (out []Write) {
 	for _, h := range b.hosts {
-		if inc := b.nodes[h].Incarnation; b.seen[h] != inc {
-			b.seen[h], b.since[h] = inc, now
+		r := b.nodes[h]
+		as := r.Incarnation
+		if r.Deaf {
+			as += " deaf"
+		}
+		if b.seen[h] != as {
+			b.seen[h], b.since[h] = as, now
 		}
 	}
 	if !b.registeredMe() || !b.Confirmed(now) {
-		return "", m, false
+		return nil
 	}
+	calm := true // one at a time
 	for i, d := range b.duties {
 		h := b.claims[d]
 		if h.Holder != b.host || h.Incarnation != b.incarnation {
 			continue
 		}
 		to := b.hosts[i%len(b.hosts)]
-		if b.giving[d] != h.Stamp && (to == b.host || b.seen[to] == "" || now < b.since[to]+after) {
+		back := to != b.host && b.seen[to] != "" && now >= b.since[to]+after && !b.barred(i, to)
+		urgent := b.barred(i, b.host) && b.elsewhere(i)
+		if b.giving[d] != h.Stamp && !urgent && !(back && calm) {
 			continue
 		}
+		calm = calm && urgent
 		b.giving[d] = h.Stamp
-		return d, wire.Multi{When: []wire.Cond{{Key: state.Claims + d, Stamp: h.Stamp}},
-			Then: []wire.Op{{Put: state.Claims + d, Value: Record{Term: h.Term}}}}, true
+		out = append(out, Write{d, wire.Multi{When: []wire.Cond{{Key: state.Claims + d, Stamp: h.Stamp}},
+			Then: []wire.Op{{Put: state.Claims + d, Value: Record{Term: h.Term}}}}})
+	}
+	return out
+}
+
+// Note gives the write that tells in this controller's registration whether it is
+// cut off from the workers; ok is false when it says so already.
+func (b *Book) Note(deaf bool) (m wire.Multi, ok bool) {
+	r := b.nodes[b.host]
+	if !b.registeredMe() || r.Deaf == deaf {
+		return m, false
 	}
-	return "", m, false
+	return wire.Multi{When: []wire.Cond{{Key: state.Nodes + b.host, Stamp: r.stamp}},
+		Then: []wire.Op{{Put: state.Nodes + b.host, Value: Registration{b.incarnation, deaf}, Hold: b.hold}}}, true
 }
 
 // Holder names the controller whose registered incarnation holds a duty.
@@ -183,8 +223,8 @@
 	return r.Incarnation, r.stamp
 }
 
-// Take is a free claim that this controller should take now.
-type Take struct {
+// Write is what is to be written of a claim now.
+type Write struct {
 	Duty  string
 	Multi wire.Multi
 }
@@ -192,7 +232,7 @@
 // Wanted decides which free claims to take: its own preferred ones at once, also
 // those of a controller whose hold has just ended, those of one that was never
 // seen after the grace, any claim after twice that.
-func (b *Book) Wanted(now, grace clock.Micros) []Take {
+func (b *Book) Wanted(now, grace clock.Micros) []Write {
 	if !b.registeredMe() || !b.Confirmed(now) {
 		return nil
 	}
@@ -203,7 +243,7 @@
 	for _, h := range b.claims {
 		term = max(term, h.Term)
 	}
-	var out []Take
+	var out []Write
 	for i, d := range b.duties {
 		if _, held := b.Holder(d); held {
 			delete(b.freeAt, d)
@@ -225,7 +265,7 @@
 		if h.Holder != "" && h.Holder != b.host {
 			when = append(when, wire.Cond{Key: state.Nodes + h.Holder, Stamp: b.nodes[h.Holder].stamp})
 		}
-		out = append(out, Take{d, wire.Multi{When: when, Then: []wire.Op{
+		out = append(out, Write{d, wire.Multi{When: when, Then: []wire.Op{
 			{Put: state.Claims + d, Value: Record{b.host, b.incarnation, term + 1}}}}})
 	}
 	return out
@@ -236,6 +276,9 @@
 	n := len(b.hosts)
 	for k := range n {
 		h := b.hosts[(i+k)%n]
+		if b.barred(i, h) && free < 4*grace {
+			continue // also this one itself; but a duty is never without any taker
+		}
 		if h == b.host {
 			return true
 		}
@@ -247,5 +290,5 @@
 			return false
 		}
 	}
-	return true
+	return false
 }
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -32,7 +32,7 @@
 func start(t *testing.T, st *fakes.State, host string) *process {
 	ctx, cancel := context.WithCancel(t.Context())
 	v := &fakes.View{State: st}
-	k := NewKeeper(NewBook(host, []string{"a", "b", "c"}, duties), v, clock.NewSteady(), timing, quiet)
+	k := NewKeeper(NewBook(host, []string{"a", "b", "c"}, duties, 2), v, clock.NewSteady(), timing, quiet)
 	r := state.NewReplica(v, k.Apply, quiet)
 	go k.Run(ctx)                      //nolint:errcheck // ends with the context
 	go r.Run(ctx, make(chan struct{})) //nolint:errcheck // ends with the context
@@ -64,7 +64,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		v := slow{&fakes.View{State: fakes.NewState()}, 2 * time.Second}
-		k := NewKeeper(NewBook("a", []string{"a", "b", "c"}, duties), v, clock.NewSteady(), timing, quiet)
+		k := NewKeeper(NewBook("a", []string{"a", "b", "c"}, duties, 2), v, clock.NewSteady(), timing, quiet)
 		go k.Run(ctx)                                                        //nolint:errcheck // ends with the context
 		go state.NewReplica(v, k.Apply, quiet).Run(ctx, make(chan struct{})) //nolint:errcheck // ends with the context
 		time.Sleep(5 * time.Second)
@@ -196,6 +196,30 @@
 	})
 }
 
+// A controller is cut off from the workers: those of its duties that need them
+// go to others at once and stay there, the rest stays; once it reaches workers
+// again its own come back.
+func TestADeafControllerKeepsWhatNeedsNoWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a, b, c := start(t, st, "a"), start(t, st, "b"), start(t, st, "c")
+		time.Sleep(20 * time.Second)
+		require.True(t, a.has("one") && b.has("two") && c.has("three"))
+		a.SetDeaf(true)
+		c.SetDeaf(true)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			require.False(t, a.has("one") && b.has("one"))
+		}
+		require.True(t, b.has("one") && c.has("three"))
+		time.Sleep(40 * time.Second)
+		require.True(t, b.has("one") && b.has("two") && c.has("three"))
+		a.SetDeaf(false)
+		time.Sleep(20 * time.Second)
+		require.True(t, a.has("one") && b.has("two"))
+	})
+}
+
 // The number of controllers was changed, and with it the partitions. A new
 // duty's term is above those of the duties that were there before.
 func TestTermsGrowOverAllDuties(t *testing.T) {
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -41,6 +41,7 @@
 	peerOK   clock.Micros // when a peer last said that it has contact
 	heardAt  clock.Micros // when a peer last said anything
 	gaveAt   clock.Micros // when a duty was last handed over
+	deaf     bool         // no worker reaches this controller
 }
 
 // NewKeeper makes a keeper around a book.
@@ -136,6 +137,14 @@
 	return k.book.Peers() > 0 && now-k.lastOK > k.timing.ResignAfter && now-k.heardAt > k.timing.ResignAfter
 }
 
+// SetDeaf tells whether this controller is cut off from the workers.
+func (k *Keeper) SetDeaf(deaf bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.deaf = deaf
+	k.poke()
+}
+
 // Bury removes the registration of a peer's incarnation that has resigned.
 func (k *Keeper) Bury(ctx context.Context, host, incarnation string) {
 	k.mu.Lock()
@@ -199,8 +208,11 @@
 		return err
 	}
 	inc := uuid.NewString()
+	k.mu.Lock()
+	deaf := k.deaf
+	k.mu.Unlock()
 	_, err = k.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: key, Stamp: it.Stamp}},
-		Then: []wire.Op{{Put: key, Value: Registration{inc}, Hold: hold}}})
+		Then: []wire.Op{{Put: key, Value: Registration{inc, deaf}, Hold: hold}}})
 	if err != nil {
 		return err
 	}
@@ -231,14 +243,13 @@
 	}
 	due := now-k.lastOK >= k.timing.Renew
 	wanted := k.book.Wanted(now, k.timing.Grace)
-	var duty string
-	var give wire.Multi
-	giving := false
+	var give []Write
 	if !lapsed && now >= k.gaveAt+clock.Second {
-		if duty, give, giving = k.book.HandOver(now, k.timing.Settle); giving {
+		if give = k.book.HandOver(now, k.timing.Settle); len(give) > 0 {
 			k.gaveAt = now
 		}
 	}
+	note, noting := k.book.Note(k.deaf)
 	k.mu.Unlock()
 	if lapsed {
 		k.log.Info("the hold could not be confirmed in time: duties given up", "incarnation", inc)
@@ -268,21 +279,25 @@
 			return
 		}
 	}
-	if giving {
-		_, err := k.store.Commit(ctx, give)
-		k.log.Info("handed a duty over to the controller that it is meant for", "duty", duty, "err", err)
+	if noting {
+		_, err := k.store.Commit(ctx, note)
+		k.log.Info("told whether workers reach this controller", "deaf", note.Then[0].Value, "err", err)
 	}
 	var wg sync.WaitGroup
+	for _, w := range give {
+		wg.Go(func() {
+			_, err := k.store.Commit(ctx, w.Multi)
+			k.log.Info("handed a duty over", "duty", w.Duty, "err", err)
+		})
+	}
 	for _, w := range wanted {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			if _, err := k.store.Commit(ctx, w.Multi); err != nil {
 				k.log.Debug("taking a claim", "duty", w.Duty, "err", err)
 			} else {
 				k.log.Info("took a claim", "duty", w.Duty)
 			}
-		}()
+		})
 	}
 	wg.Wait()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,13 @@
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
+// strays is how many machines of this controller's a peer has met lately, by its
+// word of that time.
+type strays struct {
+	machines int
+	at       time.Time
+}
+
 // partsPerController is how many partitions there are for each controller.
 const partsPerController = 4
 
@@ -66,6 +73,7 @@
 	mu      sync.Mutex
 	catalog wire.Catalog
 	contact map[string]time.Time // when a peer last said that it reaches the state service
+	astray  map[string]strays    // by peer
 }
 
 // New makes a controller from its settings, with clients for the services and
@@ -89,7 +97,7 @@
 // what users ask a way of its own.
 func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, users front.Store, peers map[string]Peer, log *slog.Logger) *Node {
 	p := &set.Params
-	n := &Node{fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, contact: map[string]time.Time{}, loaded: make(chan struct{})}
+	n := &Node{fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, contact: map[string]time.Time{}, astray: map[string]strays{}, loaded: make(chan struct{})}
 	c := clock.NewSteady()
 	instance := uuid.NewString()
 	hosts := []string{set.Host}
@@ -117,7 +125,7 @@
 		duties = append(duties, placer.Duty(t.Name))
 	}
 	duties = append(duties, fleet.Duty)
-	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties), urgent, c,
+	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties, parts), urgent, c,
 		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
 	wall := time.Now
 	_, lines := set.Sockets()
@@ -193,6 +201,7 @@
 	for h, c := range n.peers {
 		g.Go(func() error { return n.greet(ctx, h, c) })
 	}
+	g.Go(func() error { return n.listen(ctx) })
 	return g.Wait()
 }
 
@@ -260,11 +269,12 @@
 			continue
 		}
 		n.keeper.Hear(out.Contact)
+		n.mu.Lock()
+		n.astray[host] = strays{out.Strays, time.Now()}
 		if out.Contact < n.fresh {
-			n.mu.Lock()
 			n.contact[host] = time.Now()
-			n.mu.Unlock()
 		}
+		n.mu.Unlock()
 		if out.Resigned != "" {
 			n.keeper.Bury(ctx, host, out.Resigned)
 		}
@@ -273,7 +283,52 @@
 
 func (n *Node) hello() peer.Hello {
 	ago, resigned := n.keeper.Contact()
-	return peer.Hello{Contact: ago, Resigned: resigned}
+	return peer.Hello{Contact: ago, Resigned: resigned, From: n.set.Host}
+}
+
+// deafAfter is for how many looks in a row, a second apart, the workers must be
+// heard of elsewhere only. Looks are counted, not time: a process that stood still
+// finds everybody else's word of it waiting, and has not listened yet.
+const deafAfter = 3
+
+// listen finds out whether the workers reach this controller. When they don't, it
+// says so and hands the machines to those whom they reach; once it reaches workers
+// again it takes its part back.
+func (n *Node) listen(ctx context.Context) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	deaf, looks := false, 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if deaf {
+			if looks++; !n.owner.Reaches(ctx) {
+				looks = 0
+			}
+		} else {
+			looks++
+			all, unheard := n.owner.Unheard()
+			n.mu.Lock()
+			astray := 0
+			for _, s := range n.astray {
+				if time.Since(s.at) < 3*time.Second {
+					astray += s.machines
+				}
+			}
+			n.mu.Unlock()
+			if all < 3 || 2*unheard < all || 3*astray < all {
+				looks = 0
+			}
+		}
+		if looks >= deafAfter {
+			deaf, looks = !deaf, 0
+			n.log.Info("whether workers reach this controller has changed", "deaf", deaf)
+			n.keeper.SetDeaf(deaf)
+		}
+	}
 }
 
 // handle answers a request of a user, a worker or the load balancer.
@@ -458,6 +513,7 @@
 
 func (s *service) Hello(in peer.Hello, out *peer.Hello) error {
 	*out = s.n.hello()
+	out.Strays = s.n.owner.Strays(in.From)
 	return nil
 }
 
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -47,9 +47,10 @@
 	txnOps  int
 	valueKB float64
 
-	mu  sync.Mutex
-	up  map[string]*process
-	cut map[string]bool // hosts that no peer reaches
+	mu   sync.Mutex
+	up   map[string]*process
+	cut  map[string]bool // hosts that no peer reaches
+	deaf map[string]bool // hosts that no worker reaches
 }
 
 // reach gives the process that a peer reaches at a host, nil for none.
@@ -109,7 +110,7 @@
 }
 
 func newClusterWith(t *testing.T, workers int, given *cluster) *cluster {
-	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
+	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, deaf: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
 	_, err := (&fakes.View{State: c.st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
@@ -206,7 +207,10 @@
 	b, err := json.Marshal(r)
 	require.NoError(c.t, err)
 	host := c.at[w.ID]
-	resp := c.do(host, "POST", wire.PathReport, string(b))
+	var resp httpx.Response
+	if !c.deaf[host] {
+		resp = c.do(host, "POST", wire.PathReport, string(b))
+	}
 	var a wire.ReportAnswer
 	var e wire.Error
 	switch {
@@ -470,6 +474,29 @@
 	})
 }
 
+// A controller loses its workers and nothing else: it hears from its peers that
+// they are with them, and hands them over before their leases end.
+func TestAControllerWithoutItsWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 12)
+		c.run(5*time.Second, 0)
+		c.do("b", "POST", wire.PathJobs, submission("job-1", 6))
+		c.run(4*time.Second, 0)
+		before := c.running()
+		require.Equal(t, 6, before)
+		c.deaf["a"] = true
+		c.run(30*time.Second, 0)
+		require.Equal(t, before, c.running())
+		for _, w := range c.workers {
+			require.EqualValues(t, 1, w.Session, "its lease has ended")
+			for task, n := range w.Starts {
+				require.Equal(t, 1, n, task)
+			}
+		}
+		require.Equal(t, 200, c.do("a", "GET", wire.PathReady, "").Status, "users are served")
+	})
+}
+
 // Controllers are back within a fraction of a second, again and again, also
 // while others are taking claims. Every accepted job is known all the time and
 // done in the end; nothing runs twice.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -80,6 +80,7 @@
 	ctx       context.Context
 	wall      func() time.Time
 	asking    atomic.Int64 // polls that wait
+	strays    strays
 
 	mu      sync.Mutex
 	table   *Table
@@ -92,7 +93,7 @@
 // New makes an owner.
 func New(ctx context.Context, host, instance string, split Split, txnOps, valueMost, mostLines int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
 	return &Owner{ctx: ctx, wall: wall, host: host, instance: instance, split: split, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
-		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines),
+		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines), strays: strays{of: map[string]map[string]clock.Micros{}},
 		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
@@ -201,6 +202,7 @@
 	h, mine := o.claims.Mine(Duty(part))
 	if !mine {
 		if holder, ok := o.claims.Holder(Duty(part)); ok && holder != o.host {
+			o.strays.note(holder, r.Machine, o.clock.Now())
 			return refuse(421, "another controller has this machine", holder, 0)
 		}
 		return refuse(503, "no controller has this machine now", "", 1)
--- /dev/null
+++ b/internal/owner/reach.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"context"
+	"sync"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/machines"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// A controller that the workers can't reach keeps its claims as long as it reaches
+// the state service, and its machines lose all their tasks when their leases end.
+// Its own silence proves nothing: all of its machines may be gone. But workers
+// that get no answer try the next controller, which sends them back: whoever is
+// told by its peers that its silent machines are with them is cut off.
+
+// strayFor is how long a machine that was sent to its owner counts as astray: one
+// that gets no answer there takes some five seconds for its round.
+const strayFor = 6 * clock.Second
+
+// strays are the machines that came here lately, by the controller that has them.
+type strays struct {
+	mu sync.Mutex
+	of map[string]map[string]clock.Micros
+}
+
+func (s *strays) note(holder, machine string, now clock.Micros) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.of[holder] == nil {
+		s.of[holder] = map[string]clock.Micros{}
+	}
+	s.of[holder][machine] = now
+}
+
+func (s *strays) count(holder string, now clock.Micros) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range s.of[holder] {
+		if now > at+strayFor {
+			delete(s.of[holder], id)
+		}
+	}
+	return len(s.of[holder])
+}
+
+// Strays is how many machines of a controller's have come to this one lately.
+func (o *Owner) Strays(holder string) int { return o.strays.count(holder, o.clock.Now()) }
+
+// Unheard tells how many machines should be reporting here, and how many of them
+// have left out a report.
+func (o *Owner) Unheard() (all, unheard int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.unheard(o.clock.Now())
+}
+
+func (t *Table) unheard(now clock.Micros) (all, unheard int) {
+	for _, m := range t.machines {
+		if m.silent || m.gone || !m.registered {
+			continue
+		}
+		all++
+		if now > m.answered+t.timing.Quiet/2+clock.Second/5 {
+			unheard++
+		}
+	}
+	return all, unheard
+}
+
+// probes is how many workers are asked whether this controller reaches them.
+const probes = 6
+
+// Reaches asks some of the workers on record and tells whether most of them answer.
+func (o *Owner) Reaches(ctx context.Context) bool {
+	var addrs []string
+	o.mu.Lock()
+	o.records.Each(func(_ string, r machines.Record) {
+		if len(addrs) < probes && r.Addr != "" {
+			addrs = append(addrs, r.Addr)
+		}
+	})
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	answers := make([]bool, len(addrs))
+	for i, a := range addrs {
+		wg.Go(func() {
+			c := httpx.NewClient(a, 1, 256<<10)
+			defer c.Close()
+			_, err := c.Do(ctx, "GET", wire.PathShow, nil)
+			answers[i] = err == nil
+		})
+	}
+	wg.Wait()
+	n := 0
+	for _, ok := range answers {
+		if ok {
+			n++
+		}
+	}
+	return 2*n > len(addrs)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -140,6 +140,8 @@
 type Hello struct {
 	Contact  clock.Micros // how long ago the state service confirmed its hold
 	Resigned string       // its last incarnation that gave up for good
+	From     string       // who says this
+	Strays   int          // in an answer: machines of the asker's that have come to the answerer lately
 }
 
 // Demand is work that waits for room, or runs, as the fleet needs to know it.
