A long time to finish within does not put off thrift for everybody

After the rush 330 machines stood by for 240 s each with 1% of their CPUs in use. Change: a time of at least eight of the workers' leases is one more deadline, also for work that has none; such work tells the fleet its slack by it. Ruled out: ends of jobs that keep machines in use (their tasks ended evenly), refused returns (none in the log).

--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -218,8 +218,10 @@
 			room = room.Minus(j.Need.Times(int64(n)))
 			dm := peer.Demand{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot, Rank: j.Level, Waiting: n,
 				RunFor: clock.FromSeconds(j.EstimateS)}
-			if j.DueS != nil && !j.late(now) {
+			if start := d.finish(j); j.DueS != nil && !j.late(now) {
 				dm.Slack = max(clock.Second, j.due()-now-dm.RunFor)
+			} else if j.DueS == nil && start != math.MaxInt64 && now < start {
+				dm.Slack = start - now // to be finished within a time is as good as a deadline
 			}
 			out = append(out, dm)
 		}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -1,7 +1,7 @@
 # The operators' knobs, with their defaults. A script given with --policy is run
 # with the same names at hand and may set any of them. `economy` is true when no
-# objective asks for work without deadlines to be finished within a fixed time:
-# then it need be no earlier than its deadline, and machines are rented with thrift.
+# objective asks for work without deadlines to be finished within a short fixed
+# time: then it need be no earlier than its deadline, and machines are rented with thrift.
 
 hold_ttl_s = 24        # how long a controller acts without hearing from the state service
 hold_renew_s = 1.5     # how often it asks
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -30,16 +30,22 @@
 	Economy                                    bool
 }
 
+// longFinish is from how many of the workers' leases on a time to be finished
+// within is one more deadline, also for work that has none: it leaves time to wait
+// for room, and to notice that a machine is gone and begin anew.
+const longFinish = 8
+
 // Economy tells whether thrift is in order: work need be no earlier than its
 // deadline. It is not where an objective asks for work without deadlines to be
-// finished within a fixed time; for work with deadlines that is one more deadline.
+// finished within a short fixed time; a long one, such as guests have, must not
+// put off thrift for everybody, and for work with deadlines it is one more of them.
 func Economy(s *config.Settings) bool {
 	due := map[string]bool{}
 	for _, o := range s.Params.Objectives {
 		due[o.Class] = due[o.Class] || o.Kind == "deadline"
 	}
 	for _, o := range s.Params.Objectives {
-		if o.Kind == "finished" && !due[o.Class] {
+		if o.Kind == "finished" && !due[o.Class] && o.WithinS < longFinish*s.Params.Workers.LeaseS {
 			return false
 		}
 	}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -26,10 +26,16 @@
 	early := settings("deadline", "finished")
 	early.Params.Objectives[0].Class = "nightly"
 	early.Params.Objectives[1].Class = "urgent"
+	early.Params.Objectives[1].WithinS = 70
+	early.Params.Workers.LeaseS = 16
 	quick, err := Parse("", early)
 	require.NoError(t, err)
 	require.False(t, quick.Economy)
 	require.Less(t, thrifty.IdleReturn, quick.IdleReturn)
+	// Guests that have minutes must not put off thrift for everybody.
+	early.Params.Objectives[1].WithinS = 400
+	require.True(t, Economy(early))
+	early.Params.Objectives[1].WithinS = 70
 	// For work that has deadlines it is one more deadline.
 	early.Params.Objectives[1].Class = "nightly"
 	require.True(t, Economy(early))
