--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -272,12 +272,13 @@
 	}
 }
 
-// Drain keeps machines free for their return.
-func (o *Owner) Drain(list []peer.Machine) []string {
+// Drain keeps machines free for their return, and empties those that hold little.
+func (o *Owner) Drain(q peer.DrainQuery) []string {
 	o.Reconcile()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ready := o.table.Drain(list, o.split.Of, o.clock.Now())
+	o.table.Empty(q.Empty)
+	ready := o.table.Drain(q.Machines, o.split.Of, o.clock.Now())
 	o.notify()
 	return ready
 }
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -39,7 +39,7 @@
 	m.answered = now
 	if m.quiet {
 		m.quiet = false
-		t.touch(m)
+		t.back(m, now)
 	}
 	ans.Token = m.token
 	ans.Orders = []wire.Order{}
@@ -73,11 +73,13 @@
 	}
 	if m.silent {
 		m.silent, changed = false, true
+		t.back(m, now)
 	}
 	m.heard, m.session, m.tick = true, r.Session, r.Tick
 	m.seenToken = max(m.seenToken, r.Token)
 	if m.doubt && r.Token >= m.token {
 		m.doubt, changed = false, true
+		t.back(m, now)
 	}
 	if !m.accounted && r.Token >= baseToken(t.parts[m.part]) {
 		m.accounted = true
@@ -134,6 +136,14 @@
 	}
 }
 
+// back takes note that a machine may be used again: while it was cut off or hung it
+// was given nothing, so it has not been idle. Without this all machines of a cut
+// are returned in the moment they are back, and rented anew.
+func (t *Table) back(m *machine, now clock.Micros) {
+	m.idleSince = now
+	t.touch(m)
+}
+
 // exit keeps account of failures: a machine on which several jobs fail in a
 // row is sick, unless the jobs fail everywhere.
 func (t *Table) exit(m *machine, k *task, cause string, now clock.Micros) {
