Emptying machines that are kept for little: reverted, nothing is left for it to do

Tried: under thrift, when nothing waits, the tasks of machines that are used to a quarter at most are stopped and begun anew on fuller ones where that costs less than the machine.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,7 +75,7 @@
 type Controllers interface {
 	Demands(ctx context.Context) []peer.Demand
 	Views() []peer.MachineView
-	Drain(ctx context.Context, q peer.DrainQuery) (ready []string)
+	Drain(ctx context.Context, list []peer.Machine) (ready []string)
 	Gone(ctx context.Context, list []peer.Machine)
 	RecordedBefore(atMS int64) []peer.Machine
 }
@@ -419,13 +419,8 @@
 func (f *Fleet) giveBack(ctx context.Context, list []Return) {
 	why := map[string]string{}
 	zone := map[string]string{}
-	var some, failed, empty []peer.Machine
+	var some, failed []peer.Machine
 	for _, r := range list {
-		if r.Tasks > 0 {
-			empty = append(empty, peer.Machine{ID: r.ID, Zone: r.Zone})
-			f.log.Info("emptying a machine", "machine", r.ID, "why", r.Why, "tasks", r.Tasks)
-			continue
-		}
 		if f.rented[r.ID].Phase == wire.MachineFailed {
 			failed = append(failed, peer.Machine{ID: r.ID, Zone: r.Zone})
 		}
@@ -437,7 +432,7 @@
 	if len(failed) > 0 {
 		f.others.Gone(ctx, failed) // the cloud's own word that they have stopped
 	}
-	ready := f.others.Drain(ctx, peer.DrainQuery{Machines: some, Empty: empty})
+	ready := f.others.Drain(ctx, some)
 	if len(ready) == 0 {
 		return
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -79,9 +79,9 @@
 	return out
 }
 
-func (o *others) Demands(context.Context) []peer.Demand           { return o.demands }
-func (o *others) Views() []peer.MachineView                       { return o.views }
-func (o *others) Drain(context.Context, peer.DrainQuery) []string { return o.ready }
+func (o *others) Demands(context.Context) []peer.Demand              { return o.demands }
+func (o *others) Views() []peer.MachineView                          { return o.views }
+func (o *others) Drain(_ context.Context, _ []peer.Machine) []string { return o.ready }
 func (o *others) Gone(_ context.Context, list []peer.Machine) {
 	for _, m := range list {
 		o.gone = append(o.gone, m.ID)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -63,7 +63,6 @@
 type Return struct {
 	ID, Zone string
 	Why      string
-	Tasks    int // that are stopped for it, and begun anew elsewhere
 }
 
 type bin struct {
@@ -187,72 +186,7 @@
 	sort.SliceStable(hires, func(a, b int) bool {
 		return hires[a].Type+hires[a].Zone < hires[b].Type+hires[b].Zone || hires[a].Spot && !hires[b].Spot
 	})
-	returns = giveBack(in, types, room)
-	if in.Knobs.Economy && len(hires) == 0 {
-		returns = append(returns, empty(in, returns)...)
-	}
-	return hires, returns
-}
-
-// Emptying pays when what a machine costs by being kept is so many times what is
-// done again, counting the start of a task as so many seconds of its CPUs.
-const (
-	emptyPays  = 2
-	emptyStart = 15
-)
-
-// empty picks machines that are kept for little: under thrift, when next to
-// nothing waits, what is on them goes to others that are kept anyway. After a rush
-// hundreds of machines hold a small task each, for as long as the longest of
-// them lasts. Those with least go first, and what they hold must fit beside what
-// another, fuller one holds.
-func empty(in Input, returns []Return) (out []Return) {
-	going := map[string]bool{}
-	for _, r := range returns {
-		going[r.ID] = true
-	}
-	var list []*peer.MachineView
-	var have, waiting int64
-	for i := range in.Views {
-		v := &in.Views[i]
-		if v.Usable && v.Count > 0 && !going[v.ID] {
-			list = append(list, v)
-		}
-		if v.Usable {
-			have += v.Cap.CPU
-		}
-	}
-	for _, d := range in.Demands {
-		waiting += d.Need.CPU * int64(d.Waiting)
-	}
-	if waiting > have/50 {
-		return nil
-	}
-	used := func(v *peer.MachineView) res.Amounts { return v.Cap.Minus(v.Free) }
-	sort.SliceStable(list, func(a, b int) bool {
-		if x, y := used(list[a]).CPU, used(list[b]).CPU; x != y {
-			return x < y
-		}
-		return list[a].ID < list[b].ID
-	})
-	to := len(list) - 1
-	for i, v := range list {
-		if len(out) >= max(4, len(list)/16) || 4*used(v).CPU > v.Cap.CPU {
-			break
-		}
-		cpus := used(v).CPUs()
-		if !v.Hold.Movable || v.Cap.CPUs()*v.Hold.For.Seconds() < emptyPays*(v.Hold.Lost+emptyStart*cpus) {
-			continue
-		}
-		for ; to > i; to-- {
-			if t := list[to]; used(v).Fits(t.Free) {
-				t.Free = t.Free.Minus(used(v))
-				out = append(out, Return{ID: v.ID, Zone: v.Zone, Why: "held by little", Tasks: v.Count})
-				break
-			}
-		}
-	}
-	return out
+	return hires, giveBack(in, types, room)
 }
 
 // trim keeps thrifty deployments from renting machines for work that those at
@@ -346,17 +280,17 @@
 		r, listed := in.Rented[v.ID]
 		switch {
 		case r.Phase == wire.MachineFailed:
-			out = append(out, Return{ID: v.ID, Zone: v.Zone, Why: "failed"})
+			out = append(out, Return{v.ID, v.Zone, "failed"})
 		case v.Silent:
 			if listed && r.lostFor(in.Now, types) {
-				out = append(out, Return{ID: v.ID, Zone: v.Zone, Why: "silent for its whole lease"})
+				out = append(out, Return{v.ID, v.Zone, "silent for its whole lease"})
 			}
 		case v.Sick && v.Count == 0:
-			out = append(out, Return{ID: v.ID, Zone: v.Zone, Why: "several jobs failed on it, or it is slow"})
+			out = append(out, Return{v.ID, v.Zone, "several jobs failed on it, or it is slow"})
 		case v.Draining && v.Count == 0:
-			out = append(out, Return{ID: v.ID, Zone: v.Zone, Why: "set aside for return"})
+			out = append(out, Return{v.ID, v.Zone, "set aside for return"})
 		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !wanted(v.ID) && (v.Usable || v.Noticed || r.idleFor(v.Idle-in.Knobs.IdleReturn, types)):
-			out = append(out, Return{ID: v.ID, Zone: v.Zone, Why: "idle"})
+			out = append(out, Return{v.ID, v.Zone, "idle"})
 		}
 	}
 	for _, r := range in.Rented {
@@ -365,14 +299,14 @@
 		}
 		age := in.Now - r.Since
 		if r.Phase == wire.MachineFailed {
-			out = append(out, Return{ID: r.ID, Zone: r.Zone, Why: "failed"})
+			out = append(out, Return{r.ID, r.Zone, "failed"})
 		} else if r.Up {
 			if !r.lostFor(in.Now, types) {
 				continue
 			}
-			out = append(out, Return{ID: r.ID, Zone: r.Zone, Why: "its worker is gone"})
+			out = append(out, Return{r.ID, r.Zone, "its worker is gone"})
 		} else if t, ok := types[r.Type]; ok && age.Seconds() > max(t.BootS, 5)*in.Knobs.BootPatience {
-			out = append(out, Return{ID: r.ID, Zone: r.Zone, Why: "never came up"})
+			out = append(out, Return{r.ID, r.Zone, "never came up"})
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -133,7 +133,7 @@
 	require.Empty(t, returns, "without thrift they are kept while anything waits")
 	in.Knobs.Economy = true
 	_, returns = Plan(in)
-	require.Equal(t, []Return{{"m-3", "a", "idle", 0}, {"m-4", "a", "idle", 0}}, returns)
+	require.Equal(t, []Return{{"m-3", "a", "idle"}, {"m-4", "a", "idle"}}, returns)
 }
 
 // Many machines are cut off for longer than their leases. They are silent then, but
@@ -167,31 +167,6 @@
 	r := f.rented["m-007"]
 	r.Phase = wire.MachineFailed
 	f.rented["m-007"] = r
-	require.Equal(t, []Return{{"m-007", "a", "failed", 0}}, step(28*sec, true))
+	require.Equal(t, []Return{{"m-007", "a", "failed"}}, step(28*sec, true))
 	require.Len(t, step(3*sec, true), 245)
 }
-
-// After a rush many machines are kept for a small task each. Under thrift, when
-// nothing waits, those with least are emptied and the others take what they held;
-// not one whose tasks would be late, is nearly through, or has done much already.
-func TestMachinesHeldByLittleAreEmptied(t *testing.T) {
-	in := input()
-	view := func(id string, used float64, h peer.Hold) {
-		in.Views = append(in.Views, peer.MachineView{ID: id, Type: "big", Zone: "a", Usable: true, Accounted: true, Count: 1,
-			Cap: res.Have(32, 0, 128), Free: res.Have(32-used, 0, 128), Hold: h})
-	}
-	view("m-1", 0.25, peer.Hold{Movable: true, Lost: 10, For: 100 * sec})
-	view("m-2", 0.25, peer.Hold{Lost: 10, For: 100 * sec})
-	view("m-3", 0.25, peer.Hold{Movable: true, Lost: 10, For: sec / 4})
-	view("m-4", 4, peer.Hold{Movable: true, Lost: 2000, For: 100 * sec})
-	view("m-5", 31.9, peer.Hold{Movable: true, Lost: 10, For: 100 * sec})
-	view("m-6", 30, peer.Hold{Movable: true, Lost: 10, For: 100 * sec})
-	_, returns := Plan(in)
-	require.Empty(t, returns, "without thrift nothing is begun anew")
-	in.Knobs.Economy = true
-	_, returns = Plan(in)
-	require.Equal(t, []Return{{"m-1", "a", "held by little", 1}}, returns)
-	in.Demands = waiting(9, nil)
-	_, returns = Plan(in)
-	require.Empty(t, returns, "while something waits all is in use")
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -467,9 +467,9 @@
 func (n *Node) RecordedBefore(atMS int64) []peer.Machine { return n.owner.RecordedBefore(atMS) }
 
 // Drain asks all owners to set machines aside.
-func (n *Node) Drain(_ context.Context, q peer.DrainQuery) []string {
-	out := n.owner.Drain(q)
-	each(n, "Drain", q, func(a peer.DrainAnswer) { out = append(out, a.Ready...) })
+func (n *Node) Drain(_ context.Context, list []peer.Machine) []string {
+	out := n.owner.Drain(list)
+	each(n, "Drain", peer.DrainQuery{Machines: list}, func(a peer.DrainAnswer) { out = append(out, a.Ready...) })
 	return out
 }
 
@@ -539,7 +539,7 @@
 }
 
 func (s *service) Drain(in peer.DrainQuery, out *peer.DrainAnswer) error {
-	out.Ready = s.n.owner.Drain(in)
+	out.Ready = s.n.owner.Drain(in.Machines)
 	return nil
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -272,13 +272,12 @@
 	}
 }
 
-// Drain keeps machines free for their return, and empties those that hold little.
-func (o *Owner) Drain(q peer.DrainQuery) []string {
+// Drain keeps machines free for their return.
+func (o *Owner) Drain(list []peer.Machine) []string {
 	o.Reconcile()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Empty(q.Empty)
-	ready := o.table.Drain(q.Machines, o.split.Of, o.clock.Now())
+	ready := o.table.Drain(list, o.split.Of, o.clock.Now())
 	o.notify()
 	return ready
 }
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -323,29 +323,6 @@
 	return ready
 }
 
-// Empty stops the tasks of machines and keeps others from them: what they hold is
-// little, and begun anew elsewhere. One that has got a task since is left alone.
-func (t *Table) Empty(list []peer.Machine) {
-	for _, x := range list {
-		m := t.machines[x.ID]
-		if m == nil || m.draining || !m.accounted || m.silent || m.gone {
-			continue
-		}
-		fresh := false
-		for _, k := range m.tasks {
-			fresh = fresh || !k.seen
-		}
-		if fresh {
-			continue
-		}
-		m.draining = true
-		for _, k := range m.tasks {
-			t.end(m, k, t.graceOf(k))
-		}
-		t.touch(m)
-	}
-}
-
 // Registered notes that a machine's record is in the state service, or gone from
 // it. A record without a machine, which a late copy of an old write brings back,
 // counts as a machine that nothing is known of: it falls silent, and its record goes.
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -568,23 +568,6 @@
 	require.Len(t, s.tasks(), 1)
 }
 
-// A machine that is kept for little is emptied: its tasks stop and it gets no
-// more; but one on whose start nothing was heard yet is left as it is.
-func TestEmptyingAMachine(t *testing.T) {
-	s := newScene(t)
-	require.True(t, s.lease(0, 1))
-	s.table.Empty([]peer.Machine{{ID: "m-1"}, {ID: "m-unknown"}})
-	require.True(t, s.lease(1, 2), "not while a start is on its way")
-	s.report()
-	s.report()
-	s.table.Empty([]peer.Machine{{ID: "m-1"}})
-	require.False(t, s.lease(2, 3))
-	s.report()
-	s.report()
-	require.False(t, s.w.Running("job-1/0"))
-	require.False(t, s.w.Running("job-1/1"))
-}
-
 // A machine is cut off for longer than its lease and comes back: nothing could be
 // given to it, so it has not been idle, and is not to be returned at once.
 func TestAMachineThatIsBackHasNotBeenIdle(t *testing.T) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,14 +63,6 @@
 	Whole     bool         // Tasks lists all of them
 	Tasks     []TaskView
 	Left      []TaskID // tasks that are there no more, since the asker's cursor
-	Hold      Hold     // for the fleet, made up by the placer
-}
-
-// Hold is what keeps a machine in use, as the fleet needs to know it.
-type Hold struct {
-	Movable bool         // no task would be late if it were begun anew elsewhere
-	Lost    float64      // CPU seconds of work that would be done again
-	For     clock.Micros // how long the last of its tasks may still take
 }
 
 // Ask asks for a lease on a machine's room for one task, and hands the task over.
@@ -192,10 +184,7 @@
 type Machine struct{ ID, Zone string }
 
 // DrainQuery asks an owner to keep machines free for their return.
-type DrainQuery struct {
-	Machines []Machine
-	Empty    []Machine // whose tasks are to be stopped as well, and begun anew elsewhere
-}
+type DrainQuery struct{ Machines []Machine }
 
 // DrainAnswer names those that hold neither task nor lease and get none any more.
 type DrainAnswer struct{ Ready []string }
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -105,5 +105,5 @@
 func (p *Placer) Views() []peer.MachineView {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.desk.Views(p.book.Find, p.clock.Now())
+	return p.desk.Views(p.clock.Now())
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -206,10 +206,6 @@
 	}
 	if !d.small(j) {
 		list = d.draw(list, d.timing.Sample)
-	} else if d.timing.Economy {
-		// One that is idle is about to go back: it is not kept for a small piece
-		// that finds room beside others.
-		prefer(occupied(list))
 	}
 	var best *mirror
 	for _, m := range list {
@@ -250,16 +246,6 @@
 	return out
 }
 
-// occupied picks the machines that hold something.
-func occupied(list []*mirror) (out []*mirror) {
-	for _, m := range list {
-		if m.Count > 0 || len(m.bound) > 0 {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // small tells that a job's tasks are small beside the largest about.
 func (d *Desk) small(j *job) bool { return d.big > 0 && j.Need.CPU*2 <= d.big }
 
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
-	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -230,41 +229,9 @@
 	return out
 }
 
-// settled is how long a task must have been on its machine to be moved: a start
-// that is stopped sooner counts as none, and nothing is moved back and forth.
-const settled = 30 * clock.Second
-
-// hold tells what keeps a machine in use, by the jobs of its tasks.
-func (d *Desk) hold(m *mirror, find func(id string) (*jobs.Job, bool), now clock.Micros) (h peer.Hold) {
-	h.Movable = len(m.tasks) > 0
-	for _, t := range m.tasks {
-		j, ok := find(t.ID.Job)
-		age := now - t.began
-		if !ok || !t.there || t.Stopping || age < settled {
-			return peer.Hold{}
-		}
-		run := clock.FromSeconds(j.EstimateS)
-		h.For = max(h.For, run-age, run/4)
-		if j.SaveEveryS > 0 {
-			age = min(age, clock.FromSeconds(j.SaveEveryS+j.SaveS))
-		}
-		h.Lost += age.Seconds() * j.Need.CPUs()
-		// Half as much again as it should take, and the fetch of its image.
-		again := run*3/2 + settled
-		since := clock.Micros(max(0, d.wall()-j.AcceptedMS)) * clock.Millisecond
-		if j.DueS != nil && since+again > clock.FromSeconds(*j.DueS) {
-			return peer.Hold{}
-		}
-		if within, ok := d.timing.Finishes[j.Class]; ok && since+again > within {
-			return peer.Hold{}
-		}
-	}
-	return h
-}
-
 // Views gives the mirror of all machines, for the fleet. An idle machine sends
 // no news of itself, so its idle time is what it was then and what has passed since.
-func (d *Desk) Views(find func(id string) (*jobs.Job, bool), now clock.Micros) (out []peer.MachineView) {
+func (d *Desk) Views(now clock.Micros) (out []peer.MachineView) {
 	for _, m := range d.machines {
 		if o := d.owners[m.host]; o.parts[m.Part] == m.Term {
 			v := m.MachineView
@@ -274,9 +241,6 @@
 			} else {
 				v.Idle = 0
 			}
-			if d.timing.Economy && m.Free.CPU*4 >= m.Cap.CPU*3 {
-				v.Hold = d.hold(m, find, now)
-			}
 			out = append(out, v)
 		}
 	}
