--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -7,7 +7,6 @@
 
 import (
 	"slices"
-	"sort"
 	"strings"
 
 	"github.com/segmentio/encoding/json"
@@ -65,18 +64,15 @@
 // NewBook makes a book for host; hosts names all controllers, duties all claims,
 // of which the first so many need the workers.
 func NewBook(host string, hosts, duties []string, bound int) *Book {
-	hosts = append([]string(nil), hosts...)
-	sort.Strings(hosts)
+	hosts = slices.Sorted(slices.Values(hosts))
 	return &Book{host: host, hosts: hosts, duties: duties, bound: bound, nodes: map[string]registered{},
 		claims: map[string]Held{}, freeAt: map[string]clock.Micros{}, seen: map[string]string{},
 		since: map[string]clock.Micros{}, giving: map[string]uint64{}, left: map[string]bool{}}
 }
 
-// Preferred names the controller that the i-th duty is meant for.
-func Preferred(hosts []string, i int) string {
-	hosts = slices.Sorted(slices.Values(hosts))
-	return hosts[i%len(hosts)]
-}
+// Preferred names the controller that the i-th duty is meant for, of all
+// controllers in order; k others are asked before the one that it gives.
+func Preferred(sorted []string, i, k int) string { return sorted[(i+k)%len(sorted)] }
 
 // Peers is how many other controllers there are.
 func (b *Book) Peers() int { return len(b.hosts) - 1 }
@@ -183,7 +179,7 @@
 		if h.Holder != b.host || h.Incarnation != b.incarnation {
 			continue
 		}
-		to := b.hosts[i%len(b.hosts)]
+		to := Preferred(b.hosts, i, 0)
 		back := to != b.host && b.seen[to] != "" && now >= b.since[to]+after && !b.barred(i, to)
 		urgent := b.barred(i, b.host) && b.elsewhere(i)
 		if b.giving[d] != h.Stamp && !urgent && !(back && calm) {
@@ -273,9 +269,8 @@
 
 // turn tells whether it is this controller's turn for the i-th duty.
 func (b *Book) turn(i int, free, grace clock.Micros) bool {
-	n := len(b.hosts)
-	for k := range n {
-		h := b.hosts[(i+k)%n]
+	for k := range b.hosts {
+		h := Preferred(b.hosts, i, k)
 		if b.barred(i, h) && free < 4*grace {
 			continue // also this one itself; but a duty is never without any taker
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -215,24 +215,22 @@
 // notice takes from the views which machines' workers have reported, and since
 // when some are silent or gone.
 func (f *Fleet) notice(views []peer.MachineView, now clock.Micros) {
-	here := make(map[string]bool, len(views))
+	here, up := make(map[string]bool, len(views)), make(map[string]bool, len(views))
 	for _, v := range views {
-		here[v.ID] = !v.Silent
-		if r, ok := f.rented[v.ID]; ok && v.Accounted && !r.Up {
-			r.Up = true
-			f.rented[v.ID] = r
-		}
+		here[v.ID], up[v.ID] = !v.Silent, v.Accounted
 	}
 	for id, r := range f.rented {
+		was := r
+		r.Up = r.Up || up[id]
 		switch {
-		case here[id] && r.Lost != 0:
+		case here[id]:
 			r.Lost = 0
-		case !here[id] && r.Up && r.Lost == 0:
+		case r.Up && r.Lost == 0:
 			r.Lost = now
-		default:
-			continue
 		}
-		f.rented[id] = r
+		if r != was {
+			f.rented[id] = r
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,11 +32,11 @@
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
-// strays is how many machines of this controller's a peer has met lately, by its
-// word of that time.
-type strays struct {
-	machines int
-	at       time.Time
+// told is what a peer last said of machines: how many of this controller's it has
+// met lately, how many of its own there are, and how many are unheard.
+type told struct {
+	strays, machines, unheard int
+	at                        time.Time
 }
 
 // partsPerController is how many partitions there are for each controller.
@@ -73,7 +74,7 @@
 	mu      sync.Mutex
 	catalog wire.Catalog
 	contact map[string]time.Time // when a peer last said that it reaches the state service
-	astray  map[string]strays    // by peer
+	told    map[string]told      // by peer
 }
 
 // New makes a controller from its settings, with clients for the services and
@@ -97,13 +98,14 @@
 // what users ask a way of its own.
 func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, users front.Store, peers map[string]Peer, log *slog.Logger) *Node {
 	p := &set.Params
-	n := &Node{fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, contact: map[string]time.Time{}, astray: map[string]strays{}, loaded: make(chan struct{})}
+	n := &Node{fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, contact: map[string]time.Time{}, told: map[string]told{}, loaded: make(chan struct{})}
 	c := clock.NewSteady()
 	instance := uuid.NewString()
 	hosts := []string{set.Host}
 	for _, o := range set.Peers {
 		hosts = append(hosts, o.Host)
 	}
+	slices.Sort(hosts)
 	parts := partsPerController * p.Count
 	valueMost := int(p.State.ValueKB * 1024 * 0.9)
 	zoneOf := map[string]string{set.Host: set.Zone}
@@ -113,7 +115,7 @@
 	duties, partDuties, partZones := []string{}, []string{}, []string{}
 	for i := range parts {
 		partDuties = append(partDuties, owner.Duty(i))
-		partZones = append(partZones, zoneOf[claim.Preferred(hosts, i)])
+		partZones = append(partZones, zoneOf[claim.Preferred(hosts, i, 0)])
 	}
 	duties = append(duties, partDuties...)
 	teams := make([]placer.Team, 0, len(p.Teams))
@@ -270,7 +272,7 @@
 		}
 		n.keeper.Hear(out.Contact)
 		n.mu.Lock()
-		n.astray[host] = strays{out.Strays, time.Now()}
+		n.told[host] = told{out.Strays, out.Machines, out.Unheard, time.Now()}
 		if out.Contact < n.fresh {
 			n.contact[host] = time.Now()
 		}
@@ -311,15 +313,18 @@
 		} else {
 			looks++
 			all, unheard := n.owner.Unheard()
+			var peers told
 			n.mu.Lock()
-			astray := 0
-			for _, s := range n.astray {
-				if time.Since(s.at) < 3*time.Second {
-					astray += s.machines
+			for _, t := range n.told {
+				if time.Since(t.at) < 3*time.Second {
+					peers.strays += t.strays
+					peers.machines += t.machines
+					peers.unheard += t.unheard
 				}
 			}
 			n.mu.Unlock()
-			if all < 3 || 2*unheard < all || 3*astray < all {
+			// Machines that hear no answers stray as well, but from all controllers alike.
+			if all < 3 || 2*unheard < all || 3*peers.strays < all || 4*peers.unheard > peers.machines {
 				looks = 0
 			}
 		}
@@ -514,6 +519,7 @@
 func (s *service) Hello(in peer.Hello, out *peer.Hello) error {
 	*out = s.n.hello()
 	out.Strays = s.n.owner.Strays(in.From)
+	out.Machines, out.Unheard = s.n.owner.Unheard()
 	return nil
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -142,6 +142,8 @@
 	Resigned string       // its last incarnation that gave up for good
 	From     string       // who says this
 	Strays   int          // in an answer: machines of the asker's that have come to the answerer lately
+	Machines int          // in an answer: how many should be reporting to the answerer
+	Unheard  int          // and how many of them have left out a report
 }
 
 // Demand is work that waits for room, or runs, as the fleet needs to know it.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -108,7 +108,7 @@
 func (p *Placer) Apply(evs []state.Event) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock.Now()
+	now, recorded := p.clock.Now(), false
 	for _, e := range evs {
 		switch {
 		case strings.HasPrefix(e.Key, state.Active):
@@ -139,7 +139,7 @@
 			p.desk.Marks(e.Key, jobs, e.Stamp)
 		case strings.HasPrefix(e.Key, state.Machines):
 			came, went := p.records.Apply(e)
-			p.desk.elder = p.records.Elder()
+			recorded = true
 			for _, id := range went {
 				p.desk.Register(id, false)
 			}
@@ -148,6 +148,9 @@
 			}
 		}
 	}
+	if recorded {
+		p.desk.elder = p.records.Elder()
+	}
 	poke(p.wake)
 }
 
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -194,10 +194,12 @@
 	owed    bool
 }
 
-func (f *full) knowsVictims(j *job, owed bool) bool {
-	return f.victims[victimsOf{j.Need, j.team.Name, j.Level, j.covered, owed}]
+func (j *job) victims(owed bool) victimsOf {
+	return victimsOf{j.Need, j.team.Name, j.Level, j.covered, owed}
 }
 
+func (f *full) knowsVictims(j *job, owed bool) bool { return f.victims[j.victims(owed)] }
+
 func (f *full) noteVictims(j *job, owed bool) {
 	if !j.anywhere() {
 		return
@@ -205,7 +207,7 @@
 	if f.victims == nil {
 		f.victims = map[victimsOf]bool{}
 	}
-	f.victims[victimsOf{j.Need, j.team.Name, j.Level, j.covered, owed}] = true
+	f.victims[j.victims(owed)] = true
 }
 
 // anywhere tells that nothing but room decides where the tasks of a job may go.
