A late copy of a record of progress takes nothing back; a job all done writes none

Cause, from going through the writes one by one: progress was conditional on the team's claim and the job's record only. A copy carried out after a newer one of the same placer took the newer bits back; their tasks had been forgotten by the workers, and a next placer ran them once more. Now each is conditional on its own stamp as well. Seen on the way: jobs whose tasks are all done wrote progress while their ends waited for the budget, a change each and one more to drop it.

--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -200,7 +200,7 @@
 	machines map[string]*mirror
 	owners   map[string]*ownerState
 	registry map[string]bool
-	progress map[string]map[chunkID][]byte
+	progress map[string]map[chunkID]progress
 	chunk    int  // tasks that a record of progress covers
 	elder    bool // machines recorded by an earlier release are there: it left no marks
 	marks    map[string]marks
@@ -222,7 +222,7 @@
 // NewDesk makes an empty desk.
 func NewDesk(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Desk {
 	d := &Desk{marks: map[string]marks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
-		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID][]byte{}, chunk: ChunkTasks,
+		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID]progress{}, chunk: ChunkTasks,
 		rng: rand.New(rand.NewPCG(seed, 1)), acks: map[string]map[string]bool{}, wall: wall}
 	for _, tm := range teams {
 		d.known[tm.Name] = tm
@@ -311,8 +311,8 @@
 	if spec.AcceptedMS > 0 {
 		j.since = now - clock.Micros(max(0, d.wall()-spec.AcceptedMS))*clock.Millisecond
 	}
-	for chunk, bits := range d.progress[spec.ID] {
-		for i, b := range bits {
+	for chunk, r := range d.progress[spec.ID] {
+		for i, b := range r.bits {
 			for k := range 8 {
 				if n := chunk.N*chunk.Size + i*8 + k; b&(1<<k) != 0 && n < spec.Tasks {
 					j.markDone(n)
@@ -339,12 +339,21 @@
 	}
 }
 
-// Progress takes a record of completed tasks.
-func (d *Desk) Progress(id string, chunk chunkID, bits []byte) {
+// progress is a record of completed tasks, and the stamp of its last change.
+type progress struct {
+	bits  []byte
+	stamp uint64
+}
+
+// Progress takes a record of completed tasks, as the replica shows it or as it
+// was written. Older words than the newest known change nothing.
+func (d *Desk) Progress(id string, chunk chunkID, bits []byte, stamp uint64) {
 	if d.progress[id] == nil {
-		d.progress[id] = map[chunkID][]byte{}
+		d.progress[id] = map[chunkID]progress{}
+	}
+	if stamp >= d.progress[id][chunk].stamp {
+		d.progress[id][chunk] = progress{bits, stamp}
 	}
-	d.progress[id][chunk] = bits
 }
 
 // DropProgress takes note that a record of completed tasks is gone.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -128,7 +128,7 @@
 				p.desk.DropProgress(id, n)
 			case json.Unmarshal(e.Value, &text) == nil:
 				if bits, err := base64.StdEncoding.DecodeString(text); err == nil {
-					p.desk.Progress(id, n, bits)
+					p.desk.Progress(id, n, bits, e.Stamp)
 				}
 			}
 		case strings.HasPrefix(e.Key, state.Marks):
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -981,7 +981,7 @@
 		require.False(t, ok, odd)
 	}
 	w := newWorldOf(t, 1, 4, 0)
-	w.desk.Progress("job-1", chunkID{1, 8}, []byte{0b101})
+	w.desk.Progress("job-1", chunkID{1, 8}, []byte{0b101}, 1)
 	w.addJob("job-1", 20, nil)
 	j := w.desk.teams[red].jobs["job-1"]
 	require.Equal(t, 2, j.doneCount)
--- a/internal/placer/writes.go
+++ b/internal/placer/writes.go
@@ -262,6 +262,7 @@
 type progressWrite struct {
 	j     *job
 	chunk int
+	bits  []byte
 	ends  map[peer.TaskID]string // that are settled with it
 }
 
@@ -274,8 +275,8 @@
 	byTeam := map[*team][]progressWrite{}
 	for _, tm := range p.desk.teams {
 		for _, j := range tm.jobs {
-			if j.finishing {
-				continue
+			if j.finishing || j.doneCount == j.Tasks {
+				continue // its end costs no more, and says all of it
 			}
 			for c := range j.dirty {
 				byTeam[tm] = append(byTeam[tm], progressWrite{j: j, chunk: c})
@@ -309,8 +310,13 @@
 			p.mu.Lock()
 			for i := range list[:n] {
 				w := &list[i]
-				m.When = append(m.When, wire.Cond{Key: state.Active + w.j.ID, Stamp: w.j.Stamp})
-				m.Then = append(m.Then, wire.Op{Put: progressKey(w.j.ID, chunkID{w.chunk, w.j.per}), Value: base64.StdEncoding.EncodeToString(w.j.chunk(w.chunk))})
+				at := chunkID{w.chunk, w.j.per}
+				w.bits = w.j.chunk(w.chunk)
+				// Without the record's own stamp a late copy of an earlier write would take
+				// back what is written down and forgotten by the workers since.
+				m.When = append(m.When, wire.Cond{Key: state.Active + w.j.ID, Stamp: w.j.Stamp},
+					wire.Cond{Key: progressKey(w.j.ID, at), Stamp: p.desk.progress[w.j.ID][at].stamp})
+				m.Then = append(m.Then, wire.Op{Put: progressKey(w.j.ID, at), Value: base64.StdEncoding.EncodeToString(w.bits)})
 				delete(w.j.dirty, w.chunk)
 				w.ends = map[peer.TaskID]string{}
 				for id, e := range w.j.unsettled {
@@ -320,13 +326,16 @@
 				}
 			}
 			p.mu.Unlock()
-			_, err = p.store.Commit(ctx, m)
+			rev, err := p.store.Commit(ctx, m)
 			p.mu.Lock()
 			for _, w := range list[:n] {
 				if err != nil {
 					w.j.dirty[w.chunk] = true
 					continue
 				}
+				if p.active(w.j) {
+					p.desk.Progress(w.j.ID, chunkID{w.chunk, w.j.per}, w.bits, rev)
+				}
 				for id, e := range w.ends {
 					delete(w.j.unsettled, id)
 					p.desk.settle(w.j, id, e)
--- a/internal/placer/writes_test.go
+++ b/internal/placer/writes_test.go
@@ -90,3 +90,36 @@
 		require.LessOrEqual(t, st.changes, many+mostEnds, "one change for each")
 	})
 }
+
+// A record of progress has no answer and is carried out late, after a newer one of
+// the same placer. What was written since, and forgotten by the workers, stays.
+func TestLateProgressTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		st := &fakes.View{State: fakes.NewState()}
+		stamp, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Claims + Duty(red), Value: claim.Record{}}}})
+		require.NoError(t, err)
+		rec := jobs.Record{Job: wire.Job{ID: "job-000001", Team: red, Tasks: 8}}
+		accepted, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Active + rec.ID, Value: rec}}})
+		require.NoError(t, err)
+		desk := NewDesk(Timing{}, "i", []Team{{Name: red}}, nil, 1, func() int64 { return 0 })
+		desk.Gain(red, 1, stamp, nil, 0)
+		desk.AddJob(jobs.New(rec, accepted), 0)
+		p := New(desk, Options{TxnOps: 12, ValueMost: 4000}, always{claim.Held{Record: claim.Record{Term: 1}, Stamp: stamp}}, st, st, jobs.NewBook(),
+			clock.NewSteady(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		j := desk.teams[red].jobs[rec.ID]
+		st.SetCapture(true)
+		j.markDone(0)
+		p.writeProgress(ctx)
+		st.SetCapture(false)
+		for n := 1; n < 3; n++ {
+			j.markDone(n)
+			p.writeProgress(ctx)
+		}
+		require.Zero(t, st.Release(), "the late copy must change nothing")
+		it, ok, err := st.Get(ctx, progressKey(rec.ID, chunkID{0, j.per}))
+		require.NoError(t, err)
+		require.True(t, ok)
+		require.JSONEq(t, `"Bw=="`, string(it.Value), "three tasks are done")
+	})
+}
