Small jobs' marks come with their acceptance; silence is judged while the partition is held

Three changes, each small. Silence: from reading, a controller that stood still between looking at its claims and at its machines could have taken for silent what others had answered since; and polls are answered after a look at the claims.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -141,6 +141,9 @@
 	return "a task fits no allowed machine type"
 }
 
+// fewTasks is up to how many tasks a job is marked as a whole with its acceptance.
+const fewTasks = 4
+
 // submit accepts a job, or has another controller do so when this one alone
 // can't reach the state service: its users need not be sent away.
 func (f *Front) submit(ctx context.Context, body []byte) (r httpx.Response) {
@@ -176,7 +179,10 @@
 		return refuse(503, "the machine types are not known yet")
 	}
 	rec := jobs.Record{Job: spec, AcceptedMS: f.wall().UnixMilli()}
-	_, rec.Marked = f.hasty[spec.Class] // these begin at once: a mark would only be one more write to wait for
+	// Some begin at once: a mark would only be one more write to wait for. And of a
+	// swarm of small jobs each would cost as much as a large one.
+	_, hasty := f.hasty[spec.Class]
+	rec.Marked = hasty || spec.Tasks <= fewTasks
 	if b, err := json.Marshal(rec); err != nil || len(b) > f.most {
 		return refuse(400, "the job takes more than a record can hold")
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -228,3 +228,16 @@
 	}
 	panic("not found: " + old)
 }
+
+// A swarm of jobs of a task or two each: their marks come with their acceptance,
+// in the same change. Larger ones are marked as their turn comes near.
+func TestSmallJobsAreMarkedWithTheirAcceptance(t *testing.T) {
+	s := newScene(t)
+	for tasks, marked := range map[string]bool{"1": true, "16": false} {
+		body := strings.Replace(strings.Replace(good, "000412", "00041"+tasks, 1), `"shards":16`, `"shards":`+tasks, 1)
+		require.Equal(t, 201, s.do("POST", "", body).Status)
+		it, _, err := s.view.Get(t.Context(), state.Active+"job-00041"+tasks)
+		require.NoError(t, err)
+		require.Equal(t, marked, strings.Contains(string(it.Value), `"marked":true`))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -313,18 +313,18 @@
 		} else {
 			looks++
 			all, unheard := n.owner.Unheard()
-			var peers told
+			strays, better := 0, false
 			n.mu.Lock()
 			for _, t := range n.told {
 				if time.Since(t.at) < 3*time.Second {
-					peers.strays += t.strays
-					peers.machines += t.machines
-					peers.unheard += t.unheard
+					strays += t.strays
+					better = better || 4*t.unheard <= t.machines
 				}
 			}
 			n.mu.Unlock()
-			// Machines that hear no answers stray as well, but from all controllers alike.
-			if all < 3 || 2*unheard < all || 3*peers.strays < all || 4*peers.unheard > peers.machines {
+			// Machines that hear no answers stray as well, but from all controllers
+			// alike: then none of them is better placed than this one.
+			if all < 3 || 3*unheard < 2*all || 3*strays < all || !better {
 				looks = 0
 			}
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -258,6 +258,7 @@
 			if waited && !over {
 				time.Sleep(gap)
 			}
+			o.Reconcile() // what is held no more is not told of
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			return o.table.Poll(in, o.instance, o.clock.Now())
@@ -312,12 +313,16 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			// Silence is judged as of a moment at which the partitions were held for
+			// certain: who stood still in between must not take machines that others
+			// have answered since for silent.
+			now := o.clock.Now()
 			o.Reconcile()
 			o.mu.Lock()
 			before := o.table.Version()
 			var drop []string
 			if n++; n%2 == 0 { // it looks at every task, and none of what it finds is due at once
-				drop = o.table.Tick(o.clock.Now())
+				drop = o.table.Tick(now)
 			}
 			o.lines.keep(func(id string) bool { _, here := o.table.PartOf(id); return here })
 			if o.table.Version() != before {
