A withdrawal that was begun and not finished keeps no job from running; no spinning rounds

Found by a new story (TestMeetingsOfTroubles: freezes, cuts in all combinations, late writes, restarts, outages and withdrawals from fixed seeds): owners kept a job's cancellation for ten minutes. Where its placer ended before the end was written and its user did not come back, the next placer's asks were all refused: the job stayed pending, eight asks every 200 ms. Now a cancellation binds the terms that it was given under; a later term's placer knows all ends written under earlier ones. And a placer goes on with a withdrawal whose user was told to come back.

--- /dev/null
+++ b/internal/node/meetings_test.go
@@ -0,0 +1,249 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// stand has a controller stand still for a while: what it sends and what it is
+// sent waits, and goes on as though no time had passed.
+func (c *cluster) stand(host string, d time.Duration) {
+	gate := make(chan struct{})
+	c.mu.Lock()
+	c.still[host] = gate
+	c.mu.Unlock()
+	time.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		close(gate)
+		if c.still[host] == gate {
+			delete(c.still, host)
+		}
+	})
+}
+
+// gate gives what to wait for while a controller stands still; nil when it does not.
+func (c *cluster) gate(host string) chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.still[host]
+}
+
+func (c *cluster) wait(host string) {
+	if g := c.gate(host); g != nil {
+		<-g
+	}
+}
+
+// held is a controller's way to the state service: it waits while the controller
+// stands still, and transactions may be carried out late and without an answer.
+type held struct {
+	*fakes.View
+	c    *cluster
+	host string
+}
+
+func (h held) Get(ctx context.Context, key string) (wire.Item, bool, error) {
+	h.c.wait(h.host)
+	return h.View.Get(ctx, key)
+}
+
+func (h held) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	h.c.wait(h.host)
+	id, err := h.View.Grant(ctx, ttl)
+	h.c.wait(h.host)
+	return id, err
+}
+
+func (h held) Extend(ctx context.Context, id uint64, timeout time.Duration) error {
+	h.c.wait(h.host)
+	err := h.View.Extend(ctx, id, timeout)
+	h.c.wait(h.host)
+	return err
+}
+
+func (h held) Watch(ctx context.Context, prefix string, rev uint64, block time.Duration) (wire.Changes, error) {
+	ch, err := h.View.Watch(ctx, prefix, rev, block)
+	h.c.wait(h.host)
+	return ch, err
+}
+
+func (h held) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
+	h.c.wait(h.host)
+	h.c.mu.Lock()
+	late, after := h.c.rng != nil && h.c.rng.Float64() < h.c.lateWrites, time.Duration(0)
+	if late {
+		after = time.Duration(2000+h.c.rng.IntN(10000)) * time.Millisecond
+	}
+	h.c.mu.Unlock()
+	if late {
+		time.AfterFunc(after, func() { h.View.Commit(context.WithoutCancel(ctx), m) }) //nolint:errcheck // nobody hears of it
+		return 0, fmt.Errorf("%w: held up", state.ErrUnknown)
+	}
+	rev, err := h.View.Commit(ctx, m)
+	h.c.wait(h.host)
+	return rev, err
+}
+
+func (h held) CommitAt(ctx context.Context, m wire.Multi, sending func() error) (uint64, error) {
+	if err := sending(); err != nil {
+		return 0, fmt.Errorf("%w: %w", state.ErrRefused, err)
+	}
+	return h.Commit(ctx, m)
+}
+
+// late delivers a call to a controller that stands still, once it goes on.
+func (l line) late(gate chan struct{}, method string, in, out any, timeout time.Duration) error {
+	go func() {
+		<-gate
+		l.deliver(method, in, reflect.New(reflect.TypeOf(out).Elem()).Interface()) //nolint:errcheck // nobody hears of it
+	}()
+	time.Sleep(timeout)
+	return errCut
+}
+
+// Troubles of all kinds meet, from fixed seeds: controllers stand still, end, are
+// back within a moment, lose the state service, their peers, their workers, or some
+// of these; the state service is out; transactions are carried out late; users
+// withdraw and ask. Nothing runs twice, limits hold, what was told stays true, and
+// 75 s after the last of them every job is answered for everywhere, and comes to its end.
+func TestMeetingsOfTroubles(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { meet(t, seed) })
+		})
+	}
+}
+
+func meet(t *testing.T, seed uint64) {
+	c := newCluster(t, 6)
+	rng := fakes.Rand(seed + 100)
+	c.rng = fakes.Rand(seed)
+	c.run(5*time.Second, 0)
+	accepted, told, withdrawn := map[string]bool{}, map[string]string{}, map[string]time.Time{}
+	ends := map[string]time.Time{} // of troubles, by kind and controller
+	var names []string
+	any := func() string { return hosts[rng.IntN(3)] }
+	ask := func(at, id string) {
+		switch p := c.phase(at, id); {
+		case p == "404":
+			require.False(t, accepted[id], "%s is forgotten", id)
+		case told[id] != "" && len(p) > 3:
+			require.Equal(t, told[id], p, "%s was told as over", id)
+		case p == wire.Done || p == wire.Cancelled:
+			told[id] = p
+		}
+	}
+	over := func(now time.Time) {
+		for k, at := range ends {
+			if now.Before(at) {
+				continue
+			}
+			kind, host, _ := strings.Cut(k, " ")
+			switch kind {
+			case "state":
+				c.up[host].view.SetCut(false)
+			case "peers":
+				c.setCut(host, false)
+			case "workers":
+				c.deaf[host] = false
+			case "outage":
+				c.st.SetDown(false)
+			}
+			delete(ends, k)
+		}
+	}
+	for step := range 40 {
+		for_ := time.Duration(3+rng.IntN(45)) * time.Second
+		h := any()
+		until := time.Now().Add(for_)
+		switch rng.IntN(10) {
+		case 0:
+			if c.gate(h) == nil {
+				c.stand(h, for_)
+			}
+		case 1:
+			c.up[h].view.SetCut(true)
+			ends["state "+h] = until
+		case 2:
+			c.setCut(h, true)
+			ends["peers "+h] = until
+		case 3:
+			c.up[h].view.SetCut(true)
+			c.setCut(h, true)
+			ends["state "+h], ends["peers "+h] = until, until
+		case 4:
+			c.deaf[h] = true
+			ends["workers "+h] = until
+		case 5, 6:
+			if c.gate(h) == nil {
+				c.crash(h)
+				time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+				c.start(h)
+			}
+		case 7:
+			c.st.SetDown(true)
+			ends["outage "] = time.Now().Add(min(for_, 25*time.Second))
+		case 8:
+			c.mu.Lock()
+			c.lateWrites = 0.4 * float64(rng.IntN(2))
+			c.mu.Unlock()
+		case 9:
+			if len(names) > 0 {
+				id := names[rng.IntN(len(names))]
+				r := c.do(h, "POST", wire.PathJobs+"/"+id+"/withdraw", "")
+				if r.Status == 200 && strings.Contains(string(r.Body), wire.Cancelled) && told[id] == "" {
+					told[id], withdrawn[id] = wire.Cancelled, time.Now()
+				}
+			}
+		}
+		if step < 30 {
+			id := fmt.Sprintf("job-%06d", step)
+			names = append(names, id)
+			accepted[id] = c.do(any(), "POST", wire.PathJobs, submission(id, 1+rng.IntN(4))).Status == 201
+		}
+		c.run(time.Duration(500+rng.IntN(4000))*time.Millisecond, 6*time.Second)
+		for range 4 {
+			ask(any(), names[rng.IntN(len(names))])
+		}
+		over(time.Now())
+		for id, at := range withdrawn {
+			for _, w := range c.workers {
+				for _, k := range w.InOrder() {
+					gone := k.Phase == wire.TaskExited || !strings.HasPrefix(k.Task, id+"/")
+					require.True(t, gone || time.Since(at) < 36*time.Second, "%s is cancelled", k.Task)
+				}
+			}
+		}
+	}
+	c.mu.Lock()
+	c.lateWrites = 0
+	c.mu.Unlock()
+	over(time.Now().Add(time.Hour))
+	for _, h := range hosts {
+		c.wait(h)
+	}
+	c.run(75*time.Second, 4*time.Second)
+	for _, id := range names {
+		for _, h := range hosts {
+			ask(h, id)
+			require.True(t, !accepted[id] || len(c.phase(h, id)) > 3, "%s at %s is not answered for", id, h)
+		}
+	}
+	c.run(120*time.Second, 4*time.Second)
+	for _, id := range names {
+		ask(any(), id)
+		require.True(t, !accepted[id] || told[id] != "", "%s: %s", id, c.phase("a", id))
+	}
+}
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -47,10 +48,13 @@
 	txnOps  int
 	valueKB float64
 
-	mu   sync.Mutex
-	up   map[string]*process
-	cut  map[string]bool // hosts that no peer reaches
-	deaf map[string]bool // hosts that no worker reaches
+	mu         sync.Mutex
+	up         map[string]*process
+	cut        map[string]bool          // hosts that no peer reaches
+	deaf       map[string]bool          // hosts that no worker reaches
+	still      map[string]chan struct{} // hosts that stand still, until these are closed
+	rng        *rand.Rand
+	lateWrites float64 // share of transactions that are carried out late
 }
 
 // reach gives the process that a peer reaches at a host, nil for none.
@@ -78,7 +82,17 @@
 
 var errCut = errors.New("cut")
 
-func (l line) Call(method string, in, out any, _ time.Duration) error {
+func (l line) Call(method string, in, out any, timeout time.Duration) error {
+	l.c.wait(l.from)
+	if g := l.c.gate(l.to); g != nil {
+		return l.late(g, method, in, out, timeout)
+	}
+	err := l.deliver(method, in, out)
+	l.c.wait(l.from)
+	return err
+}
+
+func (l line) deliver(method string, in, out any) error {
 	p := l.c.reach(l.from, l.to)
 	if p == nil {
 		time.Sleep(50 * time.Millisecond)
@@ -110,7 +124,7 @@
 }
 
 func newClusterWith(t *testing.T, workers int, given *cluster) *cluster {
-	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, deaf: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
+	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, deaf: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
 	_, err := (&fakes.View{State: c.st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
@@ -149,7 +163,8 @@
 	require.NoError(c.t, err)
 	ctx, kill := context.WithCancel(c.t.Context())
 	p := &process{view: &fakes.View{State: c.st}, kill: kill}
-	p.Node = assemble(ctx, set, knobs, p.view, p.view, p.view, peers, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	way := held{p.view, c, host}
+	p.Node = assemble(ctx, set, knobs, way, way, way, peers, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	c.mu.Lock()
 	c.up[host] = p
 	c.mu.Unlock()
@@ -167,7 +182,16 @@
 	if c.up[host] == nil {
 		return httpx.Response{}
 	}
-	return c.up[host].handle(c.t.Context(), &httpx.Request{Method: method, Path: path, Body: []byte(body)})
+	r := &httpx.Request{Method: method, Path: path, Body: []byte(body)}
+	if g := c.gate(host); g != nil {
+		p := c.up[host]
+		go func() { // nobody waits for the answer any more
+			<-g
+			p.handle(c.t.Context(), r)
+		}()
+		return httpx.Response{}
+	}
+	return c.up[host].handle(c.t.Context(), r)
 }
 
 // run lets time pass while workers report every second, and finishes tasks
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -26,7 +26,7 @@
 	}
 	t.fence(in.Terms)
 	for _, job := range in.Cancels {
-		t.cancelled[job] = now
+		t.cancelled[job] = cancel{now, in.Terms}
 		for _, m := range t.machines {
 			for id, k := range m.tasks {
 				if id.Job == job {
@@ -75,9 +75,18 @@
 func (t *Table) lease(a peer.Ask, term uint64, now clock.Micros) bool {
 	m := t.machines[a.Machine]
 	if m == nil || term == 0 || term < t.teamTerms[a.Team] || a.ID.Attempt>>32 != term ||
-		t.parts[m.part] != a.Term || !m.usable(now) || t.cancelled[a.ID.Job] > 0 {
+		t.parts[m.part] != a.Term || !m.usable(now) {
 		return false
 	}
+	if c, ok := t.cancelled[a.ID.Job]; ok {
+		if term <= c.terms[a.Team] {
+			return false
+		}
+		// Under a later term: its placer knows all ends that were written under the
+		// earlier ones, and this job's is not among them. Whoever began to cancel it
+		// ended before it was told.
+		delete(t.cancelled, a.ID.Job)
+	}
 	for id, k := range m.tasks {
 		if id.Job == a.ID.Job && id.N == a.ID.N && !k.exited() {
 			return false
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -13,7 +13,7 @@
 // the task's start, and the replica is as new as this owner's claim. For one that was
 // asked for, the replica may be older than the job, so only its end is proof.
 func (t *Table) over(k *task) bool {
-	if t.cancelled[k.id.Job] > 0 {
+	if _, ok := t.cancelled[k.id.Job]; ok {
 		return true
 	}
 	if _, final := t.jobs.Final(k.id.Job); final {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -118,15 +118,21 @@
 	version   uint64
 	teamTerms map[string]uint64
 	rounds    map[string]lastRound
-	cancelled map[string]clock.Micros
+	cancelled map[string]cancel
 	failing   map[string]map[string]bool // job: machines on which it failed
 }
 
+// cancel is a job of which nothing may run any more, by the word of a placer.
+type cancel struct {
+	at    clock.Micros
+	terms map[string]uint64 // of that placer's teams
+}
+
 // NewTable makes an empty table.
 func NewTable(t Timing, j Jobs) *Table {
 	return &Table{caches: map[string]float64{}, sizes: map[string]float64{}, timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]uint64{},
 		machines: map[string]*machine{}, changes: list.New(), due: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
-		cancelled: map[string]clock.Micros{}, failing: map[string]map[string]bool{}}
+		cancelled: map[string]cancel{}, failing: map[string]map[string]bool{}}
 }
 
 // SetTypes tells what the machine types offer.
@@ -275,8 +281,8 @@
 			delete(t.rounds, from) // of a process long gone
 		}
 	}
-	for job, at := range t.cancelled {
-		if now > at+600*clock.Second {
+	for job, c := range t.cancelled {
+		if now > c.at+600*clock.Second {
 			delete(t.cancelled, job)
 		}
 	}
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/merlinlatch/merlinlatch/internal/peer"
-	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 // Status tells what a job's user may be told; only while the team is held.
@@ -58,11 +57,7 @@
 		p.mu.Unlock()
 		poke(p.wake)
 		if ready {
-			err := p.finish(ctx, p.urgent, []*job{j}, wire.Cancelled, false)
-			p.mu.Lock()
-			j.finishing = false
-			p.mu.Unlock()
-			if err != nil {
+			if err := p.finishCancelled(ctx, j); err != nil {
 				return retry
 			}
 			continue
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -262,12 +262,17 @@
 				pause(ctx, 150*time.Millisecond)
 				continue
 			}
-			p.desk.Answered(host, r, &ans, p.clock.Now())
+			met := p.desk.Answered(host, r, &ans, p.clock.Now())
 			close(p.acked)
 			p.acked = make(chan struct{})
 			poke(p.wake)
 			poke(p.writes)
 			p.mu.Unlock()
+			if !met {
+				// What bears repeating goes to the new process, once a poll has met it:
+				// not again and again until then.
+				pause(ctx, 50*time.Millisecond)
+			}
 		}
 	}
 }
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -69,16 +69,17 @@
 	return !rest.Empty() || now >= o.settling+settleGap
 }
 
-// Answered takes the answer to a round.
-func (d *Desk) Answered(host string, r *peer.Round, ans *peer.RoundAnswer, now clock.Micros) {
+// Answered takes the answer to a round; ok is false when another process has
+// given it than the one that the round was for.
+func (d *Desk) Answered(host string, r *peer.Round, ans *peer.RoundAnswer, now clock.Micros) (ok bool) {
 	o := d.owners[host]
 	if o.sending != r {
-		return
+		return true
 	}
 	if ans.Incarnation != o.sentTo || ans.Incarnation != o.instance {
 		// Another process has answered than the one that may have granted.
 		d.abandon(o)
-		return
+		return false
 	}
 	o.sending = nil
 	d.up(host, true)
@@ -112,6 +113,7 @@
 			d.acks[id][host] = true
 		}
 	}
+	return true
 }
 
 // Status tells what a job's user may be told.
--- a/internal/placer/writes.go
+++ b/internal/placer/writes.go
@@ -59,6 +59,7 @@
 		case <-p.writes:
 		}
 		p.startEnds(ctx)
+		p.startCancels(ctx)
 		if now := p.clock.Now(); now >= last+p.progress {
 			last = now
 			p.writeProgress(ctx)
@@ -122,6 +123,36 @@
 	}
 }
 
+// startCancels goes on with withdrawals whose users were told to come back: they
+// find the end written, and a job of which nothing may start is not left for ever.
+func (p *Placer) startCancels(ctx context.Context) {
+	hosts, ok := p.ownerHosts()
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.desk.acks {
+		for _, tm := range p.desk.teams {
+			if j := tm.jobs[id]; j != nil && j.cancelling && !j.finishing && p.desk.Acked(id, hosts) {
+				j.finishing = true
+				go p.finishCancelled(ctx, j) //nolint:errcheck // tried again
+			}
+		}
+	}
+}
+
+// finishCancelled writes the end of a withdrawn job that is marked as finishing.
+func (p *Placer) finishCancelled(ctx context.Context, j *job) error {
+	err := p.finish(ctx, p.urgent, []*job{j}, wire.Cancelled, false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j.finishing = false
+	close(p.acked) // whoever waits for it looks again
+	p.acked = make(chan struct{})
+	return err
+}
+
 // changes is how many changes the end of a job takes. The lock is held.
 func (p *Placer) changes(j *job, brief bool) int {
 	n := 2 + len(p.desk.progress[j.ID])
