A task first seen running after its job's end no longer ends the process

Found by TestRulesHoldWhateverFails, taught late copies of reports, standing still and withdrawals: where a job is cancelled while a start is on its way and the start is seen before the stop, the placer counted the time of its fetch by a job that it had dropped, and the process ended with a nil pointer.

--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -282,7 +282,8 @@
 	if b != nil {
 		if tv.Phase == wire.TaskRunning && b.phase != wire.TaskRunning {
 			b.job.lastStart, b.running = now, now
-			d.counts.FetchCPUs += (now - b.since) * clock.Micros(j.Need.CPU/1e6)
+			// Its job may be over already: cancelled while the start was on its way.
+			d.counts.FetchCPUs += (now - b.since) * clock.Micros(b.job.Need.CPU/1e6)
 		}
 		b.phase, b.stopping = tv.Phase, tv.Stopping
 	}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -62,6 +62,7 @@
 	crashes  int
 	orders   []lateOrders
 	rounds   []lateRound
+	copies   []wire.Report // of reports, that may come once more
 	ended    map[string]bool
 	limit    float64              // CPUs; 0: none
 	marks    map[string]MarkWrite // on record, with their stamps
@@ -203,6 +204,9 @@
 func (w *world) report(id string, answered bool) {
 	k, p := w.workers[id], w.part(id)
 	r := k.Report(w.now)
+	if w.copies = append(w.copies, r); len(w.copies) > 40 {
+		w.copies = w.copies[1:]
+	}
 	ans, ok := w.hosts[w.partHost[p]].table.Report(&r, p, w.now)
 	if ok && answered {
 		k.Take(ans, w.now)
@@ -244,6 +248,11 @@
 	for _, j := range w.desk.Ready(w.desk.teams[red]) {
 		w.end(j.ID, wire.Done)
 	}
+	for id := range w.active {
+		if j := w.desk.teams[red].jobs[id]; j != nil && j.cancelling && w.desk.Acked(id, []string{"h0", "h1"}) {
+			w.end(id, wire.Cancelled)
+		}
+	}
 }
 
 func (w *world) end(id, phase string) {
@@ -338,7 +347,7 @@
 			w.now += clock.Micros(rng.IntN(200)) * clock.Millisecond
 			h := w.hosts[rng.IntN(2)]
 			id := w.names[rng.IntN(len(w.names))]
-			switch rng.IntN(16) {
+			switch rng.IntN(18) {
 			case 0, 1:
 				w.poll(h, rng.IntN(4) == 0)
 			case 2, 3:
@@ -391,6 +400,21 @@
 				}
 			case 15:
 				w.tick()
+			case 16: // a copy of a report comes late, also of an earlier session
+				if len(w.copies) > 0 {
+					r := w.copies[rng.IntN(len(w.copies))]
+					p := w.part(r.Machine)
+					w.hosts[w.partHost[p]].table.Report(&r, p, w.now)
+				}
+			case 17:
+				switch rng.IntN(20) {
+				case 0: // all controllers stand still, and go on as though no time had passed
+					w.now += clock.Micros(3+rng.IntN(40)) * sec
+				case 1:
+					if id := fmt.Sprintf("job-%d", 1+rng.IntN(6)); w.active[id] != nil {
+						w.desk.Cancel(red, id)
+					}
+				}
 			}
 			w.check(fmt.Sprintf("seed %d step %d", seed, step))
 		}
