--- /dev/null
+++ b/internal/placer/takeover_test.go
@@ -0,0 +1,187 @@
+package placer
+
+import (
+	"encoding/base64"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// A new placer takes over while a machine can't be reached: old jobs wait for
+// it, new ones start, and the limit counts all that it could hold.
+func TestTakeOverOfATeamWaitsForUnaccountedMachines(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.settle(8)
+	w.addJob("job-1", 2, nil)
+	w.settle(2)
+	require.Equal(t, 2, w.running())
+	w.boot(w.hosts[0])
+	w.newDesk()
+	w.gain(0, 0) // and the machines of partition 0 are silent for now
+	w.addJob("job-2", 2, nil)
+	for range 5 {
+		w.now += 100 * clock.Millisecond
+		for _, h := range w.hosts {
+			w.poll(h, false)
+		}
+		w.place()
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+		}
+		for _, id := range []string{"m-1", "m-3"} {
+			w.report(id, true)
+			w.courier(id, false, true)
+		}
+		w.check("unaccounted")
+	}
+	n, held := w.desk.uncleared(w.desk.teams[red])
+	require.Equal(t, 2, n)
+	require.GreaterOrEqual(t, held.CPUs(), 16.0)
+	require.Equal(t, 2, w.running(), "two machines of 8 CPUs may hold more than the limit of 12 leaves")
+	w.settle(8)
+	require.Equal(t, 4, w.running())
+}
+
+// takeOverWithoutPartition0 has a new placer take over while the first controller
+// begins anew and its machines are silent. All tasks on the others, m-1 and m-3,
+// are done, so that there is room, and a second goes by.
+func (w *world) takeOverWithoutPartition0() {
+	w.boot(w.hosts[0])
+	w.newDesk()
+	w.gain(0, 0)
+	others := []string{"m-1", "m-3"}
+	for _, id := range others {
+		for _, r := range w.workers[id].InOrder() {
+			r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+		}
+	}
+	for range 12 {
+		w.now += 100 * clock.Millisecond
+		for _, id := range others {
+			w.report(id, true)
+			w.courier(id, false, true)
+		}
+		for _, h := range w.hosts {
+			w.poll(h, false)
+		}
+		w.place()
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+		}
+		w.check("unaccounted")
+	}
+}
+
+// A new placer takes over while a machine can't be reached. What was never
+// asked for starts at once; what may have been waits.
+func TestTakeOverStartsWhatWasNeverAskedFor(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 40, nil) // more than there is room for
+	w.settle(4)
+	require.Equal(t, 16, w.running())
+	w.addJob("job-2", 3, nil)
+	w.takeOverWithoutPartition0()
+	started := map[string]int{}
+	for _, id := range []string{"m-1", "m-3"} {
+		for _, r := range w.workers[id].Tasks {
+			if r.Phase != wire.TaskExited {
+				job, _, _ := wire.SplitTask(r.Task)
+				started[job]++
+			}
+		}
+	}
+	require.Equal(t, map[string]int{"job-2": 3}, started)
+	w.now += 2 * lease
+	w.settle(30)
+	require.Greater(t, w.running(), 8, "the rest of the first job goes on once the machines are accounted for")
+}
+
+// The release before left no marks. What its placer may have asked for waits until
+// all machines are accounted for, and is marked before it is asked for again.
+func TestTakeOverFromAnEarlierRelease(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 16, nil)
+	w.settle(4)
+	require.Equal(t, 16, w.running())
+	clear(w.marks)
+	w.elder = true
+	w.takeOverWithoutPartition0()
+	require.Equal(t, 8, w.running(), "those of the machines that are silent, and no more")
+	w.now += 2 * lease
+	w.settle(30)
+	require.Equal(t, 8, w.running(), "those that were lost")
+	require.Equal(t, 16, w.desk.markOf(red, w.active["job-1"]))
+}
+
+// A partition moves; the former owner's last answer comes late and shows a
+// machine that the new owner has never heard of, for it is gone. It does not stay.
+func TestALateWordOfAFormerOwnerBringsNoMachineBack(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 16, nil)
+	w.settle(4)
+	in := peer.Poll{Gen: w.desk.owners["h0"].gen, Terms: w.desk.Terms()}
+	late := w.hosts[0].table.Poll(in, w.hosts[0].instance, w.now)
+	delete(w.registry, "m-0")
+	w.gain(0, 1)
+	w.record("m-0", false)
+	w.poll(w.hosts[1], false)
+	require.NotContains(t, w.desk.machines, "m-0")
+	w.desk.Hear("h0", in, &late, w.now)
+	for range 4 {
+		w.now += sec
+		w.poll(w.hosts[0], false)
+		w.poll(w.hosts[1], false)
+	}
+	require.NotContains(t, w.desk.machines, "m-0")
+	require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 12)
+}
+
+// Attempt numbers of two placers never meet.
+func TestAttemptsAreUniqueAcrossTakeOvers(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	seen := map[uint64]bool{}
+	for range 3 {
+		w.settle(8)
+		w.addJob(fmt.Sprintf("job-%d", w.term), 2, nil)
+		w.place()
+		for _, h := range w.hosts {
+			for _, a := range w.desk.owners[h.name].next.Asks {
+				require.False(t, seen[a.ID.Attempt])
+				seen[a.ID.Attempt] = true
+			}
+		}
+		w.newDesk()
+	}
+	require.Len(t, seen, 6)
+}
+
+// Records of progress cover as many tasks as fit; each is read by the size it names.
+func TestRecordsOfProgressNameTheirSize(t *testing.T) {
+	require.Equal(t, ChunkTasks, chunkTasks(7372))
+	require.Zero(t, chunkTasks(100)%64)
+	require.LessOrEqual(t, base64.StdEncoding.EncodedLen(chunkTasks(700)/8)+2, 700)
+	for _, c := range []chunkID{{0, ChunkTasks}, {3, ChunkTasks}, {7, 4096}} {
+		got, ok := parseChunk(c.String())
+		require.True(t, ok)
+		require.Equal(t, c, got)
+	}
+	require.Equal(t, "3", chunkID{3, ChunkTasks}.String(), "as ever")
+	for _, odd := range []string{"", "x", "1.", "1.7", "-1", "1.-8"} {
+		_, ok := parseChunk(odd)
+		require.False(t, ok, odd)
+	}
+	w := newWorldOf(t, 1, 4, 0)
+	w.desk.Progress("job-1", chunkID{1, 8}, []byte{0b101}, 1)
+	w.addJob("job-1", 20, nil)
+	j := w.desk.teams[red].jobs["job-1"]
+	require.Equal(t, 2, j.doneCount)
+	require.True(t, j.isDone(8) && j.isDone(10))
+}
--- /dev/null
+++ b/internal/placer/turns_test.go
@@ -0,0 +1,309 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// A job that fails everywhere backs off by itself.
+func TestAFailingJobBacksOff(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.settle(8)
+	w.addJob("job-1", 4, nil)
+	starts := 0
+	for range 40 {
+		w.settle(1)
+		for _, k := range w.workers {
+			for _, r := range k.Tasks {
+				if r.Phase != wire.TaskExited {
+					r.Phase, r.Cause = wire.TaskExited, wire.CauseError
+					starts++
+				}
+			}
+		}
+	}
+	require.Positive(t, starts)
+	require.Less(t, starts, 40, "ten seconds of failures")
+	require.NotZero(t, w.desk.teams[red].jobs["job-1"].backoff)
+}
+
+// High rank takes the least work from lower rank; late work takes nothing.
+func TestPreemptionTakesFromLowerRanks(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.settle(8)
+	w.addJob("job-1", 4, nil)
+	w.settle(4)
+	require.Equal(t, 4, w.running())
+	due := 0.5
+	w.addJob("job-2", 1, func(j *wire.Job) { j.Rank, j.DueS, j.EstimateS = "high", &due, 60 })
+	w.settle(12)
+	require.False(t, w.workers["m-0"].Running("job-2/0"), "it is late already")
+	w.addJob("job-3", 1, func(j *wire.Job) { j.Rank = "high" })
+	w.settle(12)
+	require.True(t, w.workers["m-0"].Running("job-3/0"))
+	require.Equal(t, 4, w.running())
+}
+
+// A job that has missed its deadline, but not yet by the longer measure that an
+// objective sets, goes before one that has missed both, and after one in time.
+func TestLatenessDecidesWhoseTurnItIs(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.desk.timing.Times = map[string]float64{"sweep": 1.5}
+	for i, due := range []float64{10, 70, 200} { // hopeless, overdue, in time
+		w.addJob(fmt.Sprintf("job-%d", i), 1, func(j *wire.Job) { j.Class, j.DueS, j.EstimateS = "sweep", &due, 10 })
+	}
+	w.now += 80 * sec
+	var ids []string
+	for _, j := range w.desk.order(w.now) {
+		ids = append(ids, j.ID)
+	}
+	require.Equal(t, []string{"job-2", "job-1", "job-0"}, ids)
+}
+
+// The smaller rest goes first, of equal ones the earlier deadline.
+func TestSmallestRestsFirst(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	for i, due := range []float64{900, 1000, 800} {
+		w.addJob(fmt.Sprintf("job-%d", i), []int{20, 2, 20}[i], func(j *wire.Job) { j.DueS, j.EstimateS = &due, 10 })
+	}
+	var ids []string
+	for _, j := range w.desk.order(w.now) {
+		ids = append(ids, j.ID)
+	}
+	require.Equal(t, []string{"job-1", "job-2", "job-0"}, ids)
+}
+
+// Guaranteed work of low rank that is placed bit by bit takes nothing from work
+// of higher rank; only when nothing of it finds room for most of the
+// guarantee's time it does.
+func TestATrickleOfRoomKeepsAGuarantee(t *testing.T) {
+	for _, trickle := range []bool{true, false} {
+		w := newWorldOf(t, 1, 2, 0)
+		w.desk.timing.Guarantee = 5 * sec
+		blue := &team{Team: Team{Name: "blue", Guarantee: res.Have(100, 0, 0)}, term: 1, jobs: map[string]*job{},
+			cleared: map[string]bool{}, strange: map[string]bool{}}
+		j := &job{Job: jobs.New(jobs.Record{Job: wire.Job{ID: "job-9", Team: "blue", Rank: "normal", Tasks: 50, CPUs: 2, MemGB: 1, Spot: true}}, 1),
+			team: blue, covered: true, mark: 50, since: w.now, bound: map[int]*binding{}, zones: map[string]int{}, done: make([]uint64, 1)}
+		w.settle(8)
+		w.addJob("job-1", 8, func(j *wire.Job) { j.Rank = "high" })
+		w.settle(4)
+		require.Equal(t, 8, w.running())
+		taken := false
+		for step := range 40 {
+			w.now += 250 * clock.Millisecond
+			w.desk.full = full{}
+			if trickle && step%4 == 0 {
+				m := w.desk.machines["m-0"]
+				m.free = j.Need // a task of others has ended
+				w.desk.index(m)
+			}
+			w.desk.placeJob(j, 1, w.now)
+			for _, o := range w.desk.owners {
+				for _, a := range o.next.Asks {
+					taken = taken || a.Over
+				}
+				o.next = peer.Round{}
+			}
+		}
+		require.Equal(t, !trickle, taken)
+	}
+}
+
+// Two jobs with an image each come to machines that have neither: each machine
+// fetches one image, and the tasks of a job stay together.
+func TestImagesAreFetchedApart(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.desk.SetFetch(map[string]float64{"big": 0.25})
+	w.desk.timing.Waits = map[string]clock.Micros{"rescore": 4 * sec}
+	for i := range 2 {
+		w.addJob(fmt.Sprintf("job-%d", i), 3, func(j *wire.Job) { j.Class, j.Image, j.ImageGB = "rescore", fmt.Sprintf("img-%d", i), 2 })
+	}
+	w.addJob("job-9", 1, func(j *wire.Job) { j.CPUs, j.Zone = 8, "nowhere" }) // something large is about
+	w.place()
+	images := map[string]map[string]bool{}
+	for id, m := range w.desk.machines {
+		for _, b := range m.bound {
+			if images[id] == nil {
+				images[id] = map[string]bool{}
+			}
+			images[id][b.job.Image] = true
+		}
+	}
+	require.Len(t, images, 2)
+	for _, i := range images {
+		require.Len(t, i, 1)
+	}
+}
+
+// Where thrift is in order, a job leaves the last bit of room that lacks its
+// image to others for as long as a fetch would take; then it takes it.
+func TestThriftWaitsForAnImage(t *testing.T) {
+	w := newWorldOf(t, 1, 10, 0)
+	w.desk.timing.Economy = true
+	w.desk.SetFetch(map[string]float64{"big": 0.5})
+	w.settle(8)
+	image := func(j *wire.Job) { j.Image, j.ImageGB = "img-1", 2 }
+	w.addJob("job-1", 1, func(j *wire.Job) { image(j); j.CPUs = 8 }) // one machine has the image, and is full
+	w.settle(4)
+	w.addJob("job-2", 35, nil) // the others have room for one task
+	w.settle(4)
+	require.Equal(t, 36, w.running())
+	w.addJob("job-3", 1, image)
+	began := w.now
+	for len(w.desk.teams[red].jobs["job-3"].bound) == 0 && w.now < began+20*sec {
+		w.settle(1)
+	}
+	require.InDelta(t, 4, (w.now - began).Seconds(), 0.6)
+}
+
+// Jobs that could not be in time if a machine were taken from them keep to those
+// that are not taken; the others leave those to them.
+func TestFragileJobsKeepToOrdinaryMachines(t *testing.T) {
+	for _, thrift := range []bool{false, true} {
+		w := newWorldOf(t, 1, 4, 0)
+		w.desk.timing.Economy, w.desk.timing.Lease = thrift, 20*sec
+		w.desk.timing.Finishes = map[string]clock.Micros{"refit": 30 * sec}
+		w.workers["m-0"].Spot, w.workers["m-3"].Spot = true, true
+		w.settle(8)
+		due := 500.0
+		w.addJob("job-1", 1, func(j *wire.Job) { j.CPUs, j.EstimateS, j.DueS = 8, 10, &due })
+		w.addJob("job-2", 4, func(j *wire.Job) { j.Class, j.EstimateS, j.CPUs = "refit", 10, 1 })
+		w.settle(4)
+		for _, id := range w.names {
+			for _, r := range w.workers[id].Tasks {
+				job, _, _ := wire.SplitTask(r.Task)
+				require.Equal(t, job == "job-1", w.workers[id].Spot, "%s on %s", r.Task, id)
+			}
+		}
+		require.Equal(t, 5, w.running())
+	}
+}
+
+// Urgent work takes all room there is, for as long as it likes; a large job of
+// low rank begins all the same.
+func TestNoJobWaitsForEverToBegin(t *testing.T) {
+	w := newWorldOf(t, 1, 2, 0)
+	w.settle(8)
+	w.addJob("job-1", 500, func(j *wire.Job) { j.Rank = "high" })
+	w.settle(4)
+	w.addJob("job-2", 100, nil)
+	begun := func() bool { return w.desk.teams[red].jobs["job-2"].begun() }
+	for range 4 * 160 {
+		if begun() {
+			break
+		}
+		w.settle(1)
+		for _, id := range w.names { // a task ends now and then
+			for _, r := range w.workers[id].InOrder() {
+				if r.Phase != wire.TaskExited && w.rng.IntN(80) == 0 {
+					r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+				}
+			}
+		}
+	}
+	require.True(t, begun())
+	require.Less(t, w.now-w.desk.teams[red].jobs["job-2"].since, 240*sec)
+}
+
+// Room for a large job of high rank comes up bit by bit. It does not wait for
+// that: it takes room from lower rank as soon as it has waited its time.
+func TestATrickleOfRoomDoesNotPutPreemptionOff(t *testing.T) {
+	w := newWorldOf(t, 1, 4, 0)
+	w.settle(8)
+	w.addJob("job-1", 16, nil)
+	w.settle(4)
+	require.Equal(t, 16, w.running())
+	w.addJob("job-2", 12, func(j *wire.Job) { j.Rank = "high" })
+	for step := range 8 {
+		for _, r := range w.workers[w.names[step%4]].InOrder() { // a task ends in every round
+			if r.Phase != wire.TaskExited {
+				r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
+				break
+			}
+		}
+		w.settle(1)
+	}
+	high := 0
+	for _, k := range w.workers {
+		for _, r := range k.Tasks {
+			if job, _, _ := wire.SplitTask(r.Task); job == "job-2" {
+				high++
+			}
+		}
+	}
+	require.Equal(t, 12, high)
+}
+
+// Tasks take twice as long on one machine as on others: it is set aside. Where
+// run times only vary, none is.
+func TestSlowMachinesAreSetAside(t *testing.T) {
+	for _, slow := range []bool{true, false} {
+		w := newWorldOf(t, 1, 2, 0)
+		w.settle(8)
+		for i := range 6 {
+			w.addJob(fmt.Sprintf("job-%d", i), 12, nil)
+		}
+		began := map[string]int{}
+		for step := range 200 {
+			w.settle(1)
+			for _, id := range w.names {
+				for _, k := range w.workers[id].InOrder() {
+					if _, ok := began[k.Task]; !ok {
+						began[k.Task] = step
+					}
+					lasts := 7 + step%4
+					if slow && id == "m-1" {
+						lasts = 18
+					}
+					if k.Phase != wire.TaskExited && step-began[k.Task] >= lasts {
+						k.Phase, k.Cause = wire.TaskExited, wire.CauseDone
+					}
+				}
+			}
+		}
+		require.Equal(t, slow, w.desk.machines["m-1"].Sick)
+		require.False(t, w.desk.machines["m-0"].Sick)
+	}
+}
+
+// What a round of decisions and a poll cost does not grow with machines that are
+// not touched: neither those with room nor those without.
+func TestTheWorkOfARoundDoesNotGrowWithTheFleet(t *testing.T) {
+	work := func(machines int) (looked, told int) {
+		w := newWorldOf(t, 9, machines, 0)
+		w.settle(8)
+		w.addJob("job-1", 6, nil)
+		before := w.desk.counts.Looked
+		w.place()
+		looked = w.desk.counts.Looked - before
+		require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 6)
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+			in := w.desk.Cursor(h.name)
+			ans := h.table.Poll(in, h.instance, w.now)
+			told += len(ans.Machines)
+			w.desk.Hear(h.name, in, &ans, w.now)
+		}
+		// A job for which no machine is large enough searches none of them.
+		w.addJob("job-2", 1, func(j *wire.Job) { j.CPUs = 64 })
+		before = w.desk.counts.Looked
+		w.place()
+		require.Equal(t, before, w.desk.counts.Looked)
+		return looked, told
+	}
+	smallLooked, smallTold := work(60)
+	largeLooked, largeTold := work(1800)
+	require.LessOrEqual(t, largeLooked, smallLooked+12, "machines looked at")
+	require.LessOrEqual(t, largeTold, 6, "machines told of")
+	require.LessOrEqual(t, smallTold, 6)
+}
