Stories: one writer, one way to end all tasks, plain names (no assertion changed)

The two stories of the placer's writes made the same placer by hand; two others ended all running tasks by the same loop; the meetings shadowed a builtin and set the share of late writes in two places.

--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// setLateWrites has a share of all transactions carried out late, without an answer.
+func (c *cluster) setLateWrites(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lateWrites = share
+}
+
 // held is a controller's way to the state service: it waits while the controller
 // stands still, and transactions may be carried out late and without an answer.
 type held struct {
@@ -134,7 +141,7 @@
 	accepted, told, withdrawn := map[string]bool{}, map[string]string{}, map[string]time.Time{}
 	ends := map[string]time.Time{} // of troubles, by kind and controller
 	var names []string
-	any := func() string { return hosts[rng.IntN(3)] }
+	someone := func() string { return hosts[rng.IntN(3)] }
 	ask := func(at, id string) {
 		switch p := c.phase(at, id); {
 		case p == "404":
@@ -165,13 +172,13 @@
 		}
 	}
 	for step := range 40 {
-		for_ := time.Duration(3+rng.IntN(45)) * time.Second
-		h := any()
-		until := time.Now().Add(for_)
+		lasts := time.Duration(3+rng.IntN(45)) * time.Second
+		h := someone()
+		until := time.Now().Add(lasts)
 		switch rng.IntN(10) {
 		case 0:
 			if c.gate(h) == nil {
-				c.stand(h, for_)
+				c.stand(h, lasts)
 			}
 		case 1:
 			c.up[h].view.SetCut(true)
@@ -194,11 +201,9 @@
 			}
 		case 7:
 			c.st.SetDown(true)
-			ends["outage "] = time.Now().Add(min(for_, 25*time.Second))
+			ends["outage "] = time.Now().Add(min(lasts, 25*time.Second))
 		case 8:
-			c.mu.Lock()
-			c.lateWrites = 0.4 * float64(rng.IntN(2))
-			c.mu.Unlock()
+			c.setLateWrites(0.4 * float64(rng.IntN(2)))
 		case 9:
 			if len(names) > 0 {
 				id := names[rng.IntN(len(names))]
@@ -211,11 +216,11 @@
 		if step < 30 {
 			id := fmt.Sprintf("job-%06d", step)
 			names = append(names, id)
-			accepted[id] = c.do(any(), "POST", wire.PathJobs, submission(id, 1+rng.IntN(4))).Status == 201
+			accepted[id] = c.do(someone(), "POST", wire.PathJobs, submission(id, 1+rng.IntN(4))).Status == 201
 		}
 		c.run(time.Duration(500+rng.IntN(4000))*time.Millisecond, 6*time.Second)
 		for range 4 {
-			ask(any(), names[rng.IntN(len(names))])
+			ask(someone(), names[rng.IntN(len(names))])
 		}
 		over(time.Now())
 		for id, at := range withdrawn {
@@ -227,9 +232,7 @@
 			}
 		}
 	}
-	c.mu.Lock()
-	c.lateWrites = 0
-	c.mu.Unlock()
+	c.setLateWrites(0)
 	over(time.Now().Add(time.Hour))
 	for _, h := range hosts {
 		c.wait(h)
@@ -243,7 +246,7 @@
 	}
 	c.run(120*time.Second, 4*time.Second)
 	for _, id := range names {
-		ask(any(), id)
+		ask(someone(), id)
 		require.True(t, !accepted[id] || told[id] != "", "%s: %s", id, c.phase("a", id))
 	}
 }
--- a/internal/placer/rules_test.go
+++ b/internal/placer/rules_test.go
@@ -100,13 +100,7 @@
 		}
 		for range 60 {
 			w.settle(4)
-			for _, k := range w.workers {
-				for _, r := range k.Tasks {
-					if r.Phase != wire.TaskExited {
-						r.Phase, r.Cause = wire.TaskExited, wire.CauseDone
-					}
-				}
-			}
+			w.exitAll(wire.CauseDone)
 		}
 		require.Empty(t, w.active, "seed %d: some job never ended", seed)
 	}
--- a/internal/placer/turns_test.go
+++ b/internal/placer/turns_test.go
@@ -21,14 +21,7 @@
 	starts := 0
 	for range 40 {
 		w.settle(1)
-		for _, k := range w.workers {
-			for _, r := range k.Tasks {
-				if r.Phase != wire.TaskExited {
-					r.Phase, r.Cause = wire.TaskExited, wire.CauseError
-					starts++
-				}
-			}
-		}
+		starts += w.exitAll(wire.CauseError)
 	}
 	require.Positive(t, starts)
 	require.Less(t, starts, 40, "ten seconds of failures")
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -319,6 +319,19 @@
 	require.LessOrEqual(w.t, cpus, w.limit, "%s: the team is over its limit", when)
 }
 
+// exitAll ends all tasks that run, and tells how many they were.
+func (w *world) exitAll(cause string) (n int) {
+	for _, k := range w.workers {
+		for _, t := range k.Tasks {
+			if t.Phase != wire.TaskExited {
+				t.Phase, t.Cause = wire.TaskExited, cause
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (w *world) running() (n int) {
 	for _, k := range w.workers {
 		for _, t := range k.Tasks {
--- a/internal/placer/writes_test.go
+++ b/internal/placer/writes_test.go
@@ -44,6 +44,32 @@
 func (a always) Mine(string) (claim.Held, bool) { return a.Held, true }
 func (a always) Holder(string) (string, bool)   { return "h", true }
 
+// writer is a placer that holds the team red; what it writes goes to a state service.
+type writer struct {
+	*Placer
+	t     *testing.T
+	state *fakes.View
+}
+
+func newWriter(t *testing.T, view *fakes.View, store Store) *writer {
+	stamp, err := view.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Claims + Duty(red), Value: claim.Record{}}}})
+	require.NoError(t, err)
+	desk := NewDesk(Timing{}, "i", []Team{{Name: red}}, nil, 1, func() int64 { return 0 })
+	desk.Gain(red, 1, stamp, nil, 0)
+	claims := always{claim.Held{Record: claim.Record{Term: 1}, Stamp: stamp}}
+	return &writer{New(desk, Options{TxnOps: 12, ValueMost: 4000}, claims, store, store, jobs.NewBook(),
+		clock.NewSteady(), slog.New(slog.NewTextHandler(io.Discard, nil))), t, view}
+}
+
+// accept has a job on record and at the desk.
+func (w *writer) accept(id string, tasks int) *job {
+	rec := jobs.Record{Job: wire.Job{ID: id, Team: red, Tasks: tasks}}
+	stamp, err := w.state.Commit(w.t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Active + id, Value: rec}}})
+	require.NoError(w.t, err)
+	w.desk.AddJob(jobs.New(rec, stamp), 0)
+	return w.desk.teams[red].jobs[id]
+}
+
 // Hundreds of jobs of one task each are done within moments, far more than there
 // are changes to spare. While their ends wait for the budget each of them is
 // answered for: only what is being sent at the moment may get a retry.
@@ -52,21 +78,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		st := &narrow{View: &fakes.View{State: fakes.NewState()}, budget: rate.NewLimiter(8, 13)}
-		stamp, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Claims + Duty(red), Value: claim.Record{}}}})
-		require.NoError(t, err)
-		desk := NewDesk(Timing{}, "i", []Team{{Name: red}}, nil, 1, func() int64 { return 0 })
-		desk.Gain(red, 1, stamp, nil, 0)
-		book := jobs.NewBook()
-		p := New(desk, Options{TxnOps: 12, ValueMost: 4000}, always{claim.Held{Record: claim.Record{Term: 1}, Stamp: stamp}}, st, st, book,
-			clock.NewSteady(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		p := newWriter(t, st.View, st)
 		const many = 300
 		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
 		for i := range many {
-			rec := jobs.Record{Job: wire.Job{ID: name(i), Team: red, Tasks: 1}}
-			stamp, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Active + name(i), Value: rec}}})
-			require.NoError(t, err)
-			desk.AddJob(jobs.New(rec, stamp), 0)
-			desk.teams[red].jobs[name(i)].markDone(0)
+			p.accept(name(i), 1).markDone(0)
 		}
 		go p.writeLoop(ctx) //nolint:errcheck // ends with the context
 		began := time.Now()
@@ -97,17 +113,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := t.Context()
 		st := &fakes.View{State: fakes.NewState()}
-		stamp, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Claims + Duty(red), Value: claim.Record{}}}})
-		require.NoError(t, err)
-		rec := jobs.Record{Job: wire.Job{ID: "job-000001", Team: red, Tasks: 8}}
-		accepted, err := st.Commit(ctx, wire.Multi{Then: []wire.Op{{Put: state.Active + rec.ID, Value: rec}}})
-		require.NoError(t, err)
-		desk := NewDesk(Timing{}, "i", []Team{{Name: red}}, nil, 1, func() int64 { return 0 })
-		desk.Gain(red, 1, stamp, nil, 0)
-		desk.AddJob(jobs.New(rec, accepted), 0)
-		p := New(desk, Options{TxnOps: 12, ValueMost: 4000}, always{claim.Held{Record: claim.Record{Term: 1}, Stamp: stamp}}, st, st, jobs.NewBook(),
-			clock.NewSteady(), slog.New(slog.NewTextHandler(io.Discard, nil)))
-		j := desk.teams[red].jobs[rec.ID]
+		p := newWriter(t, st, st)
+		j := p.accept("job-000001", 8)
 		st.SetCapture(true)
 		j.markDone(0)
 		p.writeProgress(ctx)
@@ -117,7 +124,7 @@
 			p.writeProgress(ctx)
 		}
 		require.Zero(t, st.Release(), "the late copy must change nothing")
-		it, ok, err := st.Get(ctx, progressKey(rec.ID, chunkID{0, j.per}))
+		it, ok, err := st.Get(ctx, progressKey(j.ID, chunkID{0, j.per}))
 		require.NoError(t, err)
 		require.True(t, ok)
 		require.JSONEq(t, `"Bw=="`, string(it.Value), "three tasks are done")
