A withdrawal looks for its job's end under the lock

The user was to come back although the job was cancelled. Looked up under the lock now, where the end and the drop are one step.

--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -32,11 +32,14 @@
 	deadline := time.NewTimer(withdrawWait)
 	defer deadline.Stop()
 	for {
-		if f, ok := p.book.Final(q.ID); ok {
-			return peer.JobAnswer{Known: true, Found: true, State: f.State(q.ID)}
-		}
 		hosts, ok := p.ownerHosts()
 		p.mu.Lock()
+		// Under the lock: between two looks the end could be written and the job dropped,
+		// and its user be told to come back although it is cancelled.
+		if f, over := p.book.Final(q.ID); over {
+			p.mu.Unlock()
+			return peer.JobAnswer{Known: true, Found: true, State: f.State(q.ID)}
+		}
 		ctx := p.running
 		tm := p.desk.teams[q.Team]
 		if tm == nil || tm.jobs[q.ID] == nil {
