A withdrawal is durable only under the claims of those who have taken it

Cause: Withdraw compared the acks, kept by host name, with the holders of the moment, and wrote the end on the condition of the team's claim and the record alone. An ack of a process that had ended counted for the next one of the same host, and a partition could change hands before the end was written. The new holder, refused by the state service, answered its workers for a hold and they ran for a lease more: 40 s with leases of 16 s, cancel_s being 36 s. Now acks are a process's own, a holder's process names its partitions and terms, and the end is conditional on all partitions' claims; it is not written while a start of the job is on its way. Partitions without a registered holder need no word: formerly they held up every withdrawal. The word is kept while the replica shows the job as active. Ruled out: a shorter hold, which would only make the sum smaller. TestCancelIsToldOnlyWhenOwnersHaveIt asserts the same steps against the claims instead of host names.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -213,6 +213,12 @@
 	return h.Holder, true
 }
 
+// Claim gives a claim as it stands, and whether the incarnation that it names is registered.
+func (b *Book) Claim(duty string) (h Held, live bool) {
+	_, live = b.Holder(duty)
+	return b.claims[duty], live
+}
+
 // RegisteredOf gives the registered incarnation of a controller and its stamp.
 func (b *Book) RegisteredOf(host string) (string, uint64) {
 	r := b.nodes[host]
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -80,6 +80,14 @@
 	return k.book.Holder(duty)
 }
 
+// Claim gives a claim as it stands, and whether the incarnation that it names is
+// registered: one that is not never acts again.
+func (k *Keeper) Claim(duty string) (Held, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Claim(duty)
+}
+
 // Confirmed tells whether this process may act at all.
 func (k *Keeper) Confirmed() bool {
 	k.mu.Lock()
--- a/internal/fakes/state.go
+++ b/internal/fakes/state.go
@@ -57,7 +57,7 @@
 	v.cut = cut
 }
 
-// SetLimits bounds the changes of a transaction and the bytes of a value.
+// SetLimits bounds the changes of a transaction, four times as many conditions, and the bytes of a value.
 func (s *State) SetLimits(ops, bytes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -242,6 +242,9 @@
 	if s.mostOps > 0 && len(m.Then) > s.mostOps {
 		return s.rev, fmt.Errorf("%w: too many changes", state.ErrRefused)
 	}
+	if s.mostOps > 0 && len(m.When) > 4*s.mostOps {
+		return s.rev, fmt.Errorf("%w: too many conditions", state.ErrRefused)
+	}
 	for _, op := range m.Then {
 		if b, err := json.Marshal(op.Value); s.mostBytes > 0 && (err != nil || len(b) > s.mostBytes) {
 			return s.rev, fmt.Errorf("%w: a value of %d bytes", state.ErrRefused, len(b))
--- /dev/null
+++ b/internal/node/gap_test.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/placer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// cancelWithin is how long after the confirmation of its withdrawal a job's tasks may be there.
+const cancelWithin = 36 * time.Second
+
+// withdraw asks a controller to end a job and, when that is confirmed, has every
+// later look hold the workers' tasks against it.
+func (c *cluster) withdraw(host, id string) (confirmed bool) {
+	r := c.do(host, "POST", wire.PathJobs+"/"+id+"/withdraw", "")
+	if r.Status != 200 {
+		return false
+	}
+	require.Contains(c.t, string(r.Body), wire.Cancelled)
+	if _, told := c.cancelled[id]; !told {
+		c.cancelled[id] = cancelled{at: time.Now(), starts: c.starts(id)}
+	}
+	return true
+}
+
+// cancelled is a job whose withdrawal was confirmed, when, and how often tasks of
+// it had started by then.
+type cancelled struct {
+	at     time.Time
+	starts int
+}
+
+func (c *cluster) starts(id string) (n int) {
+	for _, w := range c.workers {
+		for task, k := range w.Starts {
+			if strings.HasPrefix(task, id+"/") {
+				n += k
+			}
+		}
+	}
+	return n
+}
+
+// checkCancelled holds the workers' tasks against the withdrawals confirmed so far.
+func (c *cluster) checkCancelled() {
+	for id, told := range c.cancelled {
+		require.Equal(c.t, told.starts, c.starts(id), "%s has started after its withdrawal was confirmed", id)
+		if time.Since(told.at) <= cancelWithin {
+			continue
+		}
+		for _, w := range c.workers {
+			for _, k := range w.InOrder() {
+				require.False(c.t, k.Phase != wire.TaskExited && strings.HasPrefix(k.Task, id+"/"),
+					"%s is on %s %v after its withdrawal was confirmed", k.Task, w.ID, time.Since(told.at))
+			}
+		}
+	}
+}
+
+// on counts the tasks of a job on workers that report to a controller.
+func (c *cluster) on(host, id string) (n int) {
+	for _, w := range c.workers {
+		for _, k := range w.InOrder() {
+			if c.at[w.ID] == host && k.Phase != wire.TaskExited && strings.HasPrefix(k.Task, id+"/") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// anew ends a controller's process, starts another on the same host and waits
+// until that one has the partitions again.
+func (c *cluster) anew(host string) {
+	c.crash(host)
+	c.start(host)
+	for range 100 {
+		time.Sleep(50 * time.Millisecond)
+		if p := c.up[host]; len(p.owner.Parts()) >= partsPerController {
+			return
+		}
+	}
+	require.Fail(c.t, "the new process has not taken its partitions")
+}
+
+// The state service refuses the leading controller alone; another confirms a
+// withdrawal; then the service is out for all, for longer than cancel_s, while
+// workers report to the old leader. The job's tasks are gone in time all the
+// same, also where the leader has just been replaced by a new process of its
+// host, before the withdrawal's last owner has taken it or while its end is on
+// its way to the state service: that process has never heard of the withdrawal.
+func TestAWithdrawalBeforeAnOutageReachesWhoeverHoldsTheMachines(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		replaced string // when the leader's process is replaced
+	}{
+		{"the leader stays", ""},
+		{"replaced after it has taken the withdrawal", "after its answer"},
+		{"replaced while the end is on its way", "in flight"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 6)
+				c.run(8*time.Second, 0)
+				require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, onAll("job-1", 6)).Status)
+				c.run(4*time.Second, 0)
+				require.Equal(t, 6, c.running())
+				via, ok := c.up["a"].keeper.Holder(placer.Duty("blue"))
+				require.True(t, ok)
+				leader, third := "", ""
+				for _, h := range hosts {
+					if h != via && leader == "" && c.on(h, "job-1") > 0 {
+						leader = h
+					} else if h != via {
+						third = h
+					}
+				}
+				require.NotEmpty(t, leader, "some other controller has tasks of the job")
+				// No worker hears the stops that the first process sends.
+				refuse := func() {
+					c.anew(leader)
+					c.up[leader].view.SetCut(true)
+				}
+				switch x.replaced {
+				case "after its answer":
+					c.deaf[leader] = true
+					c.setCut(third, true)
+					require.False(t, c.withdraw(via, "job-1"), "the third controller has not taken it")
+					refuse()
+					c.deaf[leader] = false
+					c.setCut(third, false)
+				case "in flight":
+					c.deaf[leader] = true
+					replaced := false
+					c.setBefore(func(host string, m wire.Multi) {
+						if host == via && !replaced && strings.Contains(puts(m), state.Final+"job-1") {
+							replaced = true
+							refuse()
+							c.deaf[leader] = false
+						}
+					})
+					defer func() { require.True(t, replaced, "the end was on its way") }()
+				default:
+					c.up[leader].view.SetCut(true)
+				}
+				told := false
+				for range 8 {
+					if told = c.withdraw(via, "job-1"); told {
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				require.True(t, told, "others confirm while the leader is refused")
+				time.Sleep(400 * time.Millisecond)
+				_, _, err := c.up[leader].view.Get(t.Context(), state.Final+"job-1")
+				require.ErrorIs(t, err, state.ErrRefused)
+				c.st.SetDown(true)
+				c.run(60*time.Second, 0)
+				require.Zero(t, c.running())
+				c.st.SetDown(false)
+				c.up[leader].view.SetCut(false)
+				c.run(30*time.Second, 0)
+				for _, h := range hosts {
+					require.Equal(t, wire.Cancelled, c.phase(h, "job-1"))
+				}
+			})
+		})
+	}
+}
+
+// onAll submits a job of the team without a limit, each of whose tasks takes a whole machine.
+func onAll(id string, tasks int) string {
+	return strings.NewReplacer(`"red"`, `"blue"`, `"cpus":2`, `"cpus":8`).Replace(submission(id, tasks))
+}
+
+// puts lists the keys that a transaction writes.
+func puts(m wire.Multi) string {
+	var keys []string
+	for _, op := range m.Then {
+		keys = append(keys, op.Put)
+	}
+	return strings.Join(keys, " ")
+}
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -53,6 +53,13 @@
 	c.lateWrites = share
 }
 
+// setBefore has f called with every transaction that arrives, before it is carried out.
+func (c *cluster) setBefore(f func(host string, m wire.Multi)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.before = f
+}
+
 // held is a controller's way to the state service: it waits while the controller
 // stands still, and transactions may be carried out late and without an answer.
 type held struct {
@@ -89,6 +96,12 @@
 func (h held) Commit(ctx context.Context, m wire.Multi) (uint64, error) {
 	h.c.wait(h.host)
 	h.c.mu.Lock()
+	before := h.c.before
+	h.c.mu.Unlock()
+	if before != nil {
+		before(h.host, m)
+	}
+	h.c.mu.Lock()
 	late, after := h.c.rng != nil && h.c.rng.Float64() < h.c.lateWrites, time.Duration(0)
 	if late {
 		after = time.Duration(2000+h.c.rng.IntN(10000)) * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 		hosts = append(hosts, o.Host)
 	}
 	slices.Sort(hosts)
-	parts := partsPerController * p.Count
+	parts := min(partsPerController*p.Count, placer.MostParts(p.State.TxnOps))
 	valueMost := int(p.State.ValueKB * 1024 * 0.9)
 	zoneOf := map[string]string{set.Host: set.Zone}
 	for _, o := range set.Peers {
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -54,7 +54,9 @@
 	deaf       map[string]bool          // hosts that no worker reaches
 	still      map[string]chan struct{} // hosts that stand still, until these are closed
 	rng        *rand.Rand
-	lateWrites float64 // share of transactions that are carried out late
+	lateWrites float64                         // share of transactions that are carried out late
+	before     func(host string, m wire.Multi) // called when a transaction arrives, before it is carried out
+	cancelled  map[string]cancelled            // by job
 }
 
 // reach gives the process that a peer reaches at a host, nil for none.
@@ -124,7 +126,7 @@
 }
 
 func newClusterWith(t *testing.T, workers int, given *cluster) *cluster {
-	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, deaf: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}}
+	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, deaf: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}, cancelled: map[string]cancelled{}}
 	_, err := (&fakes.View{State: c.st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
@@ -221,6 +223,7 @@
 			}
 		}
 		require.LessOrEqual(c.t, red, 12.0, "the team's limit")
+		c.checkCancelled()
 	}
 }
 
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -25,11 +25,15 @@
 		return ans
 	}
 	t.fence(in.Terms)
-	for _, job := range in.Cancels {
-		t.cancelled[job] = cancel{now, in.Terms}
+	for _, c := range in.Cancels {
+		term := in.Terms[c.Team]
+		if term == 0 || term < t.teamTerms[c.Team] {
+			continue // by a former placer of the team: the job may have been placed anew since
+		}
+		t.cancelled[c.Job] = cancel{now, term}
 		for _, m := range t.machines {
 			for id, k := range m.tasks {
-				if id.Job == job {
+				if id.Job == c.Job {
 					t.end(m, k, 0)
 				}
 			}
@@ -79,7 +83,7 @@
 		return false
 	}
 	if c, ok := t.cancelled[a.ID.Job]; ok {
-		if term <= c.terms[a.Team] {
+		if term <= c.term {
 			return false
 		}
 		// Under a later term: its placer knows all ends that were written under the
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -192,6 +192,13 @@
 	return true
 }
 
+// Parts gives the partitions that are held, with their terms.
+func (o *Owner) Parts() map[int]uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Parts()
+}
+
 // HandleReport answers a worker's report.
 func (o *Owner) HandleReport(body []byte) httpx.Response {
 	var r wire.Report
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"slices"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
@@ -124,8 +125,8 @@
 
 // cancel is a job of which nothing may run any more, by the word of a placer.
 type cancel struct {
-	at    clock.Micros
-	terms map[string]uint64 // of that placer's teams
+	at   clock.Micros
+	term uint64 // of its team, as that placer held it
 }
 
 // NewTable makes an empty table.
@@ -282,7 +283,9 @@
 		}
 	}
 	for job, c := range t.cancelled {
-		if now > c.at+600*clock.Second {
+		// While the replica shows the job as active it may be behind, and this is all
+		// that is known of the withdrawal, however long ago it was.
+		if _, active := t.jobs.Find(job); !active && now > c.at+600*clock.Second {
 			delete(t.cancelled, job)
 		}
 	}
@@ -366,6 +369,9 @@
 	return term, ok
 }
 
+// Parts gives the partitions that are owned, with their terms.
+func (t *Table) Parts() map[int]uint64 { return maps.Clone(t.parts) }
+
 // PartOf gives the partition of a machine in the table.
 func (t *Table) PartOf(id string) (int, bool) {
 	m := t.machines[id]
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -303,7 +303,7 @@
 	require.True(t, s.lease(0, 1))
 	_, late := s.table.TakeOrders("m-1", s.now)
 	s.table.Unanswered("m-1", late, s.now)
-	s.round(peer.Round{Cancels: []string{"job-1"}})
+	s.round(peer.Round{Cancels: []peer.Cancel{{Job: "job-1", Team: "red"}}})
 	require.False(t, s.lease(1, 2), "nothing of it may start any more")
 	s.w.Orders(*late, s.now)
 	require.True(t, s.w.Running("job-1/0"))
--- a/internal/owner/views.go
+++ b/internal/owner/views.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 
@@ -86,7 +85,7 @@
 // Poll gives what changed after a cursor.
 func (t *Table) Poll(in peer.Poll, incarnation string, now clock.Micros) peer.PollAnswer {
 	t.fence(in.Terms)
-	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: maps.Clone(t.parts)}
+	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: t.Parts()}
 	after := in.Cursor
 	if in.Incarnation != incarnation {
 		after, out.Full = 0, true
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -93,6 +93,9 @@
 	Machine string
 }
 
+// Cancel is a job of which nothing may run any more, by the word of its team's placer.
+type Cancel struct{ Job, Team string }
+
 // Round is what a placing controller has for one owner. Rounds from one
 // incarnation are numbered; a repeat is answered as the first time.
 type Round struct {
@@ -102,7 +105,7 @@
 	Asks    []Ask
 	Stops   []Stop
 	Settles []Settle
-	Cancels []string // jobs of which nothing may run any more
+	Cancels []Cancel
 	Slow    []string // machines on which tasks take much longer than elsewhere
 }
 
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -96,8 +96,10 @@
 	bound      map[int]*binding
 	zones      map[string]int
 	cancelling bool
-	uncertain  bool // its final record may have been written
-	unanswered bool // and a try to write it had no definite answer
+	taken      map[string]bool // processes that have its withdrawal in memory
+	endAfter   clock.Micros    // the end of its withdrawal is not tried until then
+	uncertain  bool            // its final record may have been written
+	unanswered bool            // and a try to write it had no definite answer
 	finishing  bool
 	dirty      map[int]bool           // chunks to be written
 	unsettled  map[peer.TaskID]string // ended as done, not written yet: on which machine
@@ -205,17 +207,16 @@
 	elder    bool // machines recorded by an earlier release are there: it left no marks
 	marks    map[string]marks
 	rng      *rand.Rand
-	acks     map[string]map[string]bool // job: hosts that took its cancellation
-	wall     func() int64               // time of day in ms, good to the settings' bound
-	fetch    map[string]float64         // GB a second by machine type
-	big      int64                      // CPUs of the largest task about
-	rooms    rooms                      // machines that may get tasks
-	imaged   map[string]*rooms          // and those of them that have an image
-	usable   int64                      // CPUs of all of them
-	shelved  int                        // how many they are
-	ranks    [4]int                     // tasks seen on machines, by rank
-	sizes    map[int64]int              // and by the CPUs they take
-	full     full                       // what found no room in this round
+	wall     func() int64       // time of day in ms, good to the settings' bound
+	fetch    map[string]float64 // GB a second by machine type
+	big      int64              // CPUs of the largest task about
+	rooms    rooms              // machines that may get tasks
+	imaged   map[string]*rooms  // and those of them that have an image
+	usable   int64              // CPUs of all of them
+	shelved  int                // how many they are
+	ranks    [4]int             // tasks seen on machines, by rank
+	sizes    map[int64]int      // and by the CPUs they take
+	full     full               // what found no room in this round
 	counts   Counts
 }
 
@@ -223,7 +224,7 @@
 func NewDesk(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Desk {
 	d := &Desk{marks: map[string]marks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID]progress{}, chunk: ChunkTasks,
-		rng: rand.New(rand.NewPCG(seed, 1)), acks: map[string]map[string]bool{}, wall: wall}
+		rng: rand.New(rand.NewPCG(seed, 1)), wall: wall}
 	for _, tm := range teams {
 		d.known[tm.Name] = tm
 	}
@@ -327,7 +328,6 @@
 // DropJob takes note that a job is final.
 func (d *Desk) DropJob(id string) {
 	delete(d.progress, id)
-	delete(d.acks, id)
 	for _, tm := range d.teams {
 		if j := tm.jobs[id]; j != nil {
 			delete(tm.jobs, id)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -24,7 +24,7 @@
 // Claims tells which duties this process holds.
 type Claims interface {
 	Mine(duty string) (claim.Held, bool)
-	Holder(duty string) (string, bool)
+	Claim(duty string) (h claim.Held, live bool)
 }
 
 // Store takes transactions.
@@ -64,7 +64,7 @@
 	wake    chan struct{}
 	senders map[string]chan struct{}
 	writes  chan struct{}
-	acked   chan struct{} // closed and made anew with every round's answer
+	news    chan struct{} // closed and made anew with every word of an owner
 	running context.Context
 }
 
@@ -82,7 +82,7 @@
 func New(desk *Desk, o Options, claims Claims, store, urgent Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
 	p := &Placer{teams: o.Teams, parts: o.PartDuties, owners: o.Owners, claims: claims, store: store, book: book, clock: c,
 		txnOps: o.TxnOps, valueMost: o.ValueMost, urgent: urgent, progress: o.ProgressEvery, log: log, desk: desk, records: machines.NewBook(), wake: make(chan struct{}, 1),
-		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), acked: make(chan struct{}), running: context.Background()}
+		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), news: make(chan struct{}), running: context.Background()}
 	desk.chunk = chunkTasks(o.ValueMost)
 	for h := range o.Owners {
 		p.senders[h] = make(chan struct{}, 1)
@@ -90,6 +90,12 @@
 	return p
 }
 
+// heard has withdrawals that wait look again. The lock is held.
+func (p *Placer) heard() {
+	close(p.news)
+	p.news = make(chan struct{})
+}
+
 func poke(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -234,6 +240,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.desk.Hear(host, in, &ans, p.clock.Now())
+	p.heard()
 	poke(p.wake)
 	poke(p.writes)
 	return nil
@@ -263,8 +270,7 @@
 				continue
 			}
 			met := p.desk.Answered(host, r, &ans, p.clock.Now())
-			close(p.acked)
-			p.acked = make(chan struct{})
+			p.heard()
 			poke(p.wake)
 			poke(p.writes)
 			p.mu.Unlock()
--- a/internal/placer/rules_test.go
+++ b/internal/placer/rules_test.go
@@ -238,13 +238,13 @@
 	w.settle(2)
 	require.Equal(t, 2, w.running())
 	require.True(t, w.desk.Cancel(red, "job-1"))
-	hosts := []string{"h0", "h1"}
-	require.False(t, w.desk.Acked("job-1", hosts))
+	j := w.desk.teams[red].jobs["job-1"]
+	require.False(t, w.desk.Cancelled(j, w.parts()))
 	w.send(w.hosts[0], true, true)
 	w.send(w.hosts[1], true, false) // taken, but the answer is lost
-	require.False(t, w.desk.Acked("job-1", hosts))
+	require.False(t, w.desk.Cancelled(j, w.parts()))
 	w.send(w.hosts[1], true, true)
-	require.True(t, w.desk.Acked("job-1", hosts))
+	require.True(t, w.desk.Cancelled(j, w.parts()))
 	w.settle(4)
 	require.Zero(t, w.running())
 }
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -16,7 +16,7 @@
 	r.Asks = slices.DeleteFunc(r.Asks, func(a peer.Ask) bool { return a.Team == tm.Name })
 	r.Stops = slices.DeleteFunc(r.Stops, func(s peer.Stop) bool { return tm.jobs[s.ID.Job] != nil })
 	r.Settles = slices.DeleteFunc(r.Settles, func(s peer.Settle) bool { return tm.jobs[s.ID.Job] != nil })
-	r.Cancels = slices.DeleteFunc(r.Cancels, func(id string) bool { return tm.jobs[id] != nil })
+	r.Cancels = slices.DeleteFunc(r.Cancels, func(c peer.Cancel) bool { return c.Team == tm.Name })
 }
 
 // Send gives the round to send to an owner now, nil for nothing. A round
@@ -39,13 +39,13 @@
 
 // abandon gives up a round whose process is gone. Its asks stay bound: that
 // process may have granted and started them, and only the next owner of their
-// machines can tell. What bears repeating goes to the next process.
+// machines can tell. What bears repeating goes to the next process; it is told of
+// withdrawals when their ends are looked at.
 func (d *Desk) abandon(o *ownerState) {
 	if o.sending == nil {
 		return
 	}
 	o.next.Stops = append(o.next.Stops, o.sending.Stops...)
-	o.next.Cancels = append(o.next.Cancels, o.sending.Cancels...)
 	o.sending = nil
 }
 
@@ -108,9 +108,9 @@
 		}
 		d.refree(m)
 	}
-	for _, id := range r.Cancels {
-		if d.acks[id] != nil {
-			d.acks[id][host] = true
+	for _, c := range r.Cancels {
+		if tm := d.teams[c.Team]; tm != nil && tm.term == r.Terms[c.Team] && tm.jobs[c.Job] != nil {
+			tm.jobs[c.Job].taken[ans.Incarnation] = true
 		}
 	}
 	return true
@@ -141,45 +141,6 @@
 	return peer.JobAnswer{Known: true, Found: true, State: s}
 }
 
-// Cancel starts the end of a job: nothing of it starts any more, and every
-// owner is told. found is false when the job is not active here.
-func (d *Desk) Cancel(teamName, id string) (found bool) {
-	tm := d.teams[teamName]
-	if tm == nil || tm.jobs[id] == nil {
-		return false
-	}
-	j := tm.jobs[id]
-	if j.cancelling {
-		return true
-	}
-	j.cancelling = true
-	d.acks[id] = map[string]bool{}
-	for _, o := range d.owners {
-		o.next.Asks = slices.DeleteFunc(o.next.Asks, func(a peer.Ask) bool {
-			if a.ID.Job != id {
-				return false
-			}
-			if m := d.machines[a.Machine]; m != nil && m.bound[a.ID] != nil {
-				d.release(m.bound[a.ID])
-				d.refree(m)
-			}
-			return true
-		})
-		o.next.Cancels = append(o.next.Cancels, id)
-	}
-	return true
-}
-
-// Acked tells whether all the named hosts have taken a job's cancellation.
-func (d *Desk) Acked(id string, hosts []string) bool {
-	for _, h := range hosts {
-		if !d.acks[id][h] {
-			return false
-		}
-	}
-	return true
-}
-
 // Ready lists a team's jobs whose tasks are all done and whose end is to be
 // written, those that were accepted first in front.
 func (d *Desk) Ready(tm *team) (out []*job) {
--- /dev/null
+++ b/internal/placer/withdraw.go
@@ -0,0 +1,223 @@
+package placer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// A withdrawal becomes durable while every partition is either held by a process
+// that has the withdrawal in memory, under the very claim that the transaction
+// names, or held by nobody. So whoever answers the job's workers afterwards
+// has heard of it, or has taken its partition later and found it in its replica;
+// and it need not have reached the state service since.
+
+// PartClaim is the claim of a partition as the placer's replica shows it.
+type PartClaim struct {
+	Part  int
+	Key   string
+	Stamp uint64
+	Term  uint64
+	Host  string // of the holder; empty when that is not registered any more
+}
+
+// MostParts is how many partitions there may be where a transaction takes so many
+// changes, and four times as many conditions: the end of a withdrawn job is written
+// on the condition of all their claims, of its team's and of its own record.
+func MostParts(txnOps int) int { return max(1, min(4*txnOps-2, 1000)) }
+
+// Cancel starts the end of a job: nothing of it starts any more, and every owner
+// is to be told. found is false when the job is not active here.
+func (d *Desk) Cancel(teamName, id string) (found bool) {
+	tm := d.teams[teamName]
+	if tm == nil || tm.jobs[id] == nil {
+		return false
+	}
+	j := tm.jobs[id]
+	if j.cancelling {
+		return true
+	}
+	j.cancelling, j.taken = true, map[string]bool{}
+	for _, o := range d.owners {
+		o.next.Asks = slices.DeleteFunc(o.next.Asks, func(a peer.Ask) bool {
+			if a.ID.Job != id {
+				return false
+			}
+			if m := d.machines[a.Machine]; m != nil && m.bound[a.ID] != nil {
+				d.release(m.bound[a.ID])
+				d.refree(m)
+			}
+			return true
+		})
+		d.tellCancel(o, j)
+	}
+	return true
+}
+
+// tellCancel has the present process of an owner told of a job's withdrawal, once.
+func (d *Desk) tellCancel(o *ownerState, j *job) {
+	c := peer.Cancel{Job: j.ID, Team: j.Team}
+	if slices.Contains(o.next.Cancels, c) || o.sending != nil && o.sentTo == o.instance && slices.Contains(o.sending.Cancels, c) {
+		return
+	}
+	o.next.Cancels = append(o.next.Cancels, c)
+}
+
+// Cancelled tells whether the end of a withdrawn job may be written on the condition of
+// these claims: the present process of each holder has the withdrawal in memory, and
+// nothing of the job can start any more. Processes that have not been told are told.
+func (d *Desk) Cancelled(j *job, parts []PartClaim) bool {
+	ready := j.cancelling && !j.mayStart()
+	for _, c := range parts {
+		if c.Host == "" {
+			// Its last holder never acts on it again, and whoever takes it, by a change of
+			// this claim, finds the end in its replica.
+			continue
+		}
+		o := d.owners[c.Host]
+		if o == nil {
+			return false
+		}
+		if !j.taken[o.instance] {
+			// Perhaps a new process of the same host: it knows nothing of what an
+			// earlier one has taken.
+			d.tellCancel(o, j)
+			ready = false
+		} else if o.parts[c.Part] != c.Term {
+			ready = false // that process has not said that it holds the partition under this claim
+		}
+	}
+	return ready
+}
+
+// mayStart tells that some task of a job may be about to start: its start is on
+// the way, its image is not there yet, or nothing is known of a machine on which a former
+// placer may have put one.
+func (j *job) mayStart() bool {
+	n := 0
+	for _, k := range j.zones {
+		n += k
+	}
+	for _, b := range j.bound {
+		if b.phase == wire.TaskRunning || b.phase == wire.TaskSaving {
+			n--
+		}
+	}
+	return n > 0 || j.former > 0 && len(j.team.strange) > 0
+}
+
+// withdrawWait bounds how long a withdrawal is tried before its user is told to come back.
+const withdrawWait = 1500 * time.Millisecond
+
+// cancelGap is how long the end of a withdrawn job that was refused waits: most often a
+// claim has moved, and the replica is about to show it.
+const cancelGap = 200 * clock.Millisecond
+
+// Withdraw ends a job: no task of it starts from now on; once that is certain of
+// every machine, the end is written, and only then told.
+func (p *Placer) Withdraw(q peer.JobQuery) peer.JobAnswer {
+	retry := peer.JobAnswer{Known: true, Found: true, Retry: true}
+	if _, ok := p.claims.Mine(Duty(q.Team)); !ok {
+		return peer.JobAnswer{}
+	}
+	deadline := time.NewTimer(withdrawWait)
+	defer deadline.Stop()
+	for {
+		parts := p.partClaims()
+		p.mu.Lock()
+		// Under the lock: between two looks the end could be written and the job dropped,
+		// and its user be told to come back although it is cancelled.
+		if f, over := p.book.Final(q.ID); over {
+			p.mu.Unlock()
+			return peer.JobAnswer{Known: true, Found: true, State: f.State(q.ID)}
+		}
+		ctx := p.running
+		tm := p.desk.teams[q.Team]
+		if tm == nil || tm.jobs[q.ID] == nil {
+			p.mu.Unlock()
+			return peer.JobAnswer{Known: tm != nil}
+		}
+		j := tm.jobs[q.ID]
+		if j.finishing && !j.cancelling {
+			p.mu.Unlock()
+			return retry // its end as done is being written
+		}
+		p.desk.Cancel(q.Team, q.ID)
+		ready := p.beginCancelled(j, parts)
+		news := p.news
+		p.mu.Unlock()
+		poke(p.wake)
+		if ready && p.finishCancelled(ctx, j, parts) == nil {
+			continue
+		}
+		select {
+		case <-news:
+		case <-deadline.C:
+			return retry
+		case <-ctx.Done():
+			return retry
+		}
+	}
+}
+
+// startCancels goes on with withdrawals whose users were told to come back: they
+// find the end written, and a job of which nothing may start is not left for ever.
+func (p *Placer) startCancels(ctx context.Context) {
+	parts := p.partClaims()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, tm := range p.desk.teams {
+		for _, j := range tm.jobs {
+			if j.cancelling && p.beginCancelled(j, parts) {
+				go p.finishCancelled(ctx, j, parts) //nolint:errcheck // tried again
+			}
+		}
+	}
+}
+
+// beginCancelled tells whether the end of a withdrawn job is to be written now, by the
+// caller. The lock is held.
+func (p *Placer) beginCancelled(j *job, parts []PartClaim) bool {
+	if j.finishing || p.clock.Now() < j.endAfter || !p.desk.Cancelled(j, parts) {
+		return false
+	}
+	j.finishing = true
+	return true
+}
+
+// finishCancelled writes the end of a withdrawn job that is marked as finishing, on the
+// condition that no partition has changed hands.
+func (p *Placer) finishCancelled(ctx context.Context, j *job, parts []PartClaim) error {
+	when := make([]wire.Cond, 0, len(parts))
+	for _, c := range parts {
+		when = append(when, wire.Cond{Key: c.Key, Stamp: c.Stamp})
+	}
+	err := p.finish(ctx, p.urgent, []*job{j}, wire.Cancelled, false, when)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j.finishing = false
+	if err != nil {
+		j.endAfter = p.clock.Now() + cancelGap
+	}
+	p.heard()
+	return err
+}
+
+// partClaims gives the claims of all partitions as the replica shows them.
+func (p *Placer) partClaims() []PartClaim {
+	out := make([]PartClaim, 0, len(p.parts))
+	for i, duty := range p.parts {
+		h, live := p.claims.Claim(duty)
+		c := PartClaim{Part: i, Key: state.Claims + duty, Stamp: h.Stamp, Term: h.Term}
+		if live {
+			c.Host = h.Holder
+		}
+		out = append(out, c)
+	}
+	return out
+}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -156,6 +156,14 @@
 	}
 }
 
+// parts are the claims of the partitions, as the placer knows them.
+func (w *world) parts() (out []PartClaim) {
+	for p, h := range w.partHost {
+		out = append(out, PartClaim{Part: p, Term: w.partTerm[p], Host: w.hosts[h].name})
+	}
+	return out
+}
+
 // place lets the placer decide, with marks written at once.
 func (w *world) place() {
 	w.mark(true, true)
@@ -248,7 +256,7 @@
 		w.end(j.ID, wire.Done)
 	}
 	for id := range w.active {
-		if j := w.desk.teams[red].jobs[id]; j != nil && j.cancelling && w.desk.Acked(id, []string{"h0", "h1"}) {
+		if j := w.desk.teams[red].jobs[id]; j != nil && j.cancelling && w.desk.Cancelled(j, w.parts()) {
 			w.end(id, wire.Cancelled)
 		}
 	}
--- a/internal/placer/writes.go
+++ b/internal/placer/writes.go
@@ -112,7 +112,7 @@
 			tm.ending++
 			go func() {
 				defer poke(p.writes)
-				if err := p.finish(ctx, p.store, batch, wire.Done, brief); err != nil {
+				if err := p.finish(ctx, p.store, batch, wire.Done, brief, nil); err != nil {
 					p.log.Debug("ends of jobs", "team", tm.Name, "err", err)
 				}
 				p.mu.Lock()
@@ -123,36 +123,6 @@
 	}
 }
 
-// startCancels goes on with withdrawals whose users were told to come back: they
-// find the end written, and a job of which nothing may start is not left for ever.
-func (p *Placer) startCancels(ctx context.Context) {
-	hosts, ok := p.ownerHosts()
-	if !ok {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id := range p.desk.acks {
-		for _, tm := range p.desk.teams {
-			if j := tm.jobs[id]; j != nil && j.cancelling && !j.finishing && p.desk.Acked(id, hosts) {
-				j.finishing = true
-				go p.finishCancelled(ctx, j) //nolint:errcheck // tried again
-			}
-		}
-	}
-}
-
-// finishCancelled writes the end of a withdrawn job that is marked as finishing.
-func (p *Placer) finishCancelled(ctx context.Context, j *job) error {
-	err := p.finish(ctx, p.urgent, []*job{j}, wire.Cancelled, false)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	j.finishing = false
-	close(p.acked) // whoever waits for it looks again
-	p.acked = make(chan struct{})
-	return err
-}
-
 // changes is how many changes the end of a job takes. The lock is held.
 func (p *Placer) changes(j *job, brief bool) int {
 	n := 2 + len(p.desk.progress[j.ID])
@@ -165,17 +135,19 @@
 var errChanged = errors.New("some of the jobs are over already")
 
 // finish writes the final states of jobs of one team, on the condition that the
-// team is held and each job's record is as it was accepted. While one may have
+// team is held, that each job's record is as it was accepted, and of what else is
+// given. While one may have
 // been written without this process knowing, that job's user is told nothing
 // from here. That begins only when the transaction is about to be sent: with
 // hundreds of ends a minute most of the time is spent waiting for the budget,
 // and jobs of which nothing is told for so long count as forgotten.
-func (p *Placer) finish(ctx context.Context, store Store, batch []*job, phase string, brief bool) error {
+func (p *Placer) finish(ctx context.Context, store Store, batch []*job, phase string, brief bool, when []wire.Cond) error {
 	tm := batch[0].team
 	for try := 0; ctx.Err() == nil; try++ {
 		p.mu.Lock()
 		batch = slices.DeleteFunc(batch, func(j *job) bool { return !p.active(j) })
 		m, rest := p.endsOf(batch, phase, brief)
+		m.When = append(m.When, when...)
 		p.mu.Unlock()
 		if len(batch) == 0 {
 			return nil
@@ -211,7 +183,8 @@
 		if try%32 == 0 { // once in a while: an outage lasts many tries
 			p.log.Info("writing the ends of jobs", "job", batch[0].ID, "jobs", len(batch), "tries", try+1, "err", err)
 		}
-		refused := errors.Is(err, state.ErrRefused)
+		// A condition that does not hold is a definite answer to this try, not to earlier ones.
+		refused := errors.Is(err, state.ErrRefused) || errors.Is(err, state.ErrConflict)
 		p.mu.Lock()
 		for _, j := range batch {
 			j.unanswered = j.unanswered || !refused
@@ -226,7 +199,7 @@
 			// One of them is over already, by an earlier try that had no answer:
 			// it must not keep the others from their end.
 			for _, j := range batch {
-				if err := p.finish(ctx, store, []*job{j}, phase, brief); err != nil {
+				if err := p.finish(ctx, store, []*job{j}, phase, brief, when); err != nil {
 					return err
 				}
 			}
--- a/internal/placer/writes_test.go
+++ b/internal/placer/writes_test.go
@@ -41,8 +41,8 @@
 // always holds every duty.
 type always struct{ claim.Held }
 
-func (a always) Mine(string) (claim.Held, bool) { return a.Held, true }
-func (a always) Holder(string) (string, bool)   { return "h", true }
+func (a always) Mine(string) (claim.Held, bool)  { return a.Held, true }
+func (a always) Claim(string) (claim.Held, bool) { return a.Held, true }
 
 // writer is a placer that holds the team red; what it writes goes to a state service.
 type writer struct {
