A story of waiting ends looks when nothing is under way

Cause: it failed in some of 400 runs, with the untouched code as well: it looked at the very instant of virtual time at which a transaction was being sent, and whether that had its answer already was the machine's choice. It waits now until every goroutine of the instant has come to rest, and asserts the same: not one job may get a retry.

--- a/internal/placer/writes_test.go
+++ b/internal/placer/writes_test.go
@@ -88,6 +88,7 @@
 		began := time.Now()
 		for over := 0; over < many; {
 			time.Sleep(500 * time.Millisecond)
+			synctest.Wait() // what is sent at this very instant has its answer
 			over = 0
 			retries := 0
 			for i := range many {
