A machine whose record may yet be dropped is recorded anew before it is used

Cause: a machine fell silent, and the write that dropped its record had no answer. Back with a new session it counted as recorded and got tasks; the drop was carried out late, its condition being what it had been. Had its owner ended before the record was written again, the next one would have taken the machine for gone and its tasks for free. Now a machine whose drop was decided counts as not recorded until a newer write of its record, which changes the stamp that the late drop is conditional on. Story first (whole controllers, the drop held back): red, its record was missing while a task ran; green.

--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -139,12 +139,13 @@
 				case "in flight":
 					c.deaf[leader] = true
 					replaced := false
-					c.setBefore(func(host string, m wire.Multi) {
+					c.setBefore(func(host string, m wire.Multi) lot {
 						if host == via && !replaced && strings.Contains(puts(m), state.Final+"job-1") {
 							replaced = true
 							refuse()
 							c.deaf[leader] = false
 						}
+						return served
 					})
 					defer func() { require.True(t, replaced, "the end was on its way") }()
 				default:
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -53,13 +53,38 @@
 	c.lateWrites = share
 }
 
-// setBefore has f called with every transaction that arrives, before it is carried out.
-func (c *cluster) setBefore(f func(host string, m wire.Multi)) {
+// lot is what becomes of a transaction: it is carried out and answered, carried out
+// without an answer, or held back until release, without an answer.
+type lot int
+
+const (
+	served lot = iota
+	answerLost
+	heldBack
+)
+
+// setBefore has f decide on every transaction that arrives, before it is carried out.
+func (c *cluster) setBefore(f func(host string, m wire.Multi) lot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.before = f
 }
 
+// release carries out the transactions that were held back and tells how many there
+// were, and how many of them changed anything.
+func (c *cluster) release() (all, applied int) {
+	c.mu.Lock()
+	kept := c.kept
+	c.kept = nil
+	c.mu.Unlock()
+	for _, f := range kept {
+		if f() == nil {
+			applied++
+		}
+	}
+	return len(kept), applied
+}
+
 // held is a controller's way to the state service: it waits while the controller
 // stands still, and transactions may be carried out late and without an answer.
 type held struct {
@@ -99,7 +124,19 @@
 	before := h.c.before
 	h.c.mu.Unlock()
 	if before != nil {
-		before(h.host, m)
+		switch before(h.host, m) {
+		case answerLost:
+			h.View.Commit(ctx, m) //nolint:errcheck // nobody hears of it
+			return 0, fmt.Errorf("%w: the answer is lost", state.ErrUnknown)
+		case heldBack:
+			h.c.mu.Lock()
+			defer h.c.mu.Unlock()
+			h.c.kept = append(h.c.kept, func() error {
+				_, err := (&fakes.View{State: h.c.st}).Commit(context.WithoutCancel(ctx), m)
+				return err
+			})
+			return 0, fmt.Errorf("%w: held back", state.ErrUnknown)
+		}
 	}
 	h.c.mu.Lock()
 	late, after := h.c.rng != nil && h.c.rng.Float64() < h.c.lateWrites, time.Duration(0)
--- /dev/null
+++ b/internal/node/records_test.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/machines"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// recorded lists the machines on record in the state service.
+func (c *cluster) recorded() map[string]bool {
+	out := map[string]bool{}
+	items, _, err := (&fakes.View{State: c.st}).List(c.t.Context(), state.Machines)
+	require.NoError(c.t, err)
+	for _, it := range items {
+		var g machines.Group
+		require.NoError(c.t, json.Unmarshal(it.Value, &g))
+		for id := range g {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// A machine falls silent for its lease, and the transaction that takes it off the
+// record has no answer. The machine is back, and gets work; then the transaction is
+// carried out after all, and the machine's owner ends. Whoever comes next must find
+// a machine with tasks on record: one that isn't counts as gone, its tasks as free to run elsewhere.
+func TestALateDropOfARecordTakesNoMachineWithTasksOffIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		require.Len(t, c.recorded(), 6)
+		lost := c.workers[0]
+		owner := c.at[lost.ID]
+		c.setBefore(func(_ string, m wire.Multi) lot {
+			for _, cond := range m.When {
+				if strings.HasPrefix(cond.Key, state.Machines) && !strings.Contains(written(m), lost.ID) {
+					return heldBack
+				}
+			}
+			return served
+		})
+		all := c.workers
+		c.workers = all[1:] // it is away for longer than its lease
+		c.run(18*time.Second, 0)
+		c.mu.Lock()
+		held := len(c.kept)
+		c.mu.Unlock()
+		require.NotZero(t, held, "its record was to be dropped")
+		c.workers = all
+		require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, onAll("job-1", 6)).Status)
+		c.run(6*time.Second, 0)
+		require.Equal(t, 6, c.running(), "it is used again")
+		c.release()
+		require.Equal(t, owner, c.at[lost.ID])
+		c.crash(owner)
+		c.setBefore(nil)
+		require.True(t, c.recorded()[lost.ID], "it has a task")
+		c.run(45*time.Second, 0)
+		require.Equal(t, 6, c.running())
+	})
+}
+
+// written is what a transaction writes, as text.
+func written(m wire.Multi) string {
+	b, err := json.Marshal(m.Then)
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -54,9 +54,10 @@
 	deaf       map[string]bool          // hosts that no worker reaches
 	still      map[string]chan struct{} // hosts that stand still, until these are closed
 	rng        *rand.Rand
-	lateWrites float64                         // share of transactions that are carried out late
-	before     func(host string, m wire.Multi) // called when a transaction arrives, before it is carried out
-	cancelled  map[string]cancelled            // by job
+	lateWrites float64                             // share of transactions that are carried out late
+	before     func(host string, m wire.Multi) lot // decides on a transaction that arrives, before it is carried out
+	kept       []func() error                      // transactions held back
+	cancelled  map[string]cancelled                // by job
 }
 
 // reach gives the process that a peer reaches at a host, nil for none.
@@ -139,8 +140,11 @@
 	}
 	t.Cleanup(func() {
 		for _, p := range c.up {
-			p.kill()
+			if p != nil {
+				p.kill()
+			}
 		}
+		time.Sleep(time.Second) // whoever waits for a host that is down is back by then
 	})
 	return c
 }
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -69,7 +69,8 @@
 	tick       uint64
 	heard      bool // a report of this term has come
 	answered   clock.Micros
-	registered bool
+	registered bool // on record, by a write that no drop of its record can follow
+	dropping   bool // a drop of its record was decided, and may be carried out at any later time
 	accounted  bool
 	silent     bool
 	gone       bool
@@ -270,7 +271,10 @@
 			m.shunUntil = 0
 			t.touch(m)
 		}
-		if (m.silent || m.gone) && m.registered {
+		if (m.silent || m.gone) && (m.registered || m.dropping) {
+			// Should the machine be back before this is carried out, it gets nothing
+			// until it is recorded once more: that changes what a late drop is conditional on.
+			m.registered, m.dropping = false, true
 			drop = append(drop, id)
 		}
 		if m.gone && now > m.answered+600*clock.Second {
@@ -343,8 +347,8 @@
 		}
 		m = t.add(id, part, r, now)
 	}
-	if m != nil && m.registered != there {
-		m.registered = there
+	if m != nil && (m.registered != there || m.dropping) {
+		m.registered, m.dropping = there, false
 		t.touch(m)
 	}
 }
