What is left of jobs that are over counts against their team's limit

Cause: a new placer of a team took no note of tasks whose job it did not know, since their owner ends them; and it counted the machine as cleared. They are bound as strays now, and a machine with something of which its owner knows neither team nor size stays uncleared until that is gone.

--- /dev/null
+++ b/internal/placer/meetings_test.go
@@ -0,0 +1,99 @@
+package placer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// busy lists the machines that run something.
+func (w *world) busy() (out []string) {
+	for _, id := range w.names {
+		for _, k := range w.workers[id].InOrder() {
+			if k.Phase != wire.TaskExited {
+				out = append(out, id)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// withdraw has a job withdrawn and its end written.
+func (w *world) withdraw(id string) {
+	w.desk.Cancel(red, id)
+	j := w.desk.teams[red].jobs[id]
+	for range 4 {
+		for _, h := range w.hosts {
+			w.send(h, true, true)
+			w.poll(h, false)
+		}
+	}
+	require.True(w.t, w.desk.Cancelled(j, w.parts()), "the owners have taken it")
+	w.end(id, wire.Cancelled)
+}
+
+// A team is at its limit with a job whose machines hang, hear no answers, or are
+// somebody else's now. The job is withdrawn, and the team's placer changes. What may
+// run there still counts against the limit, though its job is known to nobody any more.
+func TestLimitsCountWhatIsLeftOfWithdrawnJobs(t *testing.T) {
+	for _, x := range []struct {
+		name          string
+		reports, anew bool // the machines' reports arrive, but no answer; their owner has begun anew
+	}{
+		{"machines hang", false, false},
+		{"reports arrive, answers don't", true, false},
+		{"and the machines' owner has begun anew", true, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			w := newWorld(t, 1, 6)
+			w.settle(8)
+			w.addJob("job-1", 6, nil)
+			w.settle(4)
+			require.Equal(t, 6, w.running())
+			busy := w.busy()
+			w.withdraw("job-1")
+			if x.anew {
+				for p, h := range w.hosts {
+					w.boot(h)
+					w.gain(p, p)
+				}
+				for _, id := range w.names {
+					w.report(id, true) // its answer brings the new token, and nothing else
+				}
+			}
+			w.newDesk()
+			w.addJob("job-2", 6, nil)
+			hung := map[string]bool{}
+			for _, id := range busy {
+				hung[id] = true
+			}
+			for range 30 {
+				w.now += 200 * clock.Millisecond
+				for _, id := range w.names {
+					if !hung[id] {
+						w.report(id, true)
+						w.courier(id, false, true)
+					} else if x.reports {
+						w.report(id, false)
+					}
+				}
+				w.tick()
+				for _, h := range w.hosts {
+					w.poll(h, false)
+					w.send(h, true, true)
+				}
+				w.place()
+				w.check("the withdrawn job's machines are out of reach")
+			}
+			require.Len(t, w.busy(), len(busy), "nothing of the withdrawn job has been stopped, and nothing fits beside it")
+			require.Empty(t, w.desk.teams[red].jobs["job-2"].bound, "the limit leaves nothing for the other job")
+			w.now += 2 * lease
+			w.settle(30)
+			require.Equal(t, 6, w.running(), "the other job runs once their leases are over")
+		})
+	}
+}
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
@@ -232,13 +233,24 @@
 		}
 	}
 	for name, tm := range d.teams {
-		if o.fenced[name] == tm.term && !tm.cleared[m.ID] {
+		if o.fenced[name] == tm.term && !tm.cleared[m.ID] && !m.foreign() {
 			tm.cleared[m.ID] = true
 			delete(tm.strange, m.ID)
 		}
 	}
 }
 
+// foreign tells that something is on a machine of which its owner knows neither the team
+// nor what it takes: it was found, and its job is over. Any team may have it.
+func (m *mirror) foreign() bool {
+	for _, s := range m.tasks {
+		if s.Team == "" && s.Phase != wire.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
 // checkGone releases a binding whose task is not on its accounted machine. That
 // is certain when the view is newer than the grant, or comes from a later
 // owner, to whom the ask can't be granted any more.
@@ -255,20 +267,32 @@
 
 // compare takes a task that an accounted machine shows.
 func (d *Desk) compare(o *ownerState, m *mirror, tv *peer.TaskView, now clock.Micros) {
+	b := m.bound[tv.ID]
 	tm := d.teams[tv.Team]
+	if b != nil {
+		tm = b.job.team // its owner may not know: the job is over
+	}
 	if tm == nil {
 		return
 	}
 	j := tm.jobs[tv.ID.Job]
-	b := m.bound[tv.ID]
+	if j != nil && tv.ID.N >= j.Tasks {
+		j = nil
+	}
 	if b == nil {
-		if j == nil || o.fenced[tm.Name] != tm.term || tv.ID.N >= j.Tasks {
-			return // the owner ends what belongs to no active job
+		if o.fenced[tm.Name] != tm.term {
+			return
 		}
 		if tv.Phase != wire.TaskExited {
 			b = &binding{id: tv.ID, job: j, machine: m.ID, zone: m.Zone, term: m.Term, version: m.Version,
 				instance: m.instance, since: now - tv.Since}
-			b.stray = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
+			if j == nil {
+				// Its owner ends what belongs to no active job, but may not reach it: until
+				// it is gone it counts against the limit.
+				b.job, b.stray = &job{Job: &jobs.Job{Need: tv.Need}, team: tm, zones: map[string]int{}}, true
+			} else {
+				b.stray = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
+			}
 			d.bind(b, m)
 			if b.stray {
 				d.stop(b, 0)
