An owner starts nothing of a job that its replica shows as over

Cause: an owner knew a job as over by its placer's word, or by a final state that it had seen; neither outlives a new process. A placer that stood still while its team was taken over, its job cancelled and the partition handed to a controller that had not heard of it could still have had a task of it started there. An ask names the revision of its job's record now, and the replica tells up to which revision it knows all changes: where it is as new as the record and doesn't show it, the job is over. Same test for tasks found, whose mark 'found' goes. Story: an ask for such a job is refused, an unused lease of it never sent, what runs is ended. TestAnAskedTaskOutlivesAnOldView says in numbers how old the view is: older than the record, as it meant.

--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -50,7 +50,7 @@
 }
 
 // Apply takes events of the replica.
-func (k *Keeper) Apply(evs []state.Event) {
+func (k *Keeper) Apply(evs []state.Event, _ uint64) {
 	k.mu.Lock()
 	for _, e := range evs {
 		k.book.Apply(e)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -76,6 +76,7 @@
 	active map[string]*Job
 	finals map[string]Final
 	order  []string
+	rev    uint64 // all changes up to this revision are known
 }
 
 // NewBook makes an empty view.
@@ -134,6 +135,25 @@
 	return j, ok
 }
 
+// Reach notes that all changes up to a revision have been applied.
+func (b *Book) Reach(rev uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rev = max(b.rev, rev)
+}
+
+// Over tells that a job whose record was made at a revision is over: its final state
+// is known, or the view is as new as the record and does not show it any more.
+func (b *Book) Over(id string, made uint64) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if _, final := b.finals[id]; final {
+		return true
+	}
+	_, active := b.active[id]
+	return !active && b.rev >= made
+}
+
 // Final gives the final state of a job, if it is known here.
 func (b *Book) Final(id string) (Final, bool) {
 	b.mu.RLock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,16 +209,17 @@
 
 // apply takes events of the replica. Jobs, machines and progress are taken
 // before claims, so that a duty gained stands on all that came before it.
-func (n *Node) apply(evs []state.Event) {
+func (n *Node) apply(evs []state.Event, rev uint64) {
 	for _, e := range evs {
 		n.book.Apply(e)
 		if e.Key == state.Catalog && e.Value != nil {
 			n.setCatalog(e.Value)
 		}
 	}
+	n.book.Reach(rev)
 	n.owner.Apply(evs)
 	n.placer.Apply(evs)
-	n.keeper.Apply(evs)
+	n.keeper.Apply(evs, rev)
 	for _, e := range evs {
 		if strings.HasPrefix(e.Key, state.Claims) || strings.HasPrefix(e.Key, state.Nodes) {
 			n.owner.Reconcile()
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -82,6 +82,9 @@
 		t.parts[m.part] != a.Term || !m.usable(now) {
 		return false
 	}
+	if t.jobs.Over(a.ID.Job, a.Made) {
+		return false // by a former placer, or by a copy of an old round
+	}
 	if c, ok := t.cancelled[a.ID.Job]; ok {
 		if term <= c.term {
 			return false
@@ -116,7 +119,7 @@
 	for _, v := range victims {
 		t.end(m, v, t.graceOf(v))
 	}
-	k := &task{id: a.ID, team: a.Team, rank: a.Rank, need: a.Need, covered: a.Covered, since: now}
+	k := &task{id: a.ID, made: a.Made, team: a.Team, rank: a.Rank, need: a.Need, covered: a.Covered, since: now}
 	m.tasks[a.ID] = k
 	t.note(m, a.Image, a.ImageGB)
 	m.idleSince = now
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -11,16 +11,12 @@
 // over tells that nothing of a task's job may run any more. For a task that
 // was found, its job not being active is proof: the record was there before
 // the task's start, and the replica is as new as this owner's claim. For one that was
-// asked for, the replica may be older than the job, so only its end is proof.
+// asked for, the replica must be as new as its record.
 func (t *Table) over(k *task) bool {
 	if _, ok := t.cancelled[k.id.Job]; ok {
 		return true
 	}
-	if _, final := t.jobs.Final(k.id.Job); final {
-		return true
-	}
-	_, active := t.jobs.Find(k.id.Job)
-	return k.found && !active
+	return t.jobs.Over(k.id.Job, k.made)
 }
 
 // maxOrders keeps an answer's line below the protocol's 64 KiB.
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -98,7 +98,7 @@
 		listed[id] = true
 		k := m.tasks[id]
 		if k == nil {
-			k = &task{id: id, since: now, found: true}
+			k = &task{id: id, since: now}
 			if j, ok := t.jobs.Find(job); ok {
 				k.team, k.rank, k.need = j.Team, j.Level, j.Need
 				t.note(m, j.Image, j.ImageGB)
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -23,7 +23,7 @@
 // Jobs tells which jobs are active.
 type Jobs interface {
 	Find(id string) (*jobs.Job, bool)
-	Final(id string) (jobs.Final, bool)
+	Over(id string, made uint64) bool
 }
 
 // Timing is what the table needs to know of spans.
@@ -46,7 +46,7 @@
 	risk     uint64       // token of an unanswered /orders that carried a run; 0: none
 	lastSend clock.Micros // by /orders; not repeated at once
 	seen     bool
-	found    bool // not asked for here: a former owner's
+	made     uint64 // revision of its job's record; 0: not asked for here, but found
 	phase    string
 	cause    string
 	stop     bool
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -17,28 +17,33 @@
 	sec   = clock.Second
 	lease = 10 * sec
 	team  = "red"
+	made  = 5 // revision of the job's record
 )
 
 // jobList is a view of jobs for the table.
 type jobList struct {
 	active map[string]*jobs.Job
 	final  map[string]jobs.Final
+	rev    uint64
 }
 
-func (j jobList) Find(id string) (*jobs.Job, bool)   { x, ok := j.active[id]; return x, ok }
-func (j jobList) Final(id string) (jobs.Final, bool) { x, ok := j.final[id]; return x, ok }
+func (j *jobList) Find(id string) (*jobs.Job, bool) { x, ok := j.active[id]; return x, ok }
+func (j *jobList) Over(id string, made uint64) bool {
+	_, final := j.final[id]
+	return final || j.active[id] == nil && j.rev >= made
+}
 
 // scene is one owner and one machine that it has accounted for.
 type scene struct {
 	t     *testing.T
 	now   clock.Micros
-	jobs  jobList
+	jobs  *jobList
 	table *Table
 	w     *fakes.Worker
 	seq   uint64
 }
 
-func newTable(j jobList) *Table {
+func newTable(j *jobList) *Table {
 	tb := NewTable(Timing{Lease: lease, LeaseTTL: 5 * sec, SickErrors: 2}, j)
 	tb.SetTypes(map[string]res.Amounts{"big": res.Have(8, 0, 32)})
 	return tb
@@ -46,7 +51,7 @@
 
 func newScene(t *testing.T) *scene {
 	spec := wire.Job{ID: "job-1", Team: team, Rank: "normal", Tasks: 10, CPUs: 2, MemGB: 1}
-	s := &scene{t: t, now: 100 * sec, jobs: jobList{map[string]*jobs.Job{"job-1": jobs.New(jobs.Record{Job: spec}, 5)}, map[string]jobs.Final{}}}
+	s := &scene{t: t, now: 100 * sec, jobs: &jobList{map[string]*jobs.Job{"job-1": jobs.New(jobs.Record{Job: spec}, made)}, map[string]jobs.Final{}, made}}
 	s.table = newTable(s.jobs)
 	s.w = fakes.NewWorker("m-1", lease, s.now)
 	s.table.Gain(0, 1, nil, s.now)
@@ -72,7 +77,7 @@
 }
 
 func ask(n int, attempt uint64) peer.Ask {
-	return peer.Ask{ID: peer.TaskID{Job: "job-1", N: n, Attempt: 1<<32 | attempt}, Team: team, Rank: 1,
+	return peer.Ask{ID: peer.TaskID{Job: "job-1", N: n, Attempt: 1<<32 | attempt}, Made: made, Team: team, Rank: 1,
 		Need: res.Need(2, 0, 1), Machine: "m-1", Term: 1}
 }
 
@@ -330,12 +335,31 @@
 func TestAnAskedTaskOutlivesAnOldView(t *testing.T) {
 	s := newScene(t)
 	delete(s.jobs.active, "job-1")
+	s.jobs.rev = made - 1
 	require.True(t, s.lease(0, 1))
 	s.report()
 	s.report()
 	require.True(t, s.w.Running("job-1/0"))
 }
 
+// An owner that has heard of no withdrawal, but whose view of the jobs is newer than
+// the job and does not show it, starts nothing of it: who asks has lost its team, and
+// stood still while the job was cancelled. What it was asked for before is ended.
+func TestNothingStartsOfAJobThatIsOver(t *testing.T) {
+	s := newScene(t)
+	require.True(t, s.lease(0, 1))
+	s.report()
+	require.True(t, s.w.Running("job-1/0"))
+	require.True(t, s.lease(1, 2), "not sent yet")
+	delete(s.jobs.active, "job-1")
+	require.False(t, s.lease(2, 3))
+	s.report()
+	s.report()
+	s.report()
+	require.Empty(t, s.w.Tasks)
+	require.Len(t, s.w.Starts, 1, "the lease was not used either")
+}
+
 // A machine is set aside for its return only when it holds neither task nor
 // lease, and gets none after that.
 func TestDrainOnlyWhenEmpty(t *testing.T) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -68,6 +68,7 @@
 // Ask asks for a lease on a machine's room for one task, and hands the task over.
 type Ask struct {
 	ID      TaskID
+	Made    uint64 // revision of its job's record
 	Team    string
 	Rank    int
 	Need    res.Amounts
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -125,7 +125,7 @@
 		}
 		d.index(m)
 		o := d.owners[m.host]
-		o.next.Asks = append(o.next.Asks, peer.Ask{ID: b.id, Team: j.team.Name, Rank: j.Level, Need: j.Need, Image: j.Image, ImageGB: j.ImageGB,
+		o.next.Asks = append(o.next.Asks, peer.Ask{ID: b.id, Made: j.Stamp, Team: j.team.Name, Rank: j.Level, Need: j.Need, Image: j.Image, ImageGB: j.ImageGB,
 			Machine: m.ID, Term: m.Term, Victims: victims, Over: over, Covered: j.covered})
 		placed++
 	}
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -70,7 +70,10 @@
 
 func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
 
-func (w *world) Final(id string) (jobs.Final, bool) { return w.book.Final(id) }
+func (w *world) Over(id string, made uint64) bool {
+	_, final := w.book.Final(id)
+	return final || w.active[id] == nil && w.stamp >= made
+}
 
 func newWorld(t *testing.T, seed uint64, machines int) *world {
 	return newWorldOf(t, seed, machines, limitCPU)
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -46,14 +46,15 @@
 // Replica follows the keys and tells a listener of every change.
 type Replica struct {
 	src    Source
-	tell   func([]Event)
+	tell   func([]Event, uint64)
 	log    *slog.Logger
 	stamps map[string]uint64
 	rev    uint64
 }
 
-// NewReplica makes a replica that tells its listener of changes, in order.
-func NewReplica(src Source, tell func([]Event), log *slog.Logger) *Replica {
+// NewReplica makes a replica that tells its listener of changes, in order, and up to
+// which revision it knows all of them then.
+func NewReplica(src Source, tell func([]Event, uint64), log *slog.Logger) *Replica {
 	return &Replica{src: src, tell: tell, log: log, stamps: map[string]uint64{}}
 }
 
@@ -130,7 +131,7 @@
 	}
 	r.rev = max(r.rev, ch.Rev)
 	if len(evs) > 0 {
-		r.tell(evs)
+		r.tell(evs, r.rev)
 	}
 }
 
@@ -167,7 +168,7 @@
 	}
 	r.rev = low
 	if len(evs) > 0 {
-		r.tell(evs)
+		r.tell(evs, r.rev)
 	}
 	return nil
 }
--- a/internal/state/replica_test.go
+++ b/internal/state/replica_test.go
@@ -37,7 +37,7 @@
 		st := fakes.NewState()
 		v := &fakes.View{State: st}
 		known, last := map[string]string{}, map[string]uint64{}
-		tell := func(evs []state.Event) {
+		tell := func(evs []state.Event, _ uint64) {
 			for _, e := range evs {
 				require.GreaterOrEqual(t, e.Stamp, last[e.Key], e.Key)
 				last[e.Key] = e.Stamp
