--- /dev/null
+++ b/internal/node/answers_test.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/placer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// ask asks a controller for a job and holds the answer against all that users were
+// told before: accepted, done and cancelled stay.
+func (c *cluster) ask(host, id string) string {
+	p := c.phase(host, id)
+	switch {
+	case p == "404":
+		require.False(c.t, c.accepted[id], "%s says that it doesn't know %s, which is accepted", host, id)
+	case len(p) <= 3: // not answered for now
+	case c.told[id] != "":
+		require.Equal(c.t, c.told[id], p, "%s of %s, which was told as over", host, id)
+	case p == wire.Done || p == wire.Cancelled:
+		c.told[id] = p
+		c.accepted[id] = true
+	default:
+		c.accepted[id] = true
+	}
+	return p
+}
+
+// submit submits a job, as its user does once more when there is no answer.
+func (c *cluster) submit(host, body, id string) (status int) {
+	r := c.do(host, "POST", wire.PathJobs, body)
+	require.False(c.t, c.accepted[id] && (r.Status == 400 || r.Status == 422), "%s refuses %s, which is accepted: %d", host, id, r.Status)
+	if r.Status == 200 || r.Status == 201 {
+		c.accepted[id] = true
+		var s wire.JobState
+		require.NoError(c.t, json.Unmarshal(r.Body, &s))
+		require.True(c.t, c.told[id] == "" || c.told[id] == s.Phase, "%s, a repeat at %s: %s after %s", id, host, s.Phase, c.told[id])
+		if s.Phase == wire.Done || s.Phase == wire.Cancelled {
+			c.told[id] = s.Phase
+		}
+	}
+	return r.Status
+}
+
+// cancel withdraws a job as its user does, and takes note of the answer.
+func (c *cluster) cancel(host, id string) (phase string) {
+	return c.cancelAnswered(host, id, c.do(host, "POST", wire.PathJobs+"/"+id+"/withdraw", ""))
+}
+
+func (c *cluster) cancelAnswered(host, id string, r httpx.Response) (phase string) {
+	require.False(c.t, r.Status == 404 && c.accepted[id], "%s doesn't know %s, which is accepted", host, id)
+	if r.Status != 200 {
+		return ""
+	}
+	phase = wire.Done
+	if strings.Contains(string(r.Body), wire.Cancelled) {
+		phase = wire.Cancelled
+	}
+	require.True(c.t, c.told[id] == "" || c.told[id] == phase, "%s: %s after %s", id, phase, c.told[id])
+	c.told[id] = phase
+	if _, told := c.cancelled[id]; phase == wire.Cancelled && !told {
+		c.cancelled[id] = cancelled{at: time.Now(), starts: c.starts(id)}
+	}
+	return phase
+}
+
+// Users ask at all controllers within milliseconds of a job's acceptance, its end or
+// the confirmation of its withdrawal, repeat the submission, and some withdraw at
+// once or at the end of the last task: whatever one of them was told, none is
+// told anything older. The same where the state service's answers are
+// lost while others read what was written, or its transactions come late.
+func TestNoAnswerIsOlderThanOneGiven(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		lot  lot
+	}{
+		{"no other trouble", served},
+		{"answers of transactions are lost", answerLost},
+		{"transactions come late", heldBack},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 6)
+				c.run(8*time.Second, 0)
+				met := map[string]int{} // troubles that occurred, by what was written
+				n := 0
+				c.setBefore(func(_ string, m wire.Multi) lot {
+					for _, prefix := range []string{state.Active, state.Final} {
+						if strings.Contains(puts(m), prefix) {
+							if n++; n%2 == 0 {
+								met[prefix]++
+								return x.lot
+							}
+						}
+					}
+					return served
+				})
+				const many = 12
+				name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
+				closely := func(id, body string) {
+					for k := range 6 {
+						for _, h := range hosts {
+							c.ask(h, id)
+						}
+						c.submit(hosts[k%3], body, id)
+						time.Sleep(2 * time.Millisecond)
+					}
+				}
+				answered := 0
+				for i := range many {
+					id, h := name(i), hosts[i%3]
+					body := submission(id, 1+i%2)
+					for try := 0; !c.accepted[id] && try < 30; try++ {
+						if c.submit(h, body, id) == 503 {
+							time.Sleep(300 * time.Millisecond)
+						}
+					}
+					require.True(t, c.accepted[id])
+					closely(id, body)
+					if i%3 == 1 {
+						c.cancel(hosts[(i+1)%3], id)
+						closely(id, body)
+					}
+					c.runAnd(500*time.Millisecond, time.Second, func() {})
+					c.release()
+				}
+				for range 40 {
+					for i := range many {
+						id := name(i)
+						if p := c.ask(hosts[i%3], id); i%3 == 2 && c.told[id] == "" && p == wire.Running {
+							// Perhaps at the very end of its last task.
+							c.cancel(hosts[(i+1)%3], id)
+						}
+						if c.told[id] != "" {
+							answered++
+							for _, h := range hosts {
+								c.ask(h, id)
+								c.submit(h, submission(id, 1+i%2), id)
+								c.cancel(h, id)
+							}
+						}
+					}
+					c.runAnd(500*time.Millisecond, 1500*time.Millisecond, func() {})
+					c.release()
+				}
+				require.NotZero(t, answered)
+				c.setBefore(nil)
+				c.run(30*time.Second, time.Second)
+				ends := map[string]int{}
+				for i := range many {
+					for _, h := range hosts {
+						require.NotEqual(t, "503", c.ask(h, name(i)))
+					}
+					ends[c.told[name(i)]]++
+				}
+				require.NotZero(t, ends[wire.Done])
+				require.GreaterOrEqual(t, ends[wire.Cancelled], many/3)
+				require.Equal(t, many, ends[wire.Done]+ends[wire.Cancelled])
+				if x.lot != served {
+					require.NotZero(t, met[state.Active], "an acceptance had no answer")
+					require.NotZero(t, met[state.Final], "an end had no answer")
+				}
+			})
+		})
+	}
+}
+
+// One-task jobs come four a second for minutes, a quarter of them withdrawn right away
+// or a moment later. All of them end, as they should, and soon.
+func TestASwarmOfSingleTasksAQuarterOfThemWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		type answer struct {
+			host, id string
+			httpx.Response
+		}
+		answers := make(chan answer, 100)
+		cancel := func(host, id string) { // nobody waits for another's answer
+			go func() {
+				answers <- answer{host, id, c.do(host, "POST", wire.PathJobs+"/"+id+"/withdraw", "")}
+			}()
+		}
+		n := 0
+		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
+		c.runAnd(120*time.Second, time.Second, func() {
+			for len(answers) > 0 {
+				if a := <-answers; c.cancelAnswered(a.host, a.id, a.Response) == "" {
+					cancel(a.host, a.id)
+				}
+			}
+			for range 2 {
+				id := name(n)
+				require.Equal(t, 201, c.submit(hosts[n%3], strings.Replace(submission(id, 1), `"red"`, `"blue"`, 1), id))
+				switch n % 8 {
+				case 3:
+					cancel(hosts[(n+1)%3], id)
+				case 7:
+					cancel(hosts[(n+2)%3], name(n-4))
+				}
+				n++
+			}
+		})
+		c.run(15*time.Second, time.Second)
+		require.Equal(t, 480, n)
+		asked := 0
+		for i := range n {
+			for _, h := range hosts {
+				p := c.ask(h, name(i))
+				require.Contains(t, []string{wire.Done, wire.Cancelled}, p, name(i))
+			}
+			if i%8 == 3 {
+				require.Equal(t, wire.Cancelled, c.told[name(i)], name(i))
+				asked++
+			}
+		}
+		require.GreaterOrEqual(t, asked, n/8)
+		require.Zero(t, c.running())
+	})
+}
+
+// Jobs are withdrawn all the while that one controller's duties move to the others
+// and come back to it.
+func TestWithdrawalsWhileDutiesChangeHands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		leader, ok := c.up["a"].keeper.Holder(placer.Duty("blue"))
+		require.True(t, ok)
+		part := c.at[c.workers[0].ID]
+		before := c.claims()
+		n := 0
+		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
+		cancelling := func() {
+			id := name(n)
+			if c.submit(hosts[n%3], onAll(id, 2), id) == 201 {
+				n++
+			}
+			for i := max(0, n-8); i < n-1; i++ {
+				c.cancel(hosts[(n+i)%3], name(i))
+			}
+		}
+		c.runAnd(4*time.Second, 0, cancelling)
+		for _, h := range []string{leader, part} {
+			c.up[h].view.SetCut(true)
+			c.runAnd(9*time.Second, 0, cancelling)
+			c.up[h].view.SetCut(false)
+			c.runAnd(30*time.Second, 0, cancelling)
+		}
+		c.run(20*time.Second, 0)
+		moved := 0
+		for duty, h := range c.claims() {
+			if h.Term > before[duty].Term+1 {
+				moved++
+			}
+		}
+		require.GreaterOrEqual(t, moved, partsPerController, "duties have gone and come back")
+		for i := range n {
+			c.cancel("a", name(i))
+			for _, h := range hosts {
+				require.Equal(t, wire.Cancelled, c.ask(h, name(i)))
+			}
+		}
+		c.run(3*time.Second, 0)
+		require.Greater(t, n, 30)
+		require.Zero(t, c.running())
+	})
+}
--- /dev/null
+++ b/internal/node/takeover_test.go
@@ -0,0 +1,491 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/placer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// claims lists all claims as the state service has them.
+func (c *cluster) claims() map[string]claim.Record {
+	out := map[string]claim.Record{}
+	items, _, err := (&fakes.View{State: c.st}).List(c.t.Context(), state.Claims)
+	if err != nil {
+		return out // in an outage
+	}
+	for _, it := range items {
+		var r claim.Record
+		require.NoError(c.t, json.Unmarshal(it.Value, &r))
+		out[strings.TrimPrefix(it.Key, state.Claims)] = r
+	}
+	return out
+}
+
+// leader is who places the jobs of the team blue.
+func (c *cluster) leader() string {
+	h, ok := c.claims()[placer.Duty("blue")]
+	require.True(c.t, ok)
+	return h.Holder
+}
+
+// startedOnce holds that no task was ever started a second time.
+func (c *cluster) startedOnce() {
+	starts := map[string]int{}
+	for _, w := range c.workers {
+		for task, n := range w.Starts {
+			starts[task] += n
+		}
+	}
+	for task, n := range starts {
+		require.Equal(c.t, 1, n, task)
+	}
+}
+
+// A controller loses the state service and its peers, not its workers and users. Others
+// take its duties once its hold is over, and jobs are withdrawn through them. Nobody
+// hears anything older from it, and its workers' tasks are gone in time.
+func TestWithdrawalsThroughTheSuccessorOfACutOffLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+		c.run(4*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		leader := c.leader()
+		c.up[leader].view.SetCut(true)
+		c.setCut(leader, true)
+		for _, w := range c.workers { // they can't be told of another
+			if c.at[w.ID] == leader {
+				c.only[w.ID] = leader
+			}
+		}
+		require.NotEmpty(t, c.only)
+		heard := 0
+		asking := func() {
+			if p := c.ask(leader, "job-1"); len(p) > 3 {
+				heard++
+			}
+			for _, h := range hosts {
+				if h != leader && c.cancelled["job-1"].at.IsZero() {
+					c.cancel(h, "job-1")
+				}
+			}
+		}
+		c.runAnd(30*time.Second, 0, asking)
+		require.NotZero(t, heard, "it has answered its users meanwhile")
+		require.NotEqual(t, leader, c.leader())
+		c.runAnd(15*time.Second, 0, asking)
+		require.False(t, c.cancelled["job-1"].at.IsZero(), "confirmed by its successor")
+		c.runAnd(45*time.Second, 0, asking)
+		require.Zero(t, c.running())
+		c.up[leader].view.SetCut(false)
+		c.setCut(leader, false)
+		clear(c.only)
+		c.runAnd(20*time.Second, 0, asking)
+		require.Equal(t, wire.Cancelled, c.ask(leader, "job-1"))
+	})
+}
+
+// A zone with workers and a controller is cut off for longer than the workers' lease:
+// they reach that controller alone, and it nobody else.
+func TestAZoneThatIsCutOffForLongerThanALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+		c.run(4*time.Second, 0)
+		zone := c.at[c.workers[0].ID]
+		for _, w := range c.workers {
+			if c.at[w.ID] == zone {
+				c.only[w.ID] = zone
+			}
+		}
+		c.up[zone].view.SetCut(true)
+		c.setCut(zone, true)
+		c.run(50*time.Second, 0)
+		moved := false
+		for _, r := range c.claims() {
+			moved = moved || r.Holder != zone
+		}
+		require.True(t, moved)
+		for _, w := range c.workers {
+			require.Equal(t, c.only[w.ID] != "", w.Session > 1, "%s: its lease ended", w.ID)
+		}
+		c.up[zone].view.SetCut(false)
+		c.setCut(zone, false)
+		clear(c.only)
+		c.run(30*time.Second, 4*time.Second)
+		for _, h := range hosts {
+			require.Equal(t, wire.Done, c.ask(h, "job-1"))
+		}
+	})
+}
+
+// All controllers are away for longer than the workers' lease. Nothing is forgotten,
+// and what ran runs again, once.
+func TestAllControllersAreAwayForLongerThanALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+		c.run(4*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		for _, h := range hosts {
+			c.crash(h)
+		}
+		c.run(20*time.Second, 0)
+		require.Zero(t, c.running(), "their leases have ended")
+		for _, h := range hosts {
+			c.start(h)
+		}
+		c.run(8*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		c.run(15*time.Second, 3*time.Second)
+		require.Equal(t, wire.Done, c.ask("b", "job-1"))
+		for _, w := range c.workers {
+			require.EqualValues(t, 2, w.Session)
+		}
+	})
+}
+
+// A leader ends while machines with long tasks hang, or don't hear the new leader's
+// answers. Back within their lease they go on with what they have; after it that has
+// gone elsewhere, or begins anew.
+func TestALeaderEndsWhileMachinesCannotBeReached(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		by   func(c *cluster) map[string]bool
+		away time.Duration
+	}{
+		{"machines hang, not for long", func(c *cluster) map[string]bool { return c.hung }, 8 * time.Second},
+		{"machines hang for longer than a lease", func(c *cluster) map[string]bool { return c.hung }, 40 * time.Second},
+		{"answers are lost, not for long", func(c *cluster) map[string]bool { return c.unheard }, 8 * time.Second},
+		{"answers are lost for longer than a lease", func(c *cluster) map[string]bool { return c.unheard }, 40 * time.Second},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 6)
+				c.run(8*time.Second, 0)
+				require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+				c.run(4*time.Second, 0)
+				leader := c.at[c.workers[0].ID]
+				before := c.claims()
+				away := 0
+				for _, w := range c.workers {
+					if c.at[w.ID] == leader {
+						x.by(c)[w.ID] = true
+						away++
+					}
+				}
+				require.NotZero(t, away)
+				c.crash(leader)
+				c.run(500*time.Millisecond, 0)
+				c.start(leader)
+				c.run(x.away, 0)
+				after := c.claims()
+				moved := 0
+				for duty, r := range before {
+					if after[duty].Term > r.Term {
+						moved++
+					}
+				}
+				require.GreaterOrEqual(t, moved, partsPerController, "a new process leads")
+				clear(x.by(c))
+				c.run(12*time.Second, 0)
+				require.Equal(t, 6, c.running())
+				if x.away < 16*time.Second {
+					c.startedOnce()
+				}
+				c.run(20*time.Second, 3*time.Second)
+				require.Equal(t, wire.Done, c.ask("b", "job-1"))
+			})
+		})
+	}
+}
+
+// Old reports, from earlier attempts and sessions too, reach every controller just as
+// a new leader begins, and again when it has acted. They change nothing.
+func TestOldReportsReachEverybodyAsANewLeaderBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		c.keepCopies = true
+		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+		c.run(3*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		c.keepCopies = false
+		c.run(6*time.Second, 2*time.Second) // those tasks are done and forgotten
+		require.Equal(t, wire.Done, c.ask("a", "job-1"))
+		require.Equal(t, 201, c.submit("a", onAll("job-2", 6), "job-2"))
+		c.run(4*time.Second, 0)
+		require.Equal(t, 6, c.running())
+		old := c.copies
+		withTasks, answered := 0, map[int]int{}
+		deliver := func() {
+			for _, b := range old {
+				if strings.Contains(string(b), "job-1/") {
+					withTasks++
+				}
+				for _, h := range hosts {
+					if c.up[h] != nil {
+						answered[c.do(h, "POST", wire.PathReport, string(b)).Status]++
+					}
+				}
+			}
+		}
+		leader := c.at[c.workers[0].ID]
+		before := c.claims()
+		c.crash(leader)
+		c.start(leader)
+		for range 60 { // every 50 ms, from before it is registered on
+			deliver()
+			time.Sleep(50 * time.Millisecond)
+		}
+		c.runAnd(5*time.Second, 0, deliver)
+		require.NotZero(t, withTasks)
+		require.NotZero(t, answered[200], "to the new leader a report is news")
+		require.NotZero(t, answered[503], "and then it is not")
+		require.NotZero(t, answered[421])
+		after, moved := c.claims(), 0
+		for duty, r := range before {
+			if after[duty].Term > r.Term {
+				moved++
+			}
+		}
+		require.GreaterOrEqual(t, moved, partsPerController)
+		require.Equal(t, 6, c.running(), "what ran runs on")
+		c.startedOnce()
+		c.runAnd(10*time.Second, 3*time.Second, deliver)
+		for _, h := range hosts {
+			require.Equal(t, wire.Done, c.ask(h, "job-1"))
+			require.Equal(t, wire.Done, c.ask(h, "job-2"))
+		}
+		c.startedOnce()
+	})
+}
+
+// Machines are up at once and get work within a moment, while transactions come late
+// and the leader ends. No machine has a task without being on record.
+func TestNewMachinesWhileWritesLagAndTheLeaderEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		c.run(8*time.Second, 0)
+		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+		c.run(2*time.Second, 0)
+		require.Equal(t, 2, c.running())
+		lagging := 0
+		c.setBefore(func(_ string, m wire.Multi) lot {
+			if strings.Contains(puts(m), state.Machines) {
+				if lagging++; lagging%2 == 1 {
+					return heldBack
+				}
+			}
+			return served
+		})
+		recorded := func() {
+			on := c.recorded()
+			for _, w := range c.workers {
+				if len(w.Tasks) > 0 {
+					require.True(c.t, on[w.ID], "%s has tasks and no record", w.ID)
+				}
+			}
+		}
+		for i := 2; i < 6; i++ {
+			w := fakes.NewWorker(fmt.Sprintf("m-%06d", i), 16e6, c.clock.Now())
+			c.workers = append(c.workers, w)
+			c.at[w.ID] = hosts[i%3]
+		}
+		for i := range 3 {
+			c.runAnd(1500*time.Millisecond, 0, recorded)
+			leader := []string{c.leader(), c.at[c.workers[2].ID], c.at[c.workers[5].ID]}[i]
+			c.crash(leader)
+			c.release()
+			c.start(leader)
+		}
+		c.runAnd(5*time.Second, 0, recorded)
+		c.release()
+		require.Greater(t, lagging, 1, "records came late")
+		c.setBefore(nil)
+		c.runAnd(12*time.Second, 0, recorded)
+		require.Equal(t, 6, c.running())
+		c.startedOnce()
+		c.run(10*time.Second, 3*time.Second)
+		require.Equal(t, wire.Done, c.ask("c", "job-1"))
+	})
+}
+
+// Leaders change ten times in two minutes: they end, are back within a moment or
+// seconds later, all of them or one alone, are refused and served again, also while the state service is out.
+// Jobs of two or three tasks end far apart over this, and some are withdrawn.
+func TestLeadersChangeTenTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		n := 0
+		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
+		cancelled := 0
+		users := func() {
+			if id := name(n); n < 24 && c.submit(hosts[n%3], submission(id, 2+n%2), id) == 201 {
+				n++
+			}
+			for i := range n {
+				c.ask(hosts[(n+i)%3], name(i))
+			}
+			if n > 6 && n%5 == 0 && c.cancel(hosts[n%3], name(n-2)) == wire.Cancelled {
+				cancelled++
+			}
+		}
+		// A job whose tasks end far apart: one of them right now, the last at the very end.
+		require.Equal(t, 201, c.submit("a", onAll("job-000099", 3), "job-000099"))
+		c.run(3*time.Second, 0)
+		finish := func(task string) {
+			for _, w := range c.workers {
+				w.Finish(task, wire.CauseDone)
+			}
+		}
+		terms := map[uint64]bool{}
+		for i := range 10 {
+			leader := c.leader()
+			switch i % 5 {
+			case 0:
+				c.crash(leader)
+				time.Sleep(300 * time.Millisecond)
+				c.start(leader)
+			case 1:
+				c.up[leader].view.SetCut(true)
+				c.runAnd(8*time.Second, 6*time.Second, users)
+				c.up[leader].view.SetCut(false)
+			case 2: // in an outage
+				c.st.SetDown(true)
+				c.runAnd(3*time.Second, 6*time.Second, users)
+				c.crash(leader)
+				time.Sleep(200 * time.Millisecond)
+				c.start(leader)
+				c.runAnd(3*time.Second, 6*time.Second, users)
+				c.st.SetDown(false)
+			case 3:
+				for _, h := range hosts {
+					c.crash(h)
+				}
+				time.Sleep(700 * time.Millisecond)
+				c.start(leader)
+				c.runAnd(2*time.Second, 6*time.Second, users)
+				for _, h := range hosts {
+					if h != leader {
+						c.start(h)
+					}
+				}
+			case 4:
+				c.crash(leader)
+				c.runAnd(4*time.Second, 6*time.Second, users)
+				c.start(leader)
+			}
+			c.runAnd(5*time.Second, 6*time.Second, users)
+			terms[c.claims()[placer.Duty("blue")].Term] = true
+			if i == 4 {
+				finish("job-000099/1")
+			}
+		}
+		require.GreaterOrEqual(t, len(terms), 10, "as many leaders")
+		require.NotZero(t, cancelled)
+		require.Equal(t, 24, n)
+		c.run(60*time.Second, 4*time.Second)
+		for i := range n {
+			for _, h := range hosts {
+				require.Contains(t, []string{wire.Done, wire.Cancelled}, c.ask(h, name(i)), name(i))
+			}
+		}
+		require.Equal(t, wire.Done, c.ask("a", "job-000099"))
+		for _, w := range c.workers {
+			require.LessOrEqual(t, w.Starts["job-000099/1"], 1, "what was done stays done")
+		}
+	})
+}
+
+// Jobs bound to one zone, or to any one of them, lose machines. They go on in that zone,
+// or begin again together.
+func TestJobsOfOneZoneLoseMachines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 8)
+		for i, w := range c.workers {
+			w.Zone = hosts[i%2] // a and b
+		}
+		c.run(8*time.Second, 0)
+		require.Equal(t, 201, c.submit("a", strings.Replace(onAll("job-1", 3), `"shape"`, `"one_zone":true,"shape"`, 1), "job-1"))
+		require.Equal(t, 201, c.submit("a", strings.Replace(onAll("job-2", 1), `"shape"`, `"yard":"b","shape"`, 1), "job-2"))
+		together := func() {
+			zones := map[string]map[string]bool{"job-1": {}, "job-2": {}}
+			for _, w := range c.workers {
+				for _, k := range w.InOrder() {
+					job, _, _ := wire.SplitTask(k.Task)
+					if k.Phase != wire.TaskExited {
+						zones[job][w.Zone] = true
+					}
+				}
+			}
+			require.LessOrEqual(t, len(zones["job-1"]), 1)
+			require.NotContains(t, zones["job-2"], "a")
+		}
+		c.runAnd(5*time.Second, 0, together)
+		require.Equal(t, 4, c.running())
+		for round := range 3 {
+			lost := 0
+			for _, w := range c.workers {
+				if len(w.Tasks) > 0 && lost < 2 && !c.hung[w.ID] {
+					c.hung[w.ID] = true
+					lost++
+				}
+			}
+			require.Equal(t, 2, lost)
+			if round == 1 {
+				leader := c.leader()
+				c.crash(leader)
+				c.start(leader)
+			}
+			c.runAnd(25*time.Second, 0, together)
+			clear(c.hung)
+			c.runAnd(8*time.Second, 0, together)
+			require.Equal(t, 4, c.running())
+		}
+		c.runAnd(30*time.Second, 3*time.Second, together)
+		require.Equal(t, wire.Done, c.ask("a", "job-1"))
+		require.Equal(t, wire.Done, c.ask("a", "job-2"))
+	})
+}
+
+// More work than room, of all ranks, while every word between the controllers takes a
+// fifth of a second and a leader ends. The limit holds, and all of it is done.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		c.run(8*time.Second, 0)
+		c.lag = 200 * time.Millisecond
+		const many = 16
+		ranks := []string{"idle", "normal", "high", "production"}
+		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
+		for i := range many {
+			body := strings.Replace(submission(name(i), 4), `"normal"`, fmt.Sprintf("%q", ranks[i%4]), 1)
+			require.Equal(t, 201, c.submit(hosts[i%3], body, name(i)))
+		}
+		c.run(5*time.Second, 2*time.Second)
+		require.Positive(t, c.running())
+		leader := c.leader()
+		c.crash(leader)
+		c.start(leader)
+		c.run(90*time.Second, 2*time.Second)
+		for i := range many {
+			require.Equal(t, wire.Done, c.ask(hosts[i%3], name(i)), name(i))
+		}
+	})
+}
