--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -109,8 +109,12 @@
 		d.refree(m)
 	}
 	for _, c := range r.Cancels {
-		if tm := d.teams[c.Team]; tm != nil && tm.term == r.Terms[c.Team] && tm.jobs[c.Job] != nil {
-			tm.jobs[c.Job].taken[ans.Incarnation] = true
+		tm := d.teams[c.Team]
+		if tm == nil || tm.term != r.Terms[c.Team] {
+			continue // taken for a former term, which counts for nothing in this one
+		}
+		if j := tm.jobs[c.Job]; j != nil && j.cancelling {
+			j.taken[ans.Incarnation] = true
 		}
 	}
 	return true
--- a/internal/placer/withdraw.go
+++ b/internal/placer/withdraw.go
@@ -168,12 +168,18 @@
 // startCancels goes on with withdrawals whose users were told to come back: they
 // find the end written, and a job of which nothing may start is not left for ever.
 func (p *Placer) startCancels(ctx context.Context) {
-	parts := p.partClaims()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var parts []PartClaim
 	for _, tm := range p.desk.teams {
 		for _, j := range tm.jobs {
-			if j.cancelling && p.beginCancelled(j, parts) {
+			if !j.cancelling {
+				continue
+			}
+			if parts == nil {
+				parts = p.partClaims()
+			}
+			if p.beginCancelled(j, parts) {
 				go p.finishCancelled(ctx, j, parts) //nolint:errcheck // tried again
 			}
 		}
