--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -196,6 +196,28 @@
 	})
 }
 
+// A holder that hands a duty over doesn't act on it from then on, although the write that
+// frees it was refused or had no answer: another may have the duty already.
+func TestWhatIsHandedOverIsNotActedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fakes.NewState()
+		a, b := start(t, st, "a"), start(t, st, "b")
+		start(t, st, "c")
+		time.Sleep(10 * time.Second)
+		a.stop()
+		time.Sleep(40 * time.Second)
+		require.True(t, b.has("one"))
+		start(t, st, "a")
+		time.Sleep(14 * time.Second)
+		require.True(t, b.has("one"), "a has not been back for long enough")
+		b.view.SetCut(true)
+		time.Sleep(3 * time.Second)
+		require.False(t, b.has("one"), "its turn to hand it over has come")
+		holder, ok := b.Holder("one")
+		require.True(t, ok && holder == "b", "the claim says still that it is b's")
+	})
+}
+
 // A controller is cut off from the workers: those of its duties that need them
 // go to others at once and stay there, the rest stays; once it reaches workers
 // again its own come back.
--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -94,11 +94,10 @@
 				c.run(8*time.Second, 0)
 				placing, ok := c.up["a"].keeper.Holder(placer.Duty("red"))
 				require.True(t, ok)
-				c.mu.Lock()
-				c.behind[placing] = 400 * time.Millisecond // others read its writes before it does
-				c.mu.Unlock()
+				c.setBehind(placing, 400*time.Millisecond) // others read its writes before it does
 				met := map[string]int{} // troubles that occurred, by what was written
 				n := 0
+				meetsEnd := 0
 				ending := make(chan string, 1000) // jobs whose end is being written
 				near := map[string]time.Time{}
 				c.closely = func() {
@@ -109,6 +108,11 @@
 						for _, h := range hosts {
 							c.ask(h, id)
 						}
+						if time.Since(at) < 20*time.Millisecond {
+							c.submit(hosts[n%3], submission(id, 1), id)
+							c.cancel(hosts[(n+1)%3], id)
+							meetsEnd++
+						}
 						if time.Since(at) > 300*time.Millisecond {
 							delete(near, id)
 						}
@@ -176,6 +180,7 @@
 					c.release()
 				})
 				require.NotZero(t, answered)
+				require.NotZero(t, meetsEnd, "repeats and withdrawals at the very end")
 				c.setBefore(nil)
 				c.closely = nil
 				c.run(30*time.Second, time.Second)
--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -184,6 +184,60 @@
 	}
 }
 
+// A withdrawal's end has no answer, and its placer ends. Where it was carried out, the job
+// is cancelled and stays so. Where it comes late, nobody has been told: the next placer
+// goes on with the job, and the late end changes nothing.
+func TestAWithdrawalWhosePlacerEnds(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		lot  lot
+	}{{"carried out, the answer is lost", answerLost}, {"carried out late", heldBack}} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 6)
+				c.run(8*time.Second, 0)
+				require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+				c.run(4*time.Second, 0)
+				require.Equal(t, 6, c.running())
+				leader, met := c.leader(), 0
+				c.setBefore(func(host string, m wire.Multi) lot {
+					if host == leader && strings.Contains(puts(m), state.Final) {
+						met++
+						return x.lot
+					}
+					return served
+				})
+				c.setBehind(leader, 4*time.Second) // it does not read its own write meanwhile
+				require.Empty(t, c.cancel(leader, "job-1"), "nothing is told while its end may be written or not")
+				require.Equal(t, "503", c.ask(leader, "job-1"))
+				require.NotZero(t, met)
+				c.crash(leader)
+				c.setBehind(leader, 0)
+				c.setBefore(nil)
+				late := c.takeKept()
+				c.run(time.Second, 0)
+				c.start(leader)
+				c.run(8*time.Second, 0)
+				if x.lot == answerLost {
+					require.Zero(t, c.running())
+					for _, h := range hosts {
+						require.Equal(t, wire.Cancelled, c.ask(h, "job-1"))
+					}
+					return
+				}
+				require.Equal(t, 6, c.running(), "it goes on")
+				for _, write := range late {
+					require.ErrorIs(t, write(), state.ErrConflict)
+				}
+				c.run(15*time.Second, 3*time.Second)
+				for _, h := range hosts {
+					require.Equal(t, wire.Done, c.ask(h, "job-1"))
+				}
+			})
+		})
+	}
+}
+
 // onAll submits a job of the team without a limit, each of whose tasks takes a whole machine.
 func onAll(id string, tasks int) string {
 	return strings.NewReplacer(`"red"`, `"blue"`, `"cpus":2`, `"cpus":8`).Replace(submission(id, tasks))
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -71,6 +71,13 @@
 	c.before = f
 }
 
+// setBehind lets a controller's replica be late.
+func (c *cluster) setBehind(host string, by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.behind[host] = by
+}
+
 // release carries out the transactions that were held back and tells how many there
 // were, and how many of them changed anything.
 func (c *cluster) release() (all, applied int) {
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -31,43 +31,53 @@
 }
 
 // A machine falls silent for its lease, and the transaction that takes it off the
-// record has no answer. The machine is back, and gets work; then the transaction is
-// carried out after all, and the machine's owner ends. Whoever comes next must find
-// a machine with tasks on record: one that isn't counts as gone, its tasks as free to run elsewhere.
+// record has no answer. The machine is back, and gets work, from the same owner or the next
+// one; then the transaction is carried out after all, and the owner ends. Whoever comes
+// next must find a machine with tasks on record: one that isn't counts as gone, its tasks
+// as free to run elsewhere.
 func TestALateDropOfARecordTakesNoMachineWithTasksOffIt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 6)
-		c.run(8*time.Second, 0)
-		require.Len(t, c.recorded(), 6)
-		lost := c.workers[0]
-		owner := c.at[lost.ID]
-		c.setBefore(func(_ string, m wire.Multi) lot {
-			for _, cond := range m.When {
-				if strings.HasPrefix(cond.Key, state.Machines) && !strings.Contains(written(m), lost.ID) {
-					return heldBack
+	for _, x := range []struct {
+		name string
+		next bool // the owner ends before the machine is back
+	}{{"the same owner", false}, {"the next owner", true}} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 6)
+				c.run(8*time.Second, 0)
+				require.Len(t, c.recorded(), 6)
+				lost := c.workers[0]
+				owner := c.at[lost.ID]
+				c.setBefore(func(_ string, m wire.Multi) lot {
+					for _, cond := range m.When {
+						if strings.HasPrefix(cond.Key, state.Machines) && !strings.Contains(written(m), lost.ID) {
+							return heldBack
+						}
+					}
+					return served
+				})
+				all := c.workers
+				c.workers = all[1:] // it is away for longer than its lease
+				c.run(18*time.Second, 0)
+				late := c.takeKept()
+				require.NotEmpty(t, late, "its record was to be dropped")
+				c.setBefore(nil)
+				if x.next {
+					c.anew(owner)
 				}
-			}
-			return served
+				c.workers = all
+				require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, onAll("job-1", 6)).Status)
+				c.run(6*time.Second, 0)
+				require.Equal(t, 6, c.running(), "it is used again")
+				for _, write := range late {
+					require.ErrorIs(t, write(), state.ErrConflict)
+				}
+				c.crash(c.at[lost.ID])
+				require.True(t, c.recorded()[lost.ID], "it has a task")
+				c.run(45*time.Second, 0)
+				require.Equal(t, 6, c.running())
+			})
 		})
-		all := c.workers
-		c.workers = all[1:] // it is away for longer than its lease
-		c.run(18*time.Second, 0)
-		c.mu.Lock()
-		held := len(c.kept)
-		c.mu.Unlock()
-		require.NotZero(t, held, "its record was to be dropped")
-		c.workers = all
-		require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, onAll("job-1", 6)).Status)
-		c.run(6*time.Second, 0)
-		require.Equal(t, 6, c.running(), "it is used again")
-		c.release()
-		require.Equal(t, owner, c.at[lost.ID])
-		c.crash(owner)
-		c.setBefore(nil)
-		require.True(t, c.recorded()[lost.ID], "it has a task")
-		c.run(45*time.Second, 0)
-		require.Equal(t, 6, c.running())
-	})
+	}
 }
 
 // written is what a transaction writes, as text.
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -287,9 +287,8 @@
 		lagging := 0
 		c.setBefore(func(_ string, m wire.Multi) lot {
 			if strings.Contains(puts(m), state.Machines) {
-				if lagging++; lagging%2 == 1 {
-					return heldBack
-				}
+				lagging++
+				return heldBack
 			}
 			return served
 		})
@@ -307,16 +306,16 @@
 			c.at[w.ID] = hosts[i%3]
 		}
 		for i := range 3 {
-			c.runAnd(1500*time.Millisecond, 0, recorded)
+			c.runAnd(3*time.Second, 0, recorded)
 			leader := []string{c.leader(), c.at[c.workers[2].ID], c.at[c.workers[5].ID]}[i]
 			c.crash(leader)
-			c.release()
 			c.start(leader)
 		}
-		c.runAnd(5*time.Second, 0, recorded)
-		c.release()
+		c.runAnd(12*time.Second, 0, recorded)
+		require.Equal(t, 2, c.running())
 		require.Greater(t, lagging, 1, "records came late")
 		c.setBefore(nil)
+		c.release()
 		c.runAnd(12*time.Second, 0, recorded)
 		require.Equal(t, 6, c.running())
 		c.startedOnce()
