A job of which nothing was ever asked for is withdrawn at once

Cause: a withdrawal waits for every controller that holds machines, also where the job has found no room yet; with one of them out of reach, or in overload, its user came back in vain. Only its placer could start such a job, so nobody else need hear of it, and its end is conditional on the team's claim alone. The log counts withdrawn jobs that wait.

--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -302,3 +302,33 @@
 		require.Zero(t, c.running())
 	})
 }
+
+// A job that has found no room yet is withdrawn while a controller that holds machines
+// can't be reached: nobody was asked for room, so nobody need be told.
+func TestAWaitingJobIsWithdrawnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		c.run(8*time.Second, 0)
+		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+		c.run(4*time.Second, 0)
+		require.Equal(t, 6, c.running(), "all machines are in use")
+		require.Equal(t, 201, c.submit("a", onAll("job-2", 2), "job-2"))
+		c.run(4*time.Second, 0)
+		leader := c.leader()
+		for _, h := range hosts {
+			if h != leader {
+				c.setCut(h, true)
+				break
+			}
+		}
+		require.Equal(t, wire.Cancelled, c.cancel(leader, "job-2"))
+		require.Empty(t, c.cancel(leader, "job-1"), "that one has to be told of")
+		for _, h := range hosts {
+			c.setCut(h, false)
+		}
+		c.run(5*time.Second, 0)
+		require.Equal(t, wire.Cancelled, c.ask("a", "job-1"))
+		require.Equal(t, wire.Cancelled, c.ask("a", "job-2"))
+		require.Zero(t, c.starts("job-2"))
+	})
+}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -106,6 +106,7 @@
 		j.dry = 0
 		// A job that is placed bit by bit as others' tasks end is stalled all the
 		// same until all of it is placed: on a large fleet there is always a bit.
+		j.asked = true
 		j.team.counter++
 		d.counts.Placed++
 		d.counts.Preempted += len(victims)
--- a/internal/placer/desk.go
+++ b/internal/placer/desk.go
@@ -98,6 +98,7 @@
 	cancelling bool
 	taken      map[string]bool // processes that have its withdrawal in memory
 	endAfter   clock.Micros    // the end of its withdrawal is not tried until then
+	asked      bool            // a task of it was asked for by this placer
 	uncertain  bool            // its final record may have been written
 	unanswered bool            // and a try to write it had no definite answer
 	finishing  bool
@@ -268,15 +269,19 @@
 	}
 }
 
-// Summary gives the counts, and how many tasks wait and are bound.
-func (d *Desk) Summary() (c Counts, waiting, bound int) {
+// Summary gives the counts, how many tasks wait and are bound, and how many
+// withdrawn jobs are not over yet.
+func (d *Desk) Summary() (c Counts, waiting, bound, withdrawn int) {
 	for _, tm := range d.teams {
 		for _, j := range tm.jobs {
+			if j.cancelling {
+				withdrawn++
+			}
 			waiting += j.waiting()
 			bound += len(j.bound)
 		}
 	}
-	return d.counts, waiting, bound
+	return d.counts, waiting, bound, withdrawn
 }
 
 // Terms gives the teams held and their terms.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -289,10 +289,10 @@
 	for ctx.Err() == nil {
 		pause(ctx, 10*time.Second)
 		p.mu.Lock()
-		c, waiting, bound := p.desk.Summary()
+		c, waiting, bound, withdrawn := p.desk.Summary()
 		p.mu.Unlock()
 		if c != last {
-			p.log.Info("placing", "waiting", waiting, "bound", bound, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused,
+			p.log.Info("placing", "waiting", waiting, "bound", bound, "withdrawn", withdrawn, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused,
 				"preempted", c.Preempted-last.Preempted, "done", c.Done-last.Done, "stopped", c.Stopped-last.Stopped,
 				"failed", c.Failed-last.Failed, "lost", c.Lost-last.Lost, "fetch_cpu_s", int((c.FetchCPUs - last.FetchCPUs).Seconds()))
 		}
@@ -327,7 +327,7 @@
 				poke(c)
 			}
 		}
-		_, _, bound := p.desk.Summary()
+		_, _, bound, _ := p.desk.Summary()
 		gap := roundGap(bound, (p.clock.Now() - began).Duration())
 		p.mu.Unlock()
 		pause(ctx, gap)
--- a/internal/placer/withdraw.go
+++ b/internal/placer/withdraw.go
@@ -68,10 +68,17 @@
 	o.next.Cancels = append(o.next.Cancels, c)
 }
 
+// offered tells that a task of a job may ever have been asked for, of any owner. Where
+// none was, only this placer could start one, and the end needs nobody else.
+func (j *job) offered() bool { return j.asked || j.former > 0 }
+
 // Cancelled tells whether the end of a withdrawn job may be written on the condition of
 // these claims: the present process of each holder has the withdrawal in memory, and
 // nothing of the job can start any more. Processes that have not been told are told.
 func (d *Desk) Cancelled(j *job, parts []PartClaim) bool {
+	if !j.offered() {
+		return j.cancelling
+	}
 	ready := j.cancelling && !j.mayStart()
 	for _, c := range parts {
 		if c.Host == "" {
@@ -199,10 +206,14 @@
 // finishCancelled writes the end of a withdrawn job that is marked as finishing, on the
 // condition that no partition has changed hands.
 func (p *Placer) finishCancelled(ctx context.Context, j *job, parts []PartClaim) error {
-	when := make([]wire.Cond, 0, len(parts))
-	for _, c := range parts {
-		when = append(when, wire.Cond{Key: c.Key, Stamp: c.Stamp})
+	var when []wire.Cond
+	p.mu.Lock()
+	if j.offered() {
+		for _, c := range parts {
+			when = append(when, wire.Cond{Key: c.Key, Stamp: c.Stamp})
+		}
 	}
+	p.mu.Unlock()
 	err := p.finish(ctx, p.urgent, []*job{j}, wire.Cancelled, false, when)
 	p.mu.Lock()
 	defer p.mu.Unlock()
