Stories share their beginning and how they count moved claims (no assertion changed)

The gap's withdrawals use the other stories' user, which holds more: no answer older than one given.

--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -307,10 +307,7 @@
 // can't be reached: nobody was asked for room, so nobody need be told.
 func TestAWaitingJobIsWithdrawnAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 6)
-		c.run(8*time.Second, 0)
-		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
-		c.run(4*time.Second, 0)
+		c := busyCluster(t)
 		require.Equal(t, 6, c.running(), "all machines are in use")
 		require.Equal(t, 201, c.submit("a", onAll("job-2", 2), "job-2"))
 		c.run(4*time.Second, 0)
--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -16,20 +16,6 @@
 // cancelWithin is how long after the confirmation of its withdrawal a job's tasks may be there.
 const cancelWithin = 36 * time.Second
 
-// withdraw asks a controller to end a job and, when that is confirmed, has every
-// later look hold the workers' tasks against it.
-func (c *cluster) withdraw(host, id string) (confirmed bool) {
-	r := c.do(host, "POST", wire.PathJobs+"/"+id+"/withdraw", "")
-	if r.Status != 200 {
-		return false
-	}
-	require.Contains(c.t, string(r.Body), wire.Cancelled)
-	if _, told := c.cancelled[id]; !told {
-		c.cancelled[id] = cancelled{at: time.Now(), starts: c.starts(id)}
-	}
-	return true
-}
-
 // cancelled is a job whose withdrawal was confirmed, when, and how often tasks of
 // it had started by then.
 type cancelled struct {
@@ -108,11 +94,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, 6)
-				c.run(8*time.Second, 0)
-				require.Equal(t, 201, c.do("a", "POST", wire.PathJobs, onAll("job-1", 6)).Status)
-				c.run(4*time.Second, 0)
-				require.Equal(t, 6, c.running())
+				c := busyCluster(t)
 				via, ok := c.up["a"].keeper.Holder(placer.Duty("blue"))
 				require.True(t, ok)
 				leader, third := "", ""
@@ -133,7 +115,7 @@
 				case "after its answer":
 					c.deaf[leader] = true
 					c.setCut(third, true)
-					require.False(t, c.withdraw(via, "job-1"), "the third controller has not taken it")
+					require.Empty(t, c.cancel(via, "job-1"), "the third controller has not taken it")
 					refuse()
 					c.deaf[leader] = false
 					c.setCut(third, false)
@@ -154,7 +136,7 @@
 				}
 				told := false
 				for range 8 {
-					if told = c.withdraw(via, "job-1"); told {
+					if told = c.cancel(via, "job-1") == wire.Cancelled; told {
 						break
 					}
 					time.Sleep(100 * time.Millisecond)
@@ -192,11 +174,7 @@
 	}{{"carried out, the answer is lost", answerLost}, {"carried out late", heldBack}} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, 6)
-				c.run(8*time.Second, 0)
-				require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
-				c.run(4*time.Second, 0)
-				require.Equal(t, 6, c.running())
+				c := busyCluster(t)
 				leader := c.leader()
 				c.setBefore(func(host string, m wire.Multi) lot {
 					if host == leader && strings.Contains(puts(m), state.Final) {
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -32,6 +32,26 @@
 	return out
 }
 
+// moved counts the claims that have a new holder since.
+func (c *cluster) moved(before map[string]claim.Record) (n int) {
+	for duty, r := range c.claims() {
+		if r.Term > before[duty].Term {
+			n++
+		}
+	}
+	return n
+}
+
+// busyCluster is six machines, each taken by a task of job-1.
+func busyCluster(t *testing.T) *cluster {
+	c := newCluster(t, 6)
+	c.run(8*time.Second, 0)
+	require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
+	c.run(4*time.Second, 0)
+	require.Equal(t, 6, c.running())
+	return c
+}
+
 // leader is who places the jobs of the team blue.
 func (c *cluster) leader() string {
 	h, ok := c.claims()[placer.Duty("blue")]
@@ -57,11 +77,7 @@
 // hears anything older from it, and its workers' tasks are gone in time.
 func TestWithdrawalsThroughTheSuccessorOfACutOffLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 6)
-		c.run(8*time.Second, 0)
-		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
-		c.run(4*time.Second, 0)
-		require.Equal(t, 6, c.running())
+		c := busyCluster(t)
 		leader := c.leader()
 		c.up[leader].view.SetCut(true)
 		c.setCut(leader, true)
@@ -101,10 +117,7 @@
 // they reach that controller alone, and it nobody else.
 func TestAZoneThatIsCutOffForLongerThanALease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 6)
-		c.run(8*time.Second, 0)
-		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
-		c.run(4*time.Second, 0)
+		c := busyCluster(t)
 		zone := c.at[c.workers[0].ID]
 		for _, w := range c.workers {
 			if c.at[w.ID] == zone {
@@ -136,11 +149,7 @@
 // and what ran runs again, once.
 func TestAllControllersAreAwayForLongerThanALease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 6)
-		c.run(8*time.Second, 0)
-		require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
-		c.run(4*time.Second, 0)
-		require.Equal(t, 6, c.running())
+		c := busyCluster(t)
 		for _, h := range hosts {
 			c.crash(h)
 		}
@@ -175,10 +184,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, 6)
-				c.run(8*time.Second, 0)
-				require.Equal(t, 201, c.submit("a", onAll("job-1", 6), "job-1"))
-				c.run(4*time.Second, 0)
+				c := busyCluster(t)
 				leader := c.at[c.workers[0].ID]
 				before := c.claims()
 				away := 0
@@ -193,14 +199,7 @@
 				c.run(500*time.Millisecond, 0)
 				c.start(leader)
 				c.run(x.away, 0)
-				after := c.claims()
-				moved := 0
-				for duty, r := range before {
-					if after[duty].Term > r.Term {
-						moved++
-					}
-				}
-				require.GreaterOrEqual(t, moved, partsPerController, "a new process leads")
+				require.GreaterOrEqual(t, c.moved(before), partsPerController, "a new process leads")
 				clear(x.by(c))
 				c.run(12*time.Second, 0)
 				require.Equal(t, 6, c.running())
@@ -257,13 +256,7 @@
 		require.NotZero(t, answered[200], "to the new leader a report is news")
 		require.NotZero(t, answered[503], "and then it is not")
 		require.NotZero(t, answered[421])
-		after, moved := c.claims(), 0
-		for duty, r := range before {
-			if after[duty].Term > r.Term {
-				moved++
-			}
-		}
-		require.GreaterOrEqual(t, moved, partsPerController)
+		require.GreaterOrEqual(t, c.moved(before), partsPerController, "a new process leads")
 		require.Equal(t, 6, c.running(), "what ran runs on")
 		c.startedOnce()
 		c.runAnd(10*time.Second, 3*time.Second, deliver)
