--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fakes"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -231,6 +232,8 @@
 	c.rng = fakes.Rand(seed)
 	c.mu.Unlock()
 	c.run(5*time.Second, 0)
+	c.ages = map[string]clock.Micros{}
+	lasts := []time.Duration{6 * time.Second, 25 * time.Second, 90 * time.Second}[seed%3]
 	ends := map[string]time.Time{} // of troubles, by kind and controller
 	var names []string
 	someone := func() string { return hosts[rng.IntN(3)] }
@@ -254,13 +257,13 @@
 		}
 	}
 	for step := range 40 {
-		lasts := time.Duration(3+rng.IntN(45)) * time.Second
+		spell := time.Duration(3+rng.IntN(45)) * time.Second
 		h := someone()
-		until := time.Now().Add(lasts)
+		until := time.Now().Add(spell)
 		switch rng.IntN(12) {
 		case 0:
 			if c.gate(h) == nil {
-				c.stand(h, lasts)
+				c.stand(h, spell)
 			}
 		case 1:
 			c.up[h].view.SetCut(true)
@@ -296,7 +299,7 @@
 			names = append(names, id)
 			c.submit(someone(), submission(id, 1+rng.IntN(4)), id)
 		}
-		c.run(time.Duration(500+rng.IntN(4000))*time.Millisecond, 6*time.Second)
+		c.run(time.Duration(500+rng.IntN(4000))*time.Millisecond, lasts)
 		for range 4 {
 			c.ask(someone(), names[rng.IntN(len(names))])
 		}
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -59,6 +59,7 @@
 	before     func(host string, m wire.Multi) lot // decides on a transaction that arrives, before it is carried out
 	kept       []func() error                      // transactions held back
 	blue       map[string]bool                     // jobs of the team without a limit
+	ages       map[string]clock.Micros             // since when attempts run, where that lasts from one run to the next
 	hung       map[string]bool                     // workers that neither report nor hear
 	unheard    map[string]bool                     // workers whose reports arrive, and no answer
 	only       map[string]string                   // workers that reach this controller alone
@@ -227,7 +228,10 @@
 
 // runAnd is run with something done after every half second.
 func (c *cluster) runAnd(d, lasts time.Duration, then func()) {
-	began := map[string]clock.Micros{}
+	began := c.ages
+	if began == nil {
+		began = map[string]clock.Micros{}
+	}
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		now := c.clock.Now()
 		on := map[string]string{}
@@ -237,13 +241,14 @@
 				w.Check(now) // it is over with its lease, if it goes on after that
 			}
 			for _, k := range w.InOrder() {
-				if began[k.Task] == 0 {
-					began[k.Task] = now
+				attempt := fmt.Sprint(w.ID, k.Task, k.Attempt)
+				if began[attempt] == 0 {
+					began[attempt] = now
 				}
 				if c.hung[w.ID] {
 					continue
 				}
-				if lasts > 0 && k.Phase != wire.TaskExited && now > began[k.Task]+clock.FromDuration(lasts) {
+				if lasts > 0 && k.Phase != wire.TaskExited && now > began[attempt]+clock.FromDuration(lasts) {
 					k.Phase, k.Cause = wire.TaskExited, wire.CauseDone
 				}
 			}
