--- a/internal/placer/writes_test.go
+++ b/internal/placer/writes_test.go
@@ -131,3 +131,20 @@
 		require.JSONEq(t, `"Bw=="`, string(it.Value), "three tasks are done")
 	})
 }
+
+// However few changes a transaction takes, or many controllers there are: four times as
+// many conditions name the claims of all partitions, the team's and the job's record.
+func TestAWithdrawnJobsEndFitsATransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &fakes.View{State: fakes.NewState()}
+		w := newWriter(t, st, st)
+		j := w.accept("job-000001", 8)
+		for _, most := range []int{1, 2, 3, 12, 100} {
+			w.txnOps = most
+			m, _ := w.endsOf([]*job{j}, wire.Cancelled, false)
+			require.LessOrEqual(t, len(m.When)+MostParts(most), 4*most)
+			require.LessOrEqual(t, len(m.Then), max(most, 1))
+			require.Positive(t, MostParts(most))
+		}
+	})
+}
