Stories share how they cut off, find the placer, finish and name (no assertion changed)

The change had written these again: cutting a controller off with its workers (isolate), a task's end (finish), job names (jobName), a way past all troubles (direct), who places a team (placerOf, which two stories asked a controller for instead), and the beginning of two stories of claims (withoutA). release gave numbers that nobody read. A story waits for a new process by its claims, as another controller would see them, no longer by the owner's table.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -172,16 +172,23 @@
 	})
 }
 
+// withoutA has three controllers share the duties, and the first go away for long. It
+// gives the second.
+func withoutA(t *testing.T, st *fakes.State) *process {
+	a, b := start(t, st, "a"), start(t, st, "b")
+	start(t, st, "c")
+	time.Sleep(10 * time.Second)
+	a.stop()
+	time.Sleep(40 * time.Second)
+	return b
+}
+
 // A controller that was away for long finds its duties with others; they come
 // back to it once it has stayed, each under a new term, and never with two holders.
 func TestDutiesComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fakes.NewState()
-		a, b := start(t, st, "a"), start(t, st, "b")
-		start(t, st, "c")
-		time.Sleep(10 * time.Second)
-		a.stop()
-		time.Sleep(40 * time.Second)
+		b := withoutA(t, st)
 		held, ok := b.Mine("one")
 		require.True(t, ok)
 		again := start(t, st, "a")
@@ -201,11 +208,7 @@
 func TestWhatIsHandedOverIsNotActedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fakes.NewState()
-		a, b := start(t, st, "a"), start(t, st, "b")
-		start(t, st, "c")
-		time.Sleep(10 * time.Second)
-		a.stop()
-		time.Sleep(40 * time.Second)
+		b := withoutA(t, st)
 		require.True(t, b.has("one"))
 		start(t, st, "a")
 		time.Sleep(14 * time.Second)
--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
-	"github.com/merlinlatch/merlinlatch/internal/placer"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
@@ -92,9 +90,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 6)
 				c.run(8*time.Second, 0)
-				placing, ok := c.up["a"].keeper.Holder(placer.Duty("red"))
-				require.True(t, ok)
-				c.setBehind(placing, 400*time.Millisecond) // others read its writes before it does
+				c.setBehind(c.placerOf("red"), 400*time.Millisecond) // others read its writes before it does
 				meetsEnd := 0
 				ending := make(chan string, 1000) // jobs whose end is being written
 				near := map[string]time.Time{}
@@ -131,7 +127,6 @@
 					return served
 				})
 				const many = 12
-				name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
 				closely := func(id, body string) {
 					for k := range 6 {
 						for _, h := range hosts {
@@ -143,7 +138,7 @@
 				}
 				answered := 0
 				for i := range many {
-					id, h := name(i), hosts[i%3]
+					id, h := jobName(i), hosts[i%3]
 					body := submission(id, 1+i%2)
 					for try := 0; !c.accepted[id] && try < 30; try++ {
 						if c.submit(h, body, id) == 503 {
@@ -161,7 +156,7 @@
 				}
 				c.runAnd(20*time.Second, 1500*time.Millisecond, func() {
 					for i := range many {
-						id := name(i)
+						id := jobName(i)
 						p := c.ask(hosts[i%3], id)
 						if again := i%3 == 1; c.told[id] == "" && (again || i%3 == 2 && p == wire.Running) {
 							c.cancel(hosts[(i+1)%3], id) // the others perhaps at the very end of their last task
@@ -185,9 +180,9 @@
 				ends := map[string]int{}
 				for i := range many {
 					for _, h := range hosts {
-						require.NotEqual(t, "503", c.ask(h, name(i)))
+						require.NotEqual(t, "503", c.ask(h, jobName(i)))
 					}
-					ends[c.told[name(i)]]++
+					ends[c.told[jobName(i)]]++
 				}
 				require.NotZero(t, ends[wire.Done])
 				require.GreaterOrEqual(t, ends[wire.Cancelled], many/3)
@@ -218,7 +213,6 @@
 			}()
 		}
 		n, began := 0, time.Now()
-		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
 		c.runAnd(120*time.Second, time.Second, func() {
 			for len(answers) > 0 {
 				if a := <-answers; c.cancelAnswered(a.host, a.id, a.Response) == "" {
@@ -226,14 +220,14 @@
 				}
 			}
 			for early := n; float64(n) < 4*time.Since(began).Seconds(); {
-				id := name(n)
+				id := jobName(n)
 				require.Equal(t, 201, c.submit(hosts[n%3], strings.Replace(submission(id, 1), `"red"`, `"blue"`, 1), id))
 				switch n % 8 {
 				case 3:
 					cancel(hosts[(n+1)%3], id)
 				case 7:
 					// Placed by now, and not started: its machine has not reported since.
-					if id = name(early - 1); c.starts(id) == 0 && c.cancel(hosts[(n+2)%3], id) == wire.Cancelled {
+					if id = jobName(early - 1); c.starts(id) == 0 && c.cancel(hosts[(n+2)%3], id) == wire.Cancelled {
 						c.note("withdrawn before its start")
 					}
 				}
@@ -246,11 +240,11 @@
 		asked := 0
 		for i := range n {
 			for _, h := range hosts {
-				p := c.ask(h, name(i))
-				require.Contains(t, []string{wire.Done, wire.Cancelled}, p, name(i))
+				p := c.ask(h, jobName(i))
+				require.Contains(t, []string{wire.Done, wire.Cancelled}, p, jobName(i))
 			}
 			if i%8 == 3 {
-				require.Equal(t, wire.Cancelled, c.told[name(i)], name(i))
+				require.Equal(t, wire.Cancelled, c.told[jobName(i)], jobName(i))
 				asked++
 			}
 		}
@@ -265,19 +259,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 6)
 		c.run(8*time.Second, 0)
-		leader, ok := c.up["a"].keeper.Holder(placer.Duty("blue"))
-		require.True(t, ok)
+		leader := c.leader()
 		part := c.at[c.workers[0].ID]
 		before := c.claims()
 		n := 0
-		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
 		cancelling := func() {
-			id := name(n)
+			id := jobName(n)
 			if c.submit(hosts[n%3], onAll(id, 2), id) == 201 {
 				n++
 			}
 			for i := max(0, n-8); i < n-1; i++ {
-				c.cancel(hosts[(n+i)%3], name(i))
+				c.cancel(hosts[(n+i)%3], jobName(i))
 			}
 		}
 		c.runAnd(4*time.Second, 0, cancelling)
@@ -296,9 +288,9 @@
 		}
 		require.GreaterOrEqual(t, moved, partsPerController, "duties have gone and come back")
 		for i := range n {
-			c.cancel("a", name(i))
+			c.cancel("a", jobName(i))
 			for _, h := range hosts {
-				require.Equal(t, wire.Cancelled, c.ask(h, name(i)))
+				require.Equal(t, wire.Cancelled, c.ask(h, jobName(i)))
 			}
 		}
 		c.run(3*time.Second, 0)
--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/merlinlatch/merlinlatch/internal/placer"
+	"github.com/merlinlatch/merlinlatch/internal/owner"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
@@ -69,7 +69,13 @@
 	c.start(host)
 	for range 100 {
 		time.Sleep(50 * time.Millisecond)
-		if p := c.up[host]; len(p.owner.Parts()) >= partsPerController {
+		held := 0
+		for part := range partsPerController * len(hosts) {
+			if _, mine := c.up[host].keeper.Mine(owner.Duty(part)); mine {
+				held++
+			}
+		}
+		if held >= partsPerController {
 			return
 		}
 	}
@@ -95,8 +101,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := busyCluster(t)
-				via, ok := c.up["a"].keeper.Holder(placer.Duty("blue"))
-				require.True(t, ok)
+				via := c.leader()
 				leader, third := "", ""
 				for _, h := range hosts {
 					if h != via && leader == "" && c.on(h, "job-1") > 0 {
@@ -106,7 +111,7 @@
 					}
 				}
 				require.NotEmpty(t, leader, "some other controller has tasks of the job")
-				// No worker hears the stops that the first process sends.
+				// Where it is deaf, no worker hears the stops that the first process sends.
 				refuse := func() {
 					c.anew(leader)
 					c.up[leader].view.SetCut(true)
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -93,6 +93,9 @@
 	c.lag = d
 }
 
+// direct is a way to the state service that no controller's trouble concerns.
+func (c *cluster) direct() *fakes.View { return &fakes.View{State: c.st} }
+
 // setBehind lets a controller's replica be late.
 func (c *cluster) setBehind(host string, by time.Duration) {
 	c.mu.Lock()
@@ -100,16 +103,11 @@
 	c.behind[host] = by
 }
 
-// release carries out the transactions that were held back and tells how many there
-// were, and how many of them changed anything.
-func (c *cluster) release() (all, applied int) {
-	kept := c.takeKept()
-	for _, f := range kept {
-		if f() == nil {
-			applied++
-		}
+// release carries out the transactions that were held back.
+func (c *cluster) release() {
+	for _, write := range c.takeKept() {
+		write() //nolint:errcheck // it may come too late to change anything
 	}
-	return len(kept), applied
 }
 
 // takeKept takes the transactions that were held back so far, to carry them out later.
@@ -174,7 +172,7 @@
 			h.c.mu.Lock()
 			defer h.c.mu.Unlock()
 			h.c.kept = append(h.c.kept, func() error {
-				_, err := (&fakes.View{State: h.c.st}).Commit(context.WithoutCancel(ctx), m)
+				_, err := h.c.direct().Commit(context.WithoutCancel(ctx), m)
 				return err
 			})
 			return 0, fmt.Errorf("%w: held back", state.ErrUnknown)
@@ -295,7 +293,7 @@
 			}
 		}
 		if step < 30 {
-			id := fmt.Sprintf("job-%06d", step)
+			id := jobName(step)
 			names = append(names, id)
 			c.submit(someone(), submission(id, 1+rng.IntN(4)), id)
 		}
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/merlinlatch/merlinlatch/internal/fakes"
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -18,7 +17,7 @@
 // recorded lists the machines on record in the state service.
 func (c *cluster) recorded() map[string]bool {
 	out := map[string]bool{}
-	items, _, err := (&fakes.View{State: c.st}).List(c.t.Context(), state.Machines)
+	items, _, err := c.direct().List(c.t.Context(), state.Machines)
 	require.NoError(c.t, err)
 	for _, it := range items {
 		var g machines.Group
--- a/internal/node/story_test.go
+++ b/internal/node/story_test.go
@@ -146,7 +146,7 @@
 
 func newClusterWith(t *testing.T, workers int, given *cluster) *cluster {
 	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, deaf: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}, cancelled: map[string]cancelled{}, hung: map[string]bool{}, noted: map[string]int{}, behind: map[string]time.Duration{}, blue: map[string]bool{}, unheard: map[string]bool{}, only: map[string]string{}, accepted: map[string]bool{}, told: map[string]string{}}
-	_, err := (&fakes.View{State: c.st}).Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
+	_, err := c.direct().Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
 	for _, h := range hosts {
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -20,7 +20,7 @@
 // claims lists all claims as the state service has them.
 func (c *cluster) claims() map[string]claim.Record {
 	out := map[string]claim.Record{}
-	items, _, err := (&fakes.View{State: c.st}).List(c.t.Context(), state.Claims)
+	items, _, err := c.direct().List(c.t.Context(), state.Claims)
 	if err != nil {
 		return out // in an outage
 	}
@@ -53,12 +53,37 @@
 }
 
 // leader is who places the jobs of the team blue.
-func (c *cluster) leader() string {
-	h, ok := c.claims()[placer.Duty("blue")]
+func (c *cluster) leader() string { return c.placerOf("blue") }
+
+func (c *cluster) placerOf(team string) string {
+	h, ok := c.claims()[placer.Duty(team)]
 	require.True(c.t, ok)
 	return h.Holder
 }
 
+// isolate has a controller lose the state service and its peers, or reach them again;
+// the workers that report to it reach nobody else meanwhile.
+func (c *cluster) isolate(host string, alone bool) {
+	c.up[host].view.SetCut(alone)
+	c.setCut(host, alone)
+	clear(c.only)
+	for _, w := range c.workers {
+		if alone && c.at[w.ID] == host {
+			c.only[w.ID] = host
+		}
+	}
+}
+
+// finish has a task done.
+func (c *cluster) finish(task string) {
+	for _, w := range c.workers {
+		w.Finish(task, wire.CauseDone)
+	}
+}
+
+// jobName is the id of a user's i-th job.
+func jobName(i int) string { return fmt.Sprintf("job-%06d", i) }
+
 // startedOnce holds that no task was ever started a second time.
 func (c *cluster) startedOnce() {
 	starts := map[string]int{}
@@ -79,13 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := busyCluster(t)
 		leader := c.leader()
-		c.up[leader].view.SetCut(true)
-		c.setCut(leader, true)
-		for _, w := range c.workers { // they can't be told of another
-			if c.at[w.ID] == leader {
-				c.only[w.ID] = leader
-			}
-		}
+		c.isolate(leader, true)
 		require.NotEmpty(t, c.only)
 		heard := 0
 		asking := func() {
@@ -105,9 +124,7 @@
 		require.False(t, c.cancelled["job-1"].at.IsZero(), "confirmed by its successor")
 		c.runAnd(45*time.Second, 0, asking)
 		require.Zero(t, c.running())
-		c.up[leader].view.SetCut(false)
-		c.setCut(leader, false)
-		clear(c.only)
+		c.isolate(leader, false)
 		c.runAnd(20*time.Second, 0, asking)
 		require.Equal(t, wire.Cancelled, c.ask(leader, "job-1"))
 	})
@@ -119,13 +136,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := busyCluster(t)
 		zone := c.at[c.workers[0].ID]
-		for _, w := range c.workers {
-			if c.at[w.ID] == zone {
-				c.only[w.ID] = zone
-			}
-		}
-		c.up[zone].view.SetCut(true)
-		c.setCut(zone, true)
+		c.isolate(zone, true)
 		c.run(50*time.Second, 0)
 		moved := false
 		for _, r := range c.claims() {
@@ -135,9 +146,7 @@
 		for _, w := range c.workers {
 			require.Equal(t, c.only[w.ID] != "", w.Session > 1, "%s: its lease ended", w.ID)
 		}
-		c.up[zone].view.SetCut(false)
-		c.setCut(zone, false)
-		clear(c.only)
+		c.isolate(zone, false)
 		c.run(30*time.Second, 4*time.Second)
 		for _, h := range hosts {
 			require.Equal(t, wire.Done, c.ask(h, "job-1"))
@@ -324,27 +333,21 @@
 		c := newCluster(t, 6)
 		c.run(8*time.Second, 0)
 		n := 0
-		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
 		cancelled := 0
 		users := func() {
-			if id := name(n); n < 24 && c.submit(hosts[n%3], submission(id, 2+n%2), id) == 201 {
+			if id := jobName(n); n < 24 && c.submit(hosts[n%3], submission(id, 2+n%2), id) == 201 {
 				n++
 			}
 			for i := range n {
-				c.ask(hosts[(n+i)%3], name(i))
+				c.ask(hosts[(n+i)%3], jobName(i))
 			}
-			if n > 6 && n%5 == 0 && c.cancel(hosts[n%3], name(n-2)) == wire.Cancelled {
+			if n > 6 && n%5 == 0 && c.cancel(hosts[n%3], jobName(n-2)) == wire.Cancelled {
 				cancelled++
 			}
 		}
 		// A job whose tasks end far apart: one of them right now, the last at the very end.
 		require.Equal(t, 201, c.submit("a", onAll("job-000099", 3), "job-000099"))
 		c.run(3*time.Second, 0)
-		finish := func(task string) {
-			for _, w := range c.workers {
-				w.Finish(task, wire.CauseDone)
-			}
-		}
 		terms := map[uint64]bool{}
 		for i := range 10 {
 			leader := c.leader()
@@ -385,7 +388,7 @@
 			c.runAnd(5*time.Second, 6*time.Second, users)
 			terms[c.claims()[placer.Duty("blue")].Term] = true
 			if i == 4 {
-				finish("job-000099/1")
+				c.finish("job-000099/1")
 			}
 		}
 		require.GreaterOrEqual(t, len(terms), 10, "as many leaders")
@@ -394,7 +397,7 @@
 		c.run(60*time.Second, 4*time.Second)
 		for i := range n {
 			for _, h := range hosts {
-				require.Contains(t, []string{wire.Done, wire.Cancelled}, c.ask(h, name(i)), name(i))
+				require.Contains(t, []string{wire.Done, wire.Cancelled}, c.ask(h, jobName(i)), jobName(i))
 			}
 		}
 		require.Equal(t, wire.Done, c.ask("a", "job-000099"))
@@ -414,11 +417,6 @@
 		require.Equal(t, 201, c.submit("a", onAll("job-1", 3), "job-1"))
 		c.run(4*time.Second, 0)
 		require.Equal(t, 3, c.running())
-		finish := func(task string) {
-			for _, w := range c.workers {
-				w.Finish(task, wire.CauseDone)
-			}
-		}
 		c.setBefore(func(_ string, m wire.Multi) lot {
 			if strings.Contains(puts(m), state.Progress) {
 				c.note("progress was held back")
@@ -427,7 +425,7 @@
 			return served
 		})
 		for n := range 2 {
-			finish(fmt.Sprintf("job-1/%d", n))
+			c.finish(fmt.Sprintf("job-1/%d", n))
 			c.run(6*time.Second, 0)
 			require.Greater(t, c.count("progress was held back"), n, "what is done could not be written down")
 			before, leader := c.claims()[placer.Duty("blue")], c.leader()
@@ -443,7 +441,7 @@
 			require.Equal(t, 2-n, c.running())
 		}
 		c.setBefore(nil)
-		finish("job-1/2")
+		c.finish("job-1/2")
 		c.run(4*time.Second, 0)
 		for _, h := range hosts {
 			require.Equal(t, wire.Done, c.ask(h, "job-1"))
@@ -512,10 +510,9 @@
 		c.setLag(200 * time.Millisecond)
 		const many = 16
 		ranks := []string{"idle", "normal", "high", "production"}
-		name := func(i int) string { return fmt.Sprintf("job-%06d", i) }
 		for i := range many {
-			body := strings.Replace(submission(name(i), 4), `"normal"`, fmt.Sprintf("%q", ranks[i%4]), 1)
-			require.Equal(t, 201, c.submit(hosts[i%3], body, name(i)))
+			body := strings.Replace(submission(jobName(i), 4), `"normal"`, fmt.Sprintf("%q", ranks[i%4]), 1)
+			require.Equal(t, 201, c.submit(hosts[i%3], body, jobName(i)))
 		}
 		c.run(5*time.Second, 2*time.Second)
 		require.Positive(t, c.running())
@@ -524,7 +521,7 @@
 		c.start(leader)
 		c.run(90*time.Second, 2*time.Second)
 		for i := range many {
-			require.Equal(t, wire.Done, c.ask(hosts[i%3], name(i)), name(i))
+			require.Equal(t, wire.Done, c.ask(hosts[i%3], jobName(i)), jobName(i))
 		}
 	})
 }
