--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -36,6 +37,9 @@
 	return &Cloud{rps: rps, http: httpx.NewClient(addr, 4, limit), limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
 }
 
+// Count has the client count its traffic.
+func (c *Cloud) Count(t *telemetry.Traffic) { c.http.Count(t) }
+
 // errNoCapacity is the cloud's refusal to rent.
 var errNoCapacity = errors.New("no capacity")
 
@@ -104,6 +108,7 @@
 	wall    func() time.Time
 	kept    func() wire.Catalog
 	log     *slog.Logger
+	steps   *telemetry.Duty
 
 	term      uint64
 	counter   uint64
@@ -129,6 +134,12 @@
 	return &Fleet{atOnce: atOnce, most: wire.MaxHire * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, skew: skew, wall: wall, kept: kept, log: log}
 }
 
+// Measure has the fleet count its rounds and its traffic. It is called before Run.
+func (f *Fleet) Measure(r *telemetry.Reporter) {
+	f.steps = r.Duty("fleet")
+	f.cloud.Count(r.Traffic(telemetry.Cloud))
+}
+
 // Run does the duty while it is held, until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	tick := time.NewTicker(400 * time.Millisecond)
@@ -148,7 +159,9 @@
 			f.begin(h.Term)
 			f.log.Info("fleet taken over", "term", h.Term)
 		}
+		began := time.Now()
 		f.step(ctx, h)
+		f.steps.Round(time.Since(began))
 	}
 }
 
--- a/internal/httpx/client.go
+++ b/internal/httpx/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 )
 
 // Client calls one address and keeps a few connections open.
@@ -13,8 +15,11 @@
 	addr  string
 	keep  int
 	limit int
-	mu    sync.Mutex
-	idle  []*clientConn
+	// traffic counts the requests, their answers and their bytes; it may be nil.
+	traffic *telemetry.Traffic
+
+	mu   sync.Mutex
+	idle []*clientConn
 }
 
 type clientConn struct {
@@ -27,6 +32,9 @@
 	return &Client{addr: addr, keep: keep, limit: limit}
 }
 
+// Count has the client count its traffic.
+func (c *Client) Count(t *telemetry.Traffic) { c.traffic = t }
+
 // Addr is the address that the client calls.
 func (c *Client) Addr() string { return c.addr }
 
@@ -38,7 +46,11 @@
 		return nil, fmt.Errorf("connecting to %s: %w", c.addr, err)
 	}
 	stop := context.AfterFunc(ctx, func() { k.c.SetDeadline(time.Unix(1, 0)) }) //nolint:errcheck // the read tells
-	r, err := k.roundTrip(AppendRequest(nil, method, c.addr, target, body), c.limit)
+	request := AppendRequest(nil, method, c.addr, target, body)
+	r, err := k.roundTrip(request, c.limit)
+	if r != nil {
+		c.traffic.Message(len(r.Body), len(request))
+	}
 	if !stop() || err != nil {
 		k.c.Close()
 		if err == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/policy"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -67,6 +68,9 @@
 	fleet  *fleet.Fleet
 	peers  map[string]Peer
 	loaded chan struct{}
+	report *telemetry.Reporter
+	// replayed counts the batches of changes taken from the replica.
+	replayed *telemetry.Duty
 	// fresh is how long ago its hold may have been confirmed for a controller to
 	// count as reaching the state service.
 	fresh clock.Micros
@@ -81,13 +85,26 @@
 // peers that they name.
 func New(ctx context.Context, set *config.Settings, knobs *policy.Knobs, log *slog.Logger) *Node {
 	p := &set.Params
+	report := telemetry.NewReporter(log)
 	peers := map[string]Peer{}
 	for _, o := range set.Peers {
-		peers[o.Host] = peer.NewClient(o.Addr)
+		peers[o.Host] = peer.NewClient(o.Addr, report.Traffic(telemetry.Peers))
 	}
 	client := state.NewClient(set.Services.State, p.State.RPS, p.State.WriteRPS, p.Count, answerMost(p.Limits.MemoryMB))
+	client.Count(report.Traffic(telemetry.StateService))
 	urgent := state.Urgent{Client: client}
-	return assemble(ctx, set, knobs, client, urgent, state.Users{Urgent: urgent}, peers, log)
+	n := assemble(ctx, set, knobs, client, urgent, state.Users{Urgent: urgent}, peers, log)
+	n.measure(report)
+	return n
+}
+
+// measure has all parts count what they do.
+func (n *Node) measure(r *telemetry.Reporter) {
+	n.report = r
+	n.owner.Measure(r)
+	n.placer.Measure(r)
+	n.fleet.Measure(r)
+	n.replayed = r.Duty("replica_apply")
 }
 
 // answerMost is the longest answer of a service that is taken, by the memory there is.
@@ -185,7 +202,10 @@
 	inbound, _ := n.set.Sockets()
 	srv := httpx.NewServer(n.handle, inbound, int64(limits.MemoryMB*(1<<20)/8), 90*time.Second, n.log)
 	g.Go(func() error { return srv.Run(ctx, n.set.Listen) })
-	g.Go(func() error { return peer.Serve(ctx, n.set.PeerListen, &service{n}) })
+	g.Go(func() error {
+		return peer.Serve(ctx, n.set.PeerListen, &service{n}, n.report.Traffic(telemetry.Peers))
+	})
+	g.Go(func() error { return n.report.Run(ctx) })
 	g.Go(func() error { return n.fleet.Run(ctx) })
 	g.Go(func() error { return n.duties(ctx) })
 	n.log.Info("merlinlatch is up", "listen", n.set.Listen)
@@ -210,6 +230,8 @@
 // apply takes events of the replica. Jobs, machines and progress are taken
 // before claims, so that a duty gained stands on all that came before it.
 func (n *Node) apply(evs []state.Event, rev uint64) {
+	began := time.Now()
+	defer func() { n.replayed.Round(time.Since(began)) }()
 	for _, e := range evs {
 		n.book.Apply(e)
 		if e.Key == state.Catalog && e.Value != nil {
@@ -337,8 +359,18 @@
 	}
 }
 
-// handle answers a request of a user, a worker or the load balancer.
+// handle answers a request of a user, a worker or the load balancer, and counts it.
 func (n *Node) handle(ctx context.Context, r *httpx.Request) httpx.Response {
+	kind := telemetry.Users
+	if r.Path == wire.PathReport {
+		kind = telemetry.Workers
+	}
+	answer := n.answer(ctx, r)
+	n.report.Traffic(kind).Message(len(r.Body), len(answer.Body))
+	return answer
+}
+
+func (n *Node) answer(ctx context.Context, r *httpx.Request) httpx.Response {
 	switch {
 	case r.Path == wire.PathReport:
 		if r.Method != "POST" {
--- /dev/null
+++ b/internal/owner/cost_test.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// allHeld are claims of a process that holds every duty.
+type allHeld struct{}
+
+func (allHeld) Mine(string) (claim.Held, bool) {
+	return claim.Held{Record: claim.Record{Term: 1}, Stamp: 1}, true
+}
+func (allHeld) Holder(string) (string, bool) { return "me", true }
+
+// loadedOwner is an owner of a fleet whose machines all run tasks and report.
+type loadedOwner struct {
+	tb      testing.TB
+	owner   *Owner
+	reports []wire.Report
+}
+
+// tasksEach is how many tasks each machine of a loaded owner runs.
+const tasksEach = 6
+
+func newLoadedOwner(tb testing.TB, machines int) *loadedOwner {
+	tb.Helper()
+	spec := wire.Job{ID: "job-000001", Team: team, Rank: "normal", Tasks: machines * tasksEach, CPUs: 1, MemGB: 1}
+	list := &jobList{map[string]*jobs.Job{spec.ID: jobs.New(jobs.Record{Job: spec}, made)}, map[string]jobs.Final{}, made}
+	o := New(tb.Context(), "me", "incarnation", NewSplit([]string{"a"}), 12, 7000, 100,
+		Timing{Lease: 3600 * sec, LeaseTTL: 5 * sec, SickErrors: 2}, list, allHeld{}, nil, clock.NewSteady(), time.Now,
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	o.SetTypes(map[string]res.Amounts{"big": res.Have(8, 0, 32)}, nil)
+	o.Reconcile()
+	l := &loadedOwner{tb: tb, owner: o}
+	for i := range machines {
+		r := wire.Report{Machine: fmt.Sprintf("m-%06d", i), Addr: "10.0.0.9:9000", Type: "big", Zone: "a", Session: 1, Token: 1<<32 + 1}
+		for n := range tasksEach {
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: wire.TaskName(spec.ID, i*tasksEach+n), Attempt: 1<<32 | uint64(n), Phase: wire.TaskRunning})
+		}
+		l.reports = append(l.reports, r)
+		l.report(i)
+		o.table.Registered(r.Machine, 0, Registered{Type: "big", Zone: "a"}, true, o.clock.Now())
+	}
+	return l
+}
+
+// report has a machine report that nothing has changed.
+func (l *loadedOwner) report(i int) {
+	r := &l.reports[i]
+	r.Tick++
+	body, err := json.Marshal(r)
+	require.NoError(l.tb, err)
+	require.Equal(l.tb, 200, l.owner.HandleReport(body).Status)
+}
+
+// poll asks for all that changed after a cursor.
+func (l *loadedOwner) poll(cursor uint64) peer.PollAnswer {
+	return l.owner.Poll(peer.Poll{Incarnation: "incarnation", Cursor: cursor, Terms: map[string]uint64{team: 1}})
+}
+
+// idleTick is what the owner's loop does a few times a second while nothing happens.
+func (l *loadedOwner) idleTick() {
+	now := l.owner.clock.Now()
+	l.owner.table.Tick(now)
+	l.owner.table.Unregistered()
+	l.owner.table.Pending(now)
+}
+
+// leanFleet is about as many machines as one controller of the smaller sites owns.
+const leanFleet = 120
+
+func BenchmarkReportUnchanged(b *testing.B) {
+	l := newLoadedOwner(b, leanFleet)
+	b.ReportAllocs()
+	for i := range b.N {
+		l.report(i % leanFleet)
+	}
+}
+
+func BenchmarkPollUnchanged(b *testing.B) {
+	l := newLoadedOwner(b, leanFleet)
+	cursor := l.poll(0).Cursor
+	b.ReportAllocs()
+	for b.Loop() {
+		l.poll(cursor)
+	}
+}
+
+func BenchmarkPollEverything(b *testing.B) {
+	l := newLoadedOwner(b, leanFleet)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.poll(0)
+	}
+}
+
+func BenchmarkIdleTick(b *testing.B) {
+	l := newLoadedOwner(b, leanFleet)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.idleTick()
+	}
+}
+
+// A partition of machines with tasks is taken over and all of them report.
+func BenchmarkTakeOver(b *testing.B) {
+	l := newLoadedOwner(b, leanFleet)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.owner.table.Lose(0)
+		l.owner.Reconcile()
+		for i := range l.reports {
+			l.report(i)
+		}
+	}
+}
+
+// A report, a poll and a tick of which nothing is new allocate the same whatever the size of the fleet.
+func TestUnchangedWorkDoesNotAllocateMoreOnALargerFleet(t *testing.T) {
+	type cost struct{ report, poll, tick float64 }
+	costs := map[int]cost{}
+	for _, machines := range []int{30, 600} {
+		l := newLoadedOwner(t, machines)
+		cursor := l.poll(0).Cursor
+		body := make([][]byte, 200)
+		for i := range body {
+			l.reports[0].Tick++
+			var err error
+			body[i], err = json.Marshal(&l.reports[0])
+			require.NoError(t, err)
+		}
+		next := 0
+		costs[machines] = cost{
+			report: testing.AllocsPerRun(100, func() {
+				l.owner.HandleReport(body[next])
+				next++
+			}),
+			poll: testing.AllocsPerRun(100, func() { l.poll(cursor) }),
+			tick: testing.AllocsPerRun(100, l.idleTick),
+		}
+		require.Equal(t, cursor, l.poll(cursor).Cursor, "a report without news changes nothing")
+	}
+	require.Equal(t, costs[30], costs[600])
+	require.NotZero(t, costs[30].report)
+}
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -4,6 +4,7 @@
 	"container/list"
 
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 )
 
 // lines are the connections to workers' own addresses. Each machine has one at
@@ -15,6 +16,8 @@
 	of   map[string]*workerLine
 	idle *list.List // of machines, the one used longest ago first
 	full bool       // a courier had to wait
+
+	traffic *telemetry.Traffic
 }
 
 type workerLine struct {
@@ -45,6 +48,7 @@
 			l.drop(l.idle.Front().Value.(string))
 		}
 		w = &workerLine{client: httpx.NewClient(addr, 1, 256<<10)}
+		w.client.Count(l.traffic)
 		l.of[id] = w
 	}
 	if w.idle != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,6 +19,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -81,6 +82,9 @@
 	wall      func() time.Time
 	asking    atomic.Int64 // polls that wait
 	strays    strays
+	reports   *telemetry.Duty // reports answered
+	polls     *telemetry.Duty // polls answered, without their waits
+	ticks     *telemetry.Duty // the loop's own rounds
 
 	mu      sync.Mutex
 	table   *Table
@@ -97,6 +101,14 @@
 		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
+// Measure has the owner count its rounds and its traffic. It is called before Run.
+func (o *Owner) Measure(r *telemetry.Reporter) {
+	o.reports, o.polls, o.ticks = r.Duty("owner_report"), r.Duty("owner_poll"), r.Duty("owner_tick")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lines.traffic = r.Traffic(telemetry.WorkerOrders)
+}
+
 // SetTypes tells what the machine types offer, and how many GB of images they keep.
 func (o *Owner) SetTypes(types map[string]res.Amounts, caches map[string]float64) {
 	o.mu.Lock()
@@ -201,6 +213,8 @@
 
 // HandleReport answers a worker's report.
 func (o *Owner) HandleReport(body []byte) httpx.Response {
+	began := time.Now()
+	defer func() { o.reports.Round(time.Since(began)) }()
 	var r wire.Report
 	if err := json.Unmarshal(body, &r); err != nil || !validMachine(r.Machine) || r.Session == 0 || r.Tick == 0 {
 		return refuse(400, "not a report", "", 0)
@@ -265,6 +279,8 @@
 			if waited && !over {
 				time.Sleep(gap)
 			}
+			began := time.Now()
+			defer func() { o.polls.Round(time.Since(began)) }()
 			o.Reconcile() // what is held no more is not told of
 			o.mu.Lock()
 			defer o.mu.Unlock()
@@ -319,7 +335,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case due := <-tick.C:
+			o.ticks.Late(time.Since(due))
 			// Silence is judged as of a moment at which the partitions were held for
 			// certain: who stood still in between must not take machines that others
 			// have answered since for silent.
@@ -345,7 +362,9 @@
 			}
 		case <-o.wake:
 		}
+		began := time.Now()
 		o.send(ctx)
+		o.ticks.Round(time.Since(began))
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -216,8 +217,8 @@
 // ErrDown means that a peer can't be reached.
 var ErrDown = errors.New("peer can't be reached")
 
-// Serve answers peers on addr until ctx ends.
-func Serve(ctx context.Context, addr string, svc any) error {
+// Serve answers peers on addr until ctx ends, and counts the traffic.
+func Serve(ctx context.Context, addr string, svc any, traffic *telemetry.Traffic) error {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName(serviceName, svc); err != nil {
 		return err
@@ -236,20 +237,24 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		go srv.ServeConn(c)
+		go srv.ServeConn(traffic.Conn(c))
 	}
 }
 
 // Client calls one peer over one connection, made anew when it breaks.
 type Client struct {
-	addr   string
+	addr    string
+	traffic *telemetry.Traffic
+
 	mu     sync.Mutex
 	conn   *rpc.Client
 	downAt time.Time
 }
 
-// NewClient makes a client for a peer's address.
-func NewClient(addr string) *Client { return &Client{addr: addr} }
+// NewClient makes a client for a peer's address that counts its traffic.
+func NewClient(addr string, traffic *telemetry.Traffic) *Client {
+	return &Client{addr: addr, traffic: traffic}
+}
 
 func (c *Client) get() (*rpc.Client, error) {
 	c.mu.Lock()
@@ -266,7 +271,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrDown, err)
 	}
 	c.downAt = time.Time{}
-	c.conn = rpc.NewClient(nc)
+	c.conn = rpc.NewClient(c.traffic.Conn(nc))
 	return c.conn, nil
 }
 
--- /dev/null
+++ b/internal/placer/cost_test.go
@@ -0,0 +1,91 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// leanFleet is about as many machines as the smaller sites have in all.
+const leanFleet = 350
+
+// loadedDesk is a desk of a fleet without room for more, with many jobs that wait.
+func loadedDesk(machines, waiting int) (*Desk, *peer.PollAnswer) {
+	teams := []Team{{Name: red}}
+	d := NewDesk(Timing{Sample: 12, Batch: 40, Lease: lease, PreemptAfter: sec}, "desk", teams, []string{"h0"}, 1, func() int64 { return 0 })
+	var active []*jobs.Job
+	for i := range waiting {
+		spec := wire.Job{ID: fmt.Sprintf("job-%06d", i), Team: red, Rank: "normal", Tasks: 100, CPUs: 2, MemGB: 1, Spot: true, EstimateS: 30}
+		active = append(active, jobs.New(jobs.Record{Job: spec, Marked: true}, uint64(i+1)))
+	}
+	d.Gain(red, 1, 1, active, sec)
+	in := d.Cursor("h0")
+	ans := &peer.PollAnswer{Incarnation: "owner", Cursor: 1, Full: true, Parts: map[int]uint64{0: 1}}
+	for i := range machines {
+		v := peer.MachineView{ID: fmt.Sprintf("m-%06d", i), Term: 1, Version: 1, Type: "big", Zone: "a", Cap: res.Have(32, 0, 64),
+			Free: res.Have(0, 0, 0), Accounted: true, Usable: true, Count: 16, Whole: true}
+		for n := range 16 {
+			v.Tasks = append(v.Tasks, peer.TaskView{ID: peer.TaskID{Job: "job-999999", N: i*16 + n, Attempt: 1}, Team: "other",
+				Rank: 1, Need: res.Need(2, 0, 1), Phase: wire.TaskRunning})
+		}
+		ans.Machines = append(ans.Machines, v)
+	}
+	d.Hear("h0", in, ans, sec)
+	return d, ans
+}
+
+// A round of decisions while thousands of tasks wait and nothing is free.
+func BenchmarkRoundWithoutRoom(b *testing.B) {
+	d, _ := loadedDesk(leanFleet, 60)
+	b.ReportAllocs()
+	now := 2 * sec
+	for b.Loop() {
+		now += 50 * clock.Millisecond
+		d.Place(now)
+	}
+}
+
+// A round of decisions that places a full batch on a fleet that is empty.
+func BenchmarkRoundWithRoom(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		d, ans := loadedDesk(leanFleet, 60)
+		for i := range ans.Machines {
+			v := &ans.Machines[i]
+			v.Free, v.Count, v.Tasks, v.Version = v.Cap, 0, nil, 2
+		}
+		ans.Cursor = 2
+		d.Hear("h0", d.Cursor("h0"), ans, 2*sec)
+		b.StartTimer()
+		if d.Place(3*sec) == 0 {
+			b.Fatal("nothing was placed")
+		}
+	}
+}
+
+// Every machine's view is taken, as after a restart.
+func BenchmarkViewsOfWholeFleet(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		d, ans := loadedDesk(leanFleet, 1)
+		b.StartTimer()
+		ans.Cursor++
+		d.Hear("h0", d.Cursor("h0"), ans, 2*sec)
+	}
+}
+
+// What the fleet duty asks for a few times a second.
+func BenchmarkFleetViews(b *testing.B) {
+	d, _ := loadedDesk(leanFleet, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Views(2 * sec)
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -18,6 +18,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -57,6 +58,8 @@
 	urgent    Store // for what starts wait for
 	progress  clock.Micros
 	log       *slog.Logger
+	rounds    *telemetry.Duty // rounds of decisions
+	views     *telemetry.Duty // answers of owners taken
 
 	mu      sync.Mutex
 	desk    *Desk
@@ -90,6 +93,11 @@
 	return p
 }
 
+// Measure has the placer count its rounds. It is called before Run.
+func (p *Placer) Measure(r *telemetry.Reporter) {
+	p.rounds, p.views = r.Duty("placer_round"), r.Duty("placer_view")
+}
+
 // heard has withdrawals that wait look again. The lock is held.
 func (p *Placer) heard() {
 	close(p.news)
@@ -239,7 +247,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.desk.Hear(host, in, &ans, p.clock.Now())
+	began := p.clock.Now()
+	p.desk.Hear(host, in, &ans, began)
+	p.views.Round((p.clock.Now() - began).Duration())
 	p.heard()
 	poke(p.wake)
 	poke(p.writes)
@@ -315,7 +325,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case due := <-tick.C:
+			p.rounds.Late(time.Since(due))
 			p.Reconcile()
 		case <-p.wake:
 		}
@@ -328,7 +339,9 @@
 			}
 		}
 		_, _, bound, _ := p.desk.Summary()
-		gap := roundGap(bound, (p.clock.Now() - began).Duration())
+		took := (p.clock.Now() - began).Duration()
+		p.rounds.Round(took)
+		gap := roundGap(bound, took)
 		p.mu.Unlock()
 		pause(ctx, gap)
 	}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -105,6 +106,9 @@
 	}
 }
 
+// Count has the client count its traffic.
+func (c *Client) Count(t *telemetry.Traffic) { c.http.Count(t) }
+
 // callTimeout bounds a call. The service may answer slowly for a while: a call
 // that is given up too soon has been carried out all the same.
 const callTimeout = 3 * time.Second
--- /dev/null
+++ b/internal/state/cost_test.go
@@ -0,0 +1,38 @@
+package state_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// A full read of some hundred keys, as at every start.
+func BenchmarkReplicaLoad(b *testing.B) {
+	v := &fakes.View{State: fakes.NewState()}
+	for i := range 400 {
+		op := wire.Op{Put: fmt.Sprintf("%sjob-%06d", state.Active, i), Value: wire.Job{ID: "job", Class: "class", Team: "red", Tasks: 100}}
+		if _, err := v.Commit(b.Context(), wire.Multi{Then: []wire.Op{op}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx, stop := context.WithCancel(b.Context())
+		loaded, over := make(chan struct{}), make(chan struct{})
+		r := state.NewReplica(v, func([]state.Event, uint64) {}, quiet)
+		go func() {
+			defer close(over)
+			r.Run(ctx, loaded) //nolint:errcheck // ends with the context
+		}()
+		<-loaded
+		stop()
+		<-over
+	}
+}
--- /dev/null
+++ b/internal/telemetry/reporter.go
@@ -0,0 +1,146 @@
+package telemetry
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Interval is how often a process tells of itself.
+const Interval = 10 * time.Second
+
+// Reporter holds a process's counters and logs them. The zero value is not usable;
+// a nil reporter counts nothing.
+type Reporter struct {
+	log     *slog.Logger
+	runtime *runtimeReader
+	traffic [kindCount]Traffic
+
+	mu     sync.Mutex
+	duties map[string]*Duty
+}
+
+// NewReporter makes a reporter that logs to log.
+func NewReporter(log *slog.Logger) *Reporter {
+	return &Reporter{log: log, runtime: newRuntimeReader(), duties: map[string]*Duty{}}
+}
+
+// Traffic gives the counters of one kind.
+func (r *Reporter) Traffic(k Kind) *Traffic {
+	if r == nil {
+		return nil
+	}
+	return &r.traffic[k]
+}
+
+// Duty gives the counters of the duty of a name.
+func (r *Reporter) Duty(name string) *Duty {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.duties[name]
+	if d == nil {
+		d = &Duty{}
+		r.duties[name] = d
+	}
+	return d
+}
+
+// reading is what the counters stood at when they were last logged.
+type reading struct {
+	at      time.Time
+	runtime Runtime
+	process time.Duration
+	traffic [kindCount]totals
+}
+
+func (r *Reporter) read() reading {
+	out := reading{at: time.Now(), runtime: r.runtime.read(), process: processTime()}
+	for k := range r.traffic {
+		out.traffic[k] = r.traffic[k].totals()
+	}
+	return out
+}
+
+// processTime is the processor time that the system has charged to this process,
+// 0 where it does not say.
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// Run logs one line every Interval until ctx ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	tick := time.NewTicker(Interval)
+	defer tick.Stop()
+	last := r.read()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		now := r.read()
+		r.tell(ctx, last, now)
+		last = now
+	}
+}
+
+// tell logs what happened between two readings.
+func (r *Reporter) tell(ctx context.Context, last, now reading) {
+	const mb = 1 << 20
+	span := now.at.Sub(last.at).Seconds()
+	attrs := []slog.Attr{
+		slog.Float64("span_s", span),
+		slog.Int64("cpu_ms", (now.process - last.process).Milliseconds()),
+		slog.Int64("busy_ms", (now.runtime.BusyCPU - last.runtime.BusyCPU).Milliseconds()),
+		slog.Int64("gc_ms", (now.runtime.GCCPU - last.runtime.GCCPU).Milliseconds()),
+		slog.Uint64("gc_cycles", now.runtime.GCCycles-last.runtime.GCCycles),
+		slog.Uint64("allocs", now.runtime.Allocs-last.runtime.Allocs),
+		slog.Uint64("alloc_mb", (now.runtime.AllocBytes-last.runtime.AllocBytes)/mb),
+		slog.Uint64("heap_live_mb", now.runtime.HeapLive/mb),
+		slog.Uint64("heap_goal_mb", now.runtime.HeapGoal/mb),
+		slog.Uint64("held_mb", now.runtime.Held/mb),
+		slog.Uint64("stacks_kb", now.runtime.Stacks/1024),
+		slog.Uint64("goroutines", now.runtime.Goroutines),
+	}
+	for k := range Kind(kindCount) {
+		d := now.traffic[k].minus(last.traffic[k])
+		if d.messages > 0 {
+			attrs = append(attrs, slog.Group(k.String(), slog.Int64("messages", d.messages),
+				slog.Int64("received", d.received), slog.Int64("sent", d.sent)))
+		}
+	}
+	r.log.LogAttrs(ctx, slog.LevelInfo, "process", attrs...)
+	if r.log.Enabled(ctx, slog.LevelDebug) {
+		r.tellDuties(ctx)
+	}
+}
+
+// tellDuties logs one line for all duties that did something.
+func (r *Reporter) tellDuties(ctx context.Context) {
+	r.mu.Lock()
+	names := make([]string, 0, len(r.duties))
+	for name := range r.duties {
+		names = append(names, name)
+	}
+	r.mu.Unlock()
+	sort.Strings(names)
+	var attrs []slog.Attr
+	for _, name := range names {
+		s := r.Duty(name).take()
+		if s.rounds > 0 {
+			attrs = append(attrs, slog.Group(name, slog.Int64("rounds", s.rounds), slog.Int64("busy_us", s.busy.Microseconds()),
+				slog.Int64("longest_us", s.longest.Microseconds()), slog.Int64("late_us", s.late.Microseconds())))
+		}
+	}
+	r.log.LogAttrs(ctx, slog.LevelDebug, "duties", attrs...)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,64 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A line each interval tells what happened in it, and none of what was before.
+func TestReporterLogsWhatHappenedInEachInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		r := NewReporter(slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug})))
+		ctx, stop := context.WithCancel(t.Context())
+		go r.Run(ctx) //nolint:errcheck // ends with the context
+		synctest.Wait()
+		r.Traffic(Workers).Message(100, 20)
+		r.Traffic(Workers).Message(10, 2)
+		r.Duty("tick").Round(3 * time.Millisecond)
+		r.Duty("tick").Late(7 * time.Millisecond)
+		time.Sleep(Interval)
+		synctest.Wait()
+		require.Contains(t, out.String(), "workers.messages=2 workers.received=110 workers.sent=22")
+		require.NotContains(t, out.String(), "users.messages")
+		require.Contains(t, out.String(), "tick.rounds=1 tick.busy_us=3000 tick.longest_us=3000 tick.late_us=7000")
+		require.Contains(t, out.String(), "goroutines=")
+		out.Reset()
+		time.Sleep(Interval)
+		synctest.Wait()
+		require.Contains(t, out.String(), "msg=process")
+		require.NotContains(t, out.String(), "workers.messages")
+		require.NotContains(t, out.String(), "tick.rounds")
+		stop()
+		synctest.Wait()
+	})
+}
+
+// What is not measured costs no checks at the places that count.
+func TestNilCountersCountNothing(t *testing.T) {
+	var r *Reporter
+	r.Traffic(Peers).Message(1, 1)
+	r.Duty("any").Round(time.Second)
+	r.Duty("any").Late(time.Second)
+	a, b := net.Pipe()
+	defer b.Close()
+	require.Equal(t, a, r.Traffic(Peers).Conn(a))
+}
+
+// Counting must cost next to nothing: it is done for every message.
+func TestCountingDoesNotAllocate(t *testing.T) {
+	r := NewReporter(slog.New(slog.DiscardHandler))
+	traffic, duty := r.Traffic(Users), r.Duty("d")
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		traffic.Message(1, 2)
+		duty.Round(3)
+		duty.Late(4)
+	}))
+}
--- /dev/null
+++ b/internal/telemetry/traffic.go
@@ -0,0 +1,84 @@
+// Package telemetry counts what a controller process does and logs it now and then:
+// traffic by kind, rounds of its duties, and what the Go runtime tells of processor
+// time and memory. Counting is a few atomic additions; nothing here decides anything.
+package telemetry
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Kind is a kind of traffic, by who is at the other end.
+type Kind int
+
+// Kinds of traffic.
+const (
+	Users Kind = iota
+	Workers
+	WorkerOrders
+	Peers
+	StateService
+	Cloud
+	kindCount
+)
+
+var kindNames = [kindCount]string{"users", "workers", "worker_orders", "peers", "state_service", "cloud"}
+
+// String names a kind as the log does.
+func (k Kind) String() string { return kindNames[k] }
+
+// Traffic counts the messages and bytes of one kind. A message is a request with its
+// answer. All methods accept a nil receiver, which counts nothing.
+type Traffic struct {
+	messages atomic.Int64
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+// Message counts one exchange and the bytes of both directions.
+func (t *Traffic) Message(received, sent int) {
+	if t == nil {
+		return
+	}
+	t.messages.Add(1)
+	t.received.Add(int64(received))
+	t.sent.Add(int64(sent))
+}
+
+// Conn counts the bytes that pass through a connection, one message for each write.
+func (t *Traffic) Conn(c net.Conn) net.Conn {
+	if t == nil {
+		return c
+	}
+	return &countedConn{Conn: c, traffic: t}
+}
+
+// countedConn is a connection whose bytes are counted.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.messages.Add(1)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+// totals is a reading of one kind's counters.
+type totals struct{ messages, received, sent int64 }
+
+func (t *Traffic) totals() totals {
+	return totals{t.messages.Load(), t.received.Load(), t.sent.Load()}
+}
+
+func (a totals) minus(b totals) totals {
+	return totals{a.messages - b.messages, a.received - b.received, a.sent - b.sent}
+}
