The fleet's holder copies no views of machines

Now the list and its index are kept from step to step.

Ruled out: fewer steps; a machine would be rented later for it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,7 +78,8 @@
 // Controllers asks all controllers for what the fleet needs.
 type Controllers interface {
 	Demands(ctx context.Context) []peer.Demand
-	Views() []peer.MachineView
+	// Views appends the views of all machines.
+	Views(to []peer.MachineView) []peer.MachineView
 	Drain(ctx context.Context, list []peer.Machine) (ready []string)
 	Gone(ctx context.Context, list []peer.Machine)
 	RecordedBefore(atMS int64) []peer.Machine
@@ -126,6 +127,11 @@
 	window    map[Kind]int // rental requests of a kind at a time
 	atOnce    int          // rental requests at a time
 	most      int          // machines of a kind asked for at a time
+
+	// What a step looks at, kept for the next one's use: all machines are looked at
+	// several times a second, and copies of them were most of what this process allocated.
+	views  []peer.MachineView
+	viewAt map[string]int
 }
 
 // New makes a fleet.
@@ -198,9 +204,11 @@
 	if f.listed == 0 {
 		return // nothing is known of what is rented
 	}
-	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.others.Views(), Demands: f.others.Demands(ctx),
-		Refused: f.refused, Knobs: f.knobs, MaxCount: f.most}
-	f.notice(in.Views, now)
+	f.views = f.others.Views(f.views[:0])
+	f.viewAt = indexViews(f.viewAt, f.views)
+	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.views, Demands: f.others.Demands(ctx),
+		Refused: f.refused, Knobs: f.knobs, MaxCount: f.most, viewAt: f.viewAt}
+	f.notice(in, now)
 	hires, returns := Plan(in)
 	if now > f.told+10*clock.Second {
 		f.told = now
@@ -227,16 +235,16 @@
 
 // notice takes from the views which machines' workers have reported, and since
 // when some are silent or gone.
-func (f *Fleet) notice(views []peer.MachineView, now clock.Micros) {
-	here, up := make(map[string]bool, len(views)), make(map[string]bool, len(views))
-	for _, v := range views {
-		here[v.ID], up[v.ID] = !v.Silent, v.Accounted
-	}
+func (f *Fleet) notice(in Input, now clock.Micros) {
 	for id, r := range f.rented {
 		was := r
-		r.Up = r.Up || up[id]
+		here := false
+		if i, ok := in.viewAt[id]; ok {
+			here = !in.Views[i].Silent
+			r.Up = r.Up || in.Views[i].Accounted
+		}
 		switch {
-		case here[id]:
+		case here:
 			r.Lost = 0
 		case r.Up && r.Lost == 0:
 			r.Lost = now
@@ -254,7 +262,8 @@
 		large = max(large, d.Need.CPU)
 	}
 	up, spot := 0, 0
-	for _, v := range in.Views {
+	for i := range in.Views {
+		v := &in.Views[i]
 		if !v.Silent {
 			up++
 			have += v.Cap.CPU
@@ -265,7 +274,8 @@
 		}
 	}
 	if f.log.Enabled(context.Background(), slog.LevelDebug) {
-		for _, v := range in.Views {
+		for i := range in.Views {
+			v := &in.Views[i]
 			f.log.Debug("machine", "id", v.ID, "type", v.Type, "spot", v.Spot, "usable", v.Usable, "silent", v.Silent, "sick", v.Sick,
 				"noticed", v.Noticed, "free_cpus", v.Free.CPUs(), "free_gb", float64(v.Free.Mem)/1e6, "tasks", v.Count, "idle_s", v.Idle.Seconds())
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -80,7 +80,7 @@
 }
 
 func (o *others) Demands(context.Context) []peer.Demand              { return o.demands }
-func (o *others) Views() []peer.MachineView                          { return o.views }
+func (o *others) Views(to []peer.MachineView) []peer.MachineView     { return append(to, o.views...) }
 func (o *others) Drain(_ context.Context, _ []peer.Machine) []string { return o.ready }
 func (o *others) Gone(_ context.Context, list []peer.Machine) {
 	for _, m := range list {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -51,6 +51,21 @@
 	Refused  map[Kind]clock.Micros // not to be asked for until
 	Knobs    Knobs
 	MaxCount int // machines of a kind asked for at once
+
+	// viewAt gives the place of a machine in Views. Plan makes it where it is not given.
+	viewAt map[string]int
+}
+
+// indexViews fills a map from machines to their places in a list of views.
+func indexViews(into map[string]int, views []peer.MachineView) map[string]int {
+	if into == nil {
+		into = make(map[string]int, len(views))
+	}
+	clear(into)
+	for i := range views {
+		into[views[i].ID] = i
+	}
+	return into
 }
 
 // Hire is a decision to rent.
@@ -97,22 +112,24 @@
 	for _, t := range in.Types {
 		types[t.Name] = t
 	}
-	var bins []*bin
-	viewed := map[string]bool{}
-	room := map[string]*bin{}
+	if in.viewAt == nil {
+		in.viewAt = indexViews(nil, in.Views)
+	}
+	bins := make([]*bin, 0, len(in.Views))
+	room := make([]bin, len(in.Views)) // of the machine of each view
 	var used, have int64
 	for i := range in.Views {
 		v := &in.Views[i]
-		viewed[v.ID] = true
 		if v.Usable {
-			room[v.ID] = &bin{kind: Kind{v.Type, v.Zone, v.Spot}, free: v.Free}
-			bins = append(bins, room[v.ID])
+			room[i] = bin{kind: Kind{v.Type, v.Zone, v.Spot}, free: v.Free}
+			bins = append(bins, &room[i])
 			used += v.Cap.CPU - v.Free.CPU
 			have += v.Cap.CPU
 		}
 	}
 	for _, r := range in.Rented {
-		if t, ok := types[r.Type]; ok && !viewed[r.ID] && !r.Up && r.Phase != wire.MachineFailed {
+		_, viewed := in.viewAt[r.ID]
+		if t, ok := types[r.Type]; ok && !viewed && !r.Up && r.Phase != wire.MachineFailed {
 			bins = append(bins, &bin{kind: r.Kind, free: res.Have(t.CPUs, t.GPUs, t.MemGB)})
 			have += bins[len(bins)-1].free.CPU
 		}
@@ -268,15 +285,10 @@
 // giveBack decides which machines are of no more use. On a large fleet something
 // waits at every moment, so with thrift an idle machine is kept only for what is
 // to go to that machine; without thrift, for anything that waits.
-func giveBack(in Input, types map[string]wire.MachineType, room map[string]*bin) (out []Return) {
-	viewed := map[string]bool{}
-	wanted := func(id string) bool {
-		b := room[id]
-		return b != nil && len(in.Demands) > 0 && (b.taken || !in.Knobs.Economy)
-	}
+func giveBack(in Input, types map[string]wire.MachineType, room []bin) (out []Return) {
 	for i := range in.Views {
 		v := &in.Views[i]
-		viewed[v.ID] = true
+		wanted := v.Usable && len(in.Demands) > 0 && (room[i].taken || !in.Knobs.Economy)
 		r, listed := in.Rented[v.ID]
 		switch {
 		case r.Phase == wire.MachineFailed:
@@ -289,12 +301,12 @@
 			out = append(out, Return{v.ID, v.Zone, "several jobs failed on it, or it is slow"})
 		case v.Draining && v.Count == 0:
 			out = append(out, Return{v.ID, v.Zone, "set aside for return"})
-		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !wanted(v.ID) && (v.Usable || v.Noticed || r.idleFor(v.Idle-in.Knobs.IdleReturn, types)):
+		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !wanted && (v.Usable || v.Noticed || r.idleFor(v.Idle-in.Knobs.IdleReturn, types)):
 			out = append(out, Return{v.ID, v.Zone, "idle"})
 		}
 	}
 	for _, r := range in.Rented {
-		if viewed[r.ID] {
+		if _, viewed := in.viewAt[r.ID]; viewed {
 			continue
 		}
 		age := in.Now - r.Since
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -155,7 +155,8 @@
 	step := func(after clock.Micros, silent bool) []Return {
 		in.Now += after
 		in.Rented, in.Views = f.rented, views(silent)
-		f.notice(in.Views, in.Now)
+		in.viewAt = indexViews(nil, in.Views)
+		f.notice(in, in.Now)
 		_, returns := Plan(in)
 		return returns
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -498,8 +498,8 @@
 	return out
 }
 
-// Views gives the mirror of all machines.
-func (n *Node) Views() []peer.MachineView { return n.placer.Views() }
+// Views appends the mirror of all machines.
+func (n *Node) Views(to []peer.MachineView) []peer.MachineView { return n.placer.Views(to) }
 
 // RecordedBefore lists the machines that were on record by a time of day.
 func (n *Node) RecordedBefore(atMS int64) []peer.Machine { return n.owner.RecordedBefore(atMS) }
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -24,9 +24,9 @@
 	return p.desk.Demands(p.clock.Now())
 }
 
-// Views gives the mirror of all machines, for the fleet.
-func (p *Placer) Views() []peer.MachineView {
+// Views appends the mirror of all machines, for the fleet.
+func (p *Placer) Views(to []peer.MachineView) []peer.MachineView {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.desk.Views(p.clock.Now())
+	return p.desk.Views(to, p.clock.Now())
 }
--- a/internal/placer/cost_test.go
+++ b/internal/placer/cost_test.go
@@ -84,8 +84,9 @@
 // What the fleet duty asks for a few times a second.
 func BenchmarkFleetViews(b *testing.B) {
 	d, _ := loadedDesk(leanFleet, 1)
+	var views []peer.MachineView
 	b.ReportAllocs()
 	for b.Loop() {
-		d.Views(2 * sec)
+		views = d.Views(views[:0], 2*sec)
 	}
 }
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -196,9 +196,10 @@
 	return out
 }
 
-// Views gives the mirror of all machines, for the fleet. An idle machine sends
+// Views appends the mirror of all machines, for the fleet. An idle machine sends
 // no news of itself, so its idle time is what it was then and what has passed since.
-func (d *Desk) Views(now clock.Micros) (out []peer.MachineView) {
+func (d *Desk) Views(to []peer.MachineView, now clock.Micros) []peer.MachineView {
+	to = slices.Grow(to, len(d.machines))
 	for _, m := range d.machines {
 		if o := d.owners[m.host]; o.parts[m.Part] == m.Term {
 			v := m.MachineView
@@ -208,8 +209,8 @@
 			} else {
 				v.Idle = 0
 			}
-			out = append(out, v)
+			to = append(to, v)
 		}
 	}
-	return out
+	return to
 }
