Try: forgets wait for other orders or a report interval

Cause supposed: a worker reports every change of its tasks, a forgotten one too, so forgets cost a report each.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -27,45 +27,62 @@
 	return k.lastSend == 0 || now > k.lastSend+clock.Second
 }
 
-// orders collects what the worker should do now. Forgets go only into answers
-// to reports: the worker takes those in sequence, so no run that was sent in an
-// earlier answer can arrive after the forget and start the attempt once more.
+// orders collects what the worker should do now.
 func (t *Table) orders(m *machine, inReport bool, now clock.Micros) []wire.Order {
+	tasks := m.inOrder(0)
+	t.endTasksOfOverJobs(m, tasks)
+	out := stops(tasks, inReport, now)
+	if !m.silent && !m.gone && m.registered {
+		out = t.runs(m, tasks, out, inReport, now)
+	}
+	if inReport {
+		out = t.forgets(m, tasks, out, now)
+	}
+	return out
+}
+
+// endTasksOfOverJobs decides to stop what runs of jobs that are over; their ends need
+// no placer's word to be forgotten.
+func (t *Table) endTasksOfOverJobs(m *machine, tasks []*task) {
+	for _, k := range tasks {
+		if !t.over(k) {
+			continue
+		}
+		k.settled = true
+		if !k.exited() && !k.stop {
+			k.stop, k.grace = true, 0
+			t.show(m, k)
+		}
+	}
+}
+
+// stops collects the stops that are due.
+func stops(tasks []*task, inReport bool, now clock.Micros) []wire.Order {
 	out := []wire.Order{}
-	ids := m.inOrder(0)
-	for _, k := range ids {
+	for _, k := range tasks {
 		if len(out) >= maxOrders {
 			return out
 		}
-		name := wire.TaskName(k.id.Job, k.id.N)
-		if t.over(k) {
-			k.settled = true
-			if !k.exited() && !k.stop {
-				k.stop, k.grace = true, 0
-				t.show(m, k)
-			}
+		if !k.stop || k.exited() {
+			continue
 		}
-		switch {
-		case k.exited() && k.settled:
-			if inReport && (k.risk == 0 || m.seenToken > k.risk) {
-				out = append(out, wire.Order{Verb: wire.VerbForget, Task: name, Attempt: k.id.Attempt})
-			}
-		case k.stop && !k.exited():
-			g := k.grace
-			if k.phase == wire.TaskSaving && g > 0 || !inReport && !k.resend(now) {
-				continue
-			}
-			if !inReport {
-				k.lastSend = now
-			}
-			out = append(out, wire.Order{Verb: wire.VerbStop, Task: name, Attempt: k.id.Attempt, GraceS: &g})
+		grace := k.grace
+		if k.phase == wire.TaskSaving && grace > 0 || !inReport && !k.resend(now) {
+			continue
 		}
+		if !inReport {
+			k.lastSend = now
+		}
+		out = append(out, wire.Order{Verb: wire.VerbStop, Task: wire.TaskName(k.id.Job, k.id.N), Attempt: k.id.Attempt, GraceS: &grace})
 	}
-	if m.silent || m.gone || !m.registered {
-		return out
-	}
+	return out
+}
+
+// runs appends the starts that are due: of tasks whose worker has not shown them
+// yet, as far as the worker's own room suffices.
+func (t *Table) runs(m *machine, tasks []*task, out []wire.Order, inReport bool, now clock.Micros) []wire.Order {
 	started, _ := m.inUse()
-	for _, k := range ids {
+	for _, k := range tasks {
 		if len(out) >= maxOrders {
 			return out
 		}
@@ -91,6 +108,30 @@
 	return out
 }
 
+// forgets puts the forgets that are due in front of other orders. They go only into
+// answers to reports: the worker takes those in sequence, so no run that was sent in an
+// earlier answer can arrive after the forget and start the attempt once more.
+//
+// A worker reports every change of its tasks at once, forgotten ones too. So forgets
+// wait for an answer that has other orders, unless they leave the machine empty or the
+// last ones were sent long enough ago.
+func (t *Table) forgets(m *machine, tasks []*task, others []wire.Order, now clock.Micros) []wire.Order {
+	var out []wire.Order
+	for _, k := range tasks {
+		if len(out)+len(others) >= maxOrders {
+			break
+		}
+		if k.exited() && k.settled && (k.risk == 0 || m.seenToken > k.risk) {
+			out = append(out, wire.Order{Verb: wire.VerbForget, Task: wire.TaskName(k.id.Job, k.id.N), Attempt: k.id.Attempt})
+		}
+	}
+	if len(out) == 0 || len(others) == 0 && len(out) < len(m.tasks) && now < m.forgotAt+t.timing.Forget {
+		return others
+	}
+	m.forgotAt = now
+	return append(out, others...)
+}
+
 // TakeOrders gives what to send to a worker's own address now, nil for nothing.
 // Until it is answered, its runs count as possibly still on their way.
 func (t *Table) TakeOrders(id string, now clock.Micros) (addr string, o *wire.Orders) {
