--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	wall := time.Now
 	_, lines := set.Sockets()
 	n.owner = owner.New(ctx, set.Host, instance, owner.NewSplit(partZones), p.State.TxnOps, valueMost, lines,
-		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, Forget: clock.FromSeconds(p.Workers.ReportS), SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
+		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
 	desk := placer.NewDesk(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
 		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"), Times: times(p.Objectives),
 		Guarantee: spans(p.Objectives, "guarantee")[""]},
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -36,7 +36,7 @@
 		out = t.runs(m, tasks, out, inReport, now)
 	}
 	if inReport {
-		out = t.forgets(m, tasks, out, now)
+		out = forgets(m, tasks, out)
 	}
 	return out
 }
@@ -111,11 +111,7 @@
 // forgets puts the forgets that are due in front of other orders. They go only into
 // answers to reports: the worker takes those in sequence, so no run that was sent in an
 // earlier answer can arrive after the forget and start the attempt once more.
-//
-// A worker reports every change of its tasks at once, forgotten ones too. So forgets
-// wait for an answer that has other orders, unless they leave the machine empty or the
-// last ones were sent long enough ago.
-func (t *Table) forgets(m *machine, tasks []*task, others []wire.Order, now clock.Micros) []wire.Order {
+func forgets(m *machine, tasks []*task, others []wire.Order) []wire.Order {
 	var out []wire.Order
 	for _, k := range tasks {
 		if len(out)+len(others) >= maxOrders {
@@ -125,10 +121,9 @@
 			out = append(out, wire.Order{Verb: wire.VerbForget, Task: wire.TaskName(k.id.Job, k.id.N), Attempt: k.id.Attempt})
 		}
 	}
-	if len(out) == 0 || len(others) == 0 && len(out) < len(m.tasks) && now < m.forgotAt+t.timing.Forget {
+	if len(out) == 0 {
 		return others
 	}
-	m.forgotAt = now
 	return append(out, others...)
 }
 
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -31,7 +31,6 @@
 	Lease      clock.Micros // the workers' lease
 	Quiet      clock.Micros // a machine that was not heard for so long gets no tasks for now
 	LeaseTTL   clock.Micros // of leases on room
-	Forget     clock.Micros // least time between two answers to a machine that carry nothing but forgets
 	SickErrors int
 }
 
@@ -86,7 +85,6 @@
 	inflight   bool
 	orderTick  uint64 // the worker's tick when the /orders on its way was sent
 	shunUntil  clock.Micros
-	forgotAt   clock.Micros // when it was last told to forget tasks
 	errors     int
 	errJobs    map[string]bool
 	images     []string // in its cache as far as is known, the latest used first
