Polls that wait are answered together, a gap apart

Cause: each poll that waited kept a timer of its own for its gap, and one that came when something had changed already was answered at once, so that under load polls followed one another without a gap.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,7 +7,6 @@
 	"hash/fnv"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -80,7 +79,6 @@
 	log       *slog.Logger
 	ctx       context.Context
 	wall      func() time.Time
-	asking    atomic.Int64 // polls that wait
 	strays    strays
 	reports   *telemetry.Duty // reports answered
 	polls     *telemetry.Duty // polls answered, without their waits
@@ -90,15 +88,17 @@
 	table   *Table
 	records *machines.Book
 	lines   *lines
-	changed chan struct{}
+	feed    feed
 	wake    chan struct{}
 }
 
 // New makes an owner.
 func New(ctx context.Context, host, instance string, split Split, txnOps, valueMost, mostLines int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
-	return &Owner{ctx: ctx, wall: wall, host: host, instance: instance, split: split, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
+	o := &Owner{ctx: ctx, wall: wall, host: host, instance: instance, split: split, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
 		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines), strays: strays{of: map[string]map[string]clock.Micros{}},
-		changed: make(chan struct{}), wake: make(chan struct{}, 1)}
+		wake: make(chan struct{}, 1)}
+	o.feed = newFeed(&o.mu, o.table.Version, c)
+	return o
 }
 
 // Measure has the owner count its rounds and its traffic. It is called before Run.
@@ -118,10 +118,9 @@
 	o.notify()
 }
 
-// notify tells waiting polls and the couriers of a change. The lock is held.
+// notify has waiting polls and the couriers take note of a change. The lock is held.
 func (o *Owner) notify() {
-	close(o.changed)
-	o.changed = make(chan struct{})
+	o.feed.changed(o.table.Version(), pollGap(o.table.Len(), o.feed.waiting))
 	o.poke()
 }
 
@@ -256,54 +255,6 @@
 	return ans
 }
 
-// Changes are gathered for so long before a poll is answered.
-const (
-	pollGapLeast      = 25 * time.Millisecond
-	pollGapMost       = 120 * time.Millisecond
-	pollGapPerMachine = time.Millisecond / 8 // for each machine held and each controller that asks
-)
-
-// pollGap gathers changes that come close together into one answer. It widens
-// with the machines that are held and with the controllers that ask: each answer
-// costs both sides, and every controller asks every other. Messages, not what is in
-// them, are most of what a controller spends.
-func pollGap(machines, asking int) time.Duration {
-	return min(pollGapLeast+time.Duration(machines*asking)*pollGapPerMachine, pollGapMost)
-}
-
-// Poll gives the machines that changed after a cursor, waiting for a change.
-func (o *Owner) Poll(in peer.Poll) peer.PollAnswer {
-	o.asking.Add(1)
-	defer o.asking.Add(-1)
-	deadline := time.NewTimer(in.Wait.Duration())
-	defer deadline.Stop()
-	for waited, over := false, false; ; waited = true {
-		o.mu.Lock()
-		ready := in.Incarnation != o.instance || o.table.Version() > in.Cursor
-		changed := o.changed
-		gap := pollGap(o.table.Len(), int(o.asking.Load()))
-		o.mu.Unlock()
-		if ready || over {
-			if waited && !over {
-				time.Sleep(gap)
-			}
-			began := time.Now()
-			defer func() { o.polls.Round(time.Since(began)) }()
-			o.Reconcile() // what is held no more is not told of
-			o.mu.Lock()
-			defer o.mu.Unlock()
-			return o.table.Poll(in, o.instance, o.clock.Now())
-		}
-		select {
-		case <-changed:
-		case <-deadline.C:
-			over = true
-		case <-o.ctx.Done():
-			over = true
-		}
-	}
-}
-
 // Drain keeps machines free for their return.
 func (o *Owner) Drain(list []peer.Machine) []string {
 	o.Reconcile()
