--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -56,7 +56,7 @@
 	version  uint64 // of the view that first shows it as it is
 }
 
-func (t *task) exited() bool { return t.phase == wire.TaskExited }
+func (k *task) exited() bool { return k.phase == wire.TaskExited }
 
 type machine struct {
 	id   string
