Slow machines: what is sent is checked at sending; renewals don't queue; floods are shed

Cause, by reading: on a processor's share of 5% seconds may pass between a decision and what is sent of it. A report's answer and orders to a worker looked at the claim before they were computed; a hold's renewal queued for the request budget behind reads; bytes of requests were counted only until they were complete, and whoever came beyond the bound was cut off without a word. Now: whether the partition is held under the token's term is looked at once more when the answer is ready, or the orders are about to be sent; a renewal is sent at once, and what it takes from the budget others wait for; requests count until they are answered, and beyond the bound (an eighth of memory_mb) others get 503 with Retry-After at once. Limits below 0 are refused by name, and what is assumed for absent ones is logged.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,9 @@
 
 // Settings is the settings file. Unknown fields are ignored.
 type Settings struct {
+	// Assumed tells, for the log, which limits are not given and what stands in for them.
+	Assumed []string `json:"-"`
+
 	Host       string `json:"host_name"`
 	Zone       string `json:"location"`
 	Listen     string `json:"listen"`
@@ -108,6 +111,28 @@
 	return out
 }
 
+// Limits that are assumed where the settings give none.
+const (
+	assumedSockets  = 1000
+	assumedMemoryMB = 256
+)
+
+// assumeLimits fills in the limits that are not given.
+func (s *Settings) assumeLimits() {
+	limits := &s.Params.Limits
+	if limits.Sockets == 0 {
+		limits.Sockets = assumedSockets
+		s.Assumed = append(s.Assumed, fmt.Sprintf("params.machine_limits.fd_limit is not given: %d are assumed", assumedSockets))
+	}
+	if limits.MemoryMB == 0 {
+		limits.MemoryMB = assumedMemoryMB
+		s.Assumed = append(s.Assumed, fmt.Sprintf("params.machine_limits.memory_mb is not given: %d are assumed", assumedMemoryMB))
+	}
+	if limits.CoreShare == 0 {
+		s.Assumed = append(s.Assumed, "params.machine_limits.core_share is not given: no small share is assumed")
+	}
+}
+
 // Load reads a settings file.
 func Load(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
@@ -156,12 +181,12 @@
 	if p.Count == 0 {
 		p.Count = len(s.Peers) + 1
 	}
-	if p.Limits.Sockets == 0 {
-		p.Limits.Sockets = 1000
-	}
-	if p.Limits.MemoryMB == 0 {
-		p.Limits.MemoryMB = 256
+	for field, v := range map[string]float64{"core_share": p.Limits.CoreShare, "memory_mb": p.Limits.MemoryMB, "fd_limit": float64(p.Limits.Sockets)} {
+		if v < 0 {
+			return fmt.Errorf("field params.machine_limits.%s must not be below 0", field)
+		}
 	}
+	s.assumeLimits()
 	for field, v := range map[string]float64{
 		"params.count": float64(p.Count), "params.workers.report_s": p.Workers.ReportS, "params.workers.lease_s": p.Workers.LeaseS,
 		"params.workers.cancel_s": p.Workers.CancelS, "params.state.rps": p.State.RPS, "params.state.write_rps": p.State.WriteRPS,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -34,6 +34,9 @@
 		{`"name": "blue"`, `"name": "red"`, "params.teams[1].name"},
 		{`"host_name": "beta"`, `"host_name": "alpha"`, "others[0].host_name"},
 		{`"value_kb": 8`, `"value_kb": 0`, "params.state.value_kb"},
+		{`"memory_mb": 128`, `"memory_mb": -1`, "params.machine_limits.memory_mb"},
+		{`"core_share": 0.2`, `"core_share": -0.1`, "params.machine_limits.core_share"},
+		{`"fd_limit": 1000`, `"fd_limit": -5`, "params.machine_limits.fd_limit"},
 		{`{`, ``, "settings"},
 	} {
 		text := strings.Replace(sample(t), c.old, c.new, 1)
--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -31,7 +31,7 @@
 
 	ctx   context.Context
 	open  atomic.Int64
-	held  atomic.Int64 // bytes of requests that are not complete yet
+	held  atomic.Int64 // bytes of requests that are not answered yet
 	used  *list.List   // connections, the latest used last; the event loop's own
 	eng   gnet.Engine
 	ready chan struct{}
@@ -39,7 +39,7 @@
 }
 
 // NewServer makes a server that holds at most max connections and budget bytes
-// of requests that are not complete, and closes connections that are idle: after
+// of requests that are not answered yet, and closes connections that are idle: after
 // a while, or when others come and there is no room for more. Requests that prompt
 // picks are answered by the event loop.
 func NewServer(handler Handler, prompt func(*Request) bool, max int, budget int64, idle time.Duration, log *slog.Logger) *Server {
@@ -55,6 +55,8 @@
 	gone bool
 	busy bool // a request of it is being answered
 
+	answering int // bytes of that request
+
 	// The event loop's own.
 	served bool          // it has its goroutine
 	usedAt time.Time     // when its last request began
@@ -218,15 +220,24 @@
 	defer k.mu.Unlock()
 	k.buf = append(k.buf, b...)
 	held := s.held.Add(int64(len(b)))
-	// One request at a time: whoever sends much more, or reads no answers, is
-	// cut off, and so is everyone who adds to what can't be held.
-	if len(k.buf) > bodyLimit+maxHead+1024 || k.c.OutboundBuffered() > maxUnread || held > s.budget {
+	// One request at a time: whoever sends much more, or reads no answers, is cut off.
+	if len(k.buf) > bodyLimit+maxHead+1024 || k.c.OutboundBuffered() > maxUnread {
+		return gnet.Close
+	}
+	if held > s.budget {
+		// Whoever adds to what can't be held is told at once to come back.
+		if _, err := k.c.Write(AppendResponse(nil, overloaded)); err != nil {
+			s.log.Debug("writing a response", "err", err)
+		}
 		return gnet.Close
 	}
 	k.poke()
 	return gnet.None
 }
 
+// overloaded is the answer to a request for which there is no memory.
+var overloaded = Response{Status: 503, RetryAfter: 1, Close: true, Body: []byte(`{"error":"too many requests at a time"}`)}
+
 // Limits of a connection.
 const (
 	bodyLimit = 64 << 10
@@ -240,7 +251,8 @@
 	}
 }
 
-// next waits for a whole request; nil when the connection is over.
+// next waits for a whole request; nil when the connection is over. The bytes that the
+// request took are held until it is answered.
 func (s *Server) next(k *conn) (*Request, error) {
 	for {
 		k.mu.Lock()
@@ -257,7 +269,7 @@
 		}
 		if r != nil {
 			k.busy = true
-			s.held.Add(-int64(used))
+			k.answering = used
 			k.buf = append(k.buf[:0], k.buf[used:]...)
 			if len(k.buf) == 0 && cap(k.buf) > 16<<10 {
 				k.buf = nil
@@ -275,15 +287,12 @@
 	}
 }
 
+// serve answers a connection's requests, one after the other, until it is over.
 func (s *Server) serve(k *conn) {
 	for {
 		r, err := s.next(k)
 		if err != nil {
-			status, text := 400, `{"error":"malformed request"}`
-			if errors.Is(err, ErrTooLarge) {
-				status, text = 413, `{"error":"request too large"}`
-			}
-			s.write(k, Response{Status: status, Body: []byte(text), Close: true})
+			s.write(k, refusal(err))
 			return
 		}
 		if r == nil {
@@ -293,6 +302,7 @@
 			return
 		}
 		resp := s.handler(s.ctx, r)
+		s.release(k)
 		resp.Close = resp.Close || r.Close
 		s.write(k, resp)
 		if resp.Close {
@@ -301,6 +311,22 @@
 	}
 }
 
+// release lets go of the bytes of the last request.
+func (s *Server) release(k *conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s.held.Add(-int64(k.answering))
+	k.answering = 0
+}
+
+// refusal is the answer to what is not a request.
+func refusal(err error) Response {
+	if errors.Is(err, ErrTooLarge) {
+		return Response{Status: 413, Body: []byte(`{"error":"request too large"}`), Close: true}
+	}
+	return Response{Status: 400, Body: []byte(`{"error":"malformed request"}`), Close: true}
+}
+
 func (s *Server) write(k *conn, r Response) {
 	var done gnet.AsyncCallback
 	if r.Close {
--- a/internal/httpx/server_test.go
+++ b/internal/httpx/server_test.go
@@ -230,3 +230,37 @@
 	require.False(t, busy.closed)
 	require.False(t, recent.closed)
 }
+
+// What is being answered takes memory too: beyond the budget others are told at once to
+// come back, and are served again when it is answered.
+func TestServerShedsWhatItCannotHold(t *testing.T) {
+	begun, end := make(chan struct{}, 8), make(chan struct{})
+	addr := serveWith(t, 10_000, func(_ context.Context, r *Request) Response {
+		begun <- struct{}{}
+		<-end
+		return Response{Status: 200, Body: []byte("done")}
+	})
+	request := "POST /x HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" + strings.Repeat("x", 4000)
+	head := func(c net.Conn) string {
+		b := make([]byte, 4096)
+		n, err := c.Read(b)
+		require.NoError(t, err)
+		return string(b[:n])
+	}
+	send := func() net.Conn {
+		c := dial(t, addr)
+		_, err := c.Write([]byte(request))
+		require.NoError(t, err)
+		return c
+	}
+	first, second := send(), send()
+	<-begun
+	<-begun
+	shed := head(send())
+	require.Contains(t, shed, "HTTP/1.1 503 ")
+	require.Contains(t, shed, "Retry-After: 1")
+	close(end)
+	require.Contains(t, head(first), "200 OK")
+	require.Contains(t, head(second), "200 OK")
+	require.Contains(t, head(send()), "200 OK")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,6 +199,9 @@
 	for _, w := range n.set.Without() {
 		n.log.Error("a limit is very small", "what", w)
 	}
+	for _, a := range n.set.Assumed {
+		n.log.Info("a limit is not given", "what", a)
+	}
 	inbound, _ := n.set.Sockets()
 	srv := httpx.NewServer(n.handle, answeredPromptly, inbound, int64(limits.MemoryMB*(1<<20)/8), 90*time.Second, n.log)
 	g.Go(func() error { return srv.Run(ctx, n.set.Listen) })
--- /dev/null
+++ b/internal/owner/holds_test.go
@@ -0,0 +1,57 @@
+package owner
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// lapsing are claims that are held for so many looks more, and then over.
+type lapsing struct{ looks int }
+
+func (l *lapsing) Mine(string) (claim.Held, bool) {
+	l.looks--
+	return claim.Held{Record: claim.Record{Term: 1}, Stamp: 1}, l.looks >= 0
+}
+
+func (l *lapsing) Holder(string) (string, bool) { return "me", true }
+
+// A process that was held up while it decided says nothing: whether it holds the
+// machine's partition is looked at once more when the answer is ready.
+func TestAReportIsNotAnsweredAfterTheClaimIsOver(t *testing.T) {
+	l := newLoadedOwner(t, 1)
+	for looks, want := range map[int]int{1: 503, 2: 200} {
+		l.owner.claims = &lapsing{looks: looks}
+		l.reports[0].Tick++
+		body, err := json.Marshal(&l.reports[0])
+		require.NoError(t, err)
+		require.Equal(t, want, l.owner.HandleReport(body).Status, "held for %d looks", looks)
+	}
+}
+
+// The same holds of orders: they are dropped where the claim is over by the time that
+// they are about to be sent.
+func TestOrdersAreNotSentAfterTheClaimIsOver(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	l := newLoadedOwner(t, 1)
+	l.owner.claims = &lapsing{}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	orders := &wire.Orders{Token: baseToken(1) + 1, Session: 1}
+	_, err = l.owner.post(ctx, 0, httpx.NewClient(listener.Addr().String(), 1, 1<<10), orders)
+	require.ErrorIs(t, err, errNotHeld)
+	l.owner.claims = allHeld{}
+	orders.Token = baseToken(2) + 1 // of a term that is not this process's
+	_, err = l.owner.post(ctx, 0, httpx.NewClient(listener.Addr().String(), 1, 1<<10), orders)
+	require.ErrorIs(t, err, errNotHeld)
+}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -160,7 +160,7 @@
 // Answered takes the answer to /orders: the worker's report after it.
 func (t *Table) Answered(id string, sent *wire.Orders, r *wire.Report, now clock.Micros) {
 	m := t.machines[id]
-	if m == nil || !m.inflight || sent.Token>>32 != t.parts[m.part] {
+	if m == nil || !m.inflight || sent.Token>>termShift != t.parts[m.part] {
 		return
 	}
 	m.inflight = false
@@ -198,7 +198,7 @@
 // the worker shows a higher token. Orders go with reports for a while.
 func (t *Table) Unanswered(id string, sent *wire.Orders, now clock.Micros) {
 	m := t.machines[id]
-	if m == nil || sent.Token>>32 != t.parts[m.part] {
+	if m == nil || sent.Token>>termShift != t.parts[m.part] {
 		return
 	}
 	m.inflight = false
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -242,7 +242,19 @@
 	if !ok {
 		return refuse(503, "an old report", "", 0)
 	}
-	return httpx.JSON(200, ans)
+	answer := httpx.JSON(200, ans)
+	if !o.holds(part, term) {
+		// What is said now may not be true any more: this process was held up in between.
+		return refuse(503, "the partition's claim is over", "", 1)
+	}
+	return answer
+}
+
+// holds tells that a partition is held under a term at this moment. It is asked
+// before anything is sent, after all that may have taken long.
+func (o *Owner) holds(part int, term uint64) bool {
+	h, mine := o.claims.Mine(Duty(part))
+	return mine && h.Term == term
 }
 
 // Round carries out a placing controller's round.
@@ -398,8 +410,7 @@
 	now := o.clock.Now()
 	for _, id := range o.table.Pending(now) {
 		part, _ := o.table.PartOf(id)
-		term, _ := o.table.Part(part)
-		if h, mine := o.claims.Mine(Duty(part)); !mine || h.Term != term {
+		if term, _ := o.table.Part(part); !o.holds(part, term) {
 			continue
 		}
 		if !o.lines.room(id) {
@@ -409,17 +420,17 @@
 		if orders == nil {
 			continue
 		}
-		go o.courier(ctx, id, o.lines.take(id, addr), orders)
+		go o.courier(ctx, id, part, o.lines.take(id, addr), orders)
 	}
 }
 
 const orderTimeout = 1200 * time.Millisecond
 
 // courier carries orders to one worker and brings its answer back.
-func (o *Owner) courier(ctx context.Context, id string, c *httpx.Client, orders *wire.Orders) {
+func (o *Owner) courier(ctx context.Context, id string, part int, c *httpx.Client, orders *wire.Orders) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	r, err := o.post(ctx, c, orders)
+	r, err := o.post(ctx, part, c, orders)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lines.put(id, c) {
@@ -435,13 +446,20 @@
 	o.notify()
 }
 
-var errOdd = errors.New("odd answer")
+var (
+	errOdd     = errors.New("odd answer")
+	errNotHeld = errors.New("the partition's claim is over")
+)
 
-func (o *Owner) post(ctx context.Context, c *httpx.Client, orders *wire.Orders) (*wire.Report, error) {
+// post sends orders while their partition is held under the term of their token.
+func (o *Owner) post(ctx context.Context, part int, c *httpx.Client, orders *wire.Orders) (*wire.Report, error) {
 	b, err := json.Marshal(orders)
 	if err != nil {
 		return nil, err
 	}
+	if !o.holds(part, orders.Token>>termShift) {
+		return nil, errNotHeld
+	}
 	resp, err := c.Do(ctx, "POST", wire.PathOrders, b)
 	if err != nil {
 		return nil, err
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -19,7 +19,7 @@
 	if m.gone || r.Session < m.session && m.heard || m.silent && m.heard && r.Session <= m.session {
 		return ans, false
 	}
-	if r.Token > m.token && r.Token>>32 > t.parts[part] {
+	if r.Token > m.token && r.Token>>termShift > t.parts[part] {
 		return ans, false // a later term than ours: not ours to command
 	}
 	if m.heard && r.Session == m.reported[0] && r.Tick <= m.reported[1] {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -184,8 +184,11 @@
 	delete(t.due, m.id)
 }
 
+// termShift is where the partition's term begins in a token; below it is the sequence.
+const termShift = 32
+
 // baseToken is the lowest token of a term.
-func baseToken(term uint64) uint64 { return term << 32 }
+func baseToken(term uint64) uint64 { return term << termShift }
 
 // Gain takes a partition over. Every machine registered for it may hold tasks
 // of the former owner's until a report shows a token of this term, or it was
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -130,6 +130,11 @@
 			return nil, fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 	}
+	return c.send(ctx, method, target, body)
+}
+
+// send sends a request for which the budget is had.
+func (c *Client) send(ctx context.Context, method, target string, body any) (*httpx.Response, error) {
 	var b []byte
 	if body != nil {
 		var err error
@@ -270,9 +275,13 @@
 	return a.Hold, nil
 }
 
-// Extend renews a hold.
+// Extend renews a hold. It takes from the budget what others wait for, and does not
+// queue behind them: every duty hangs on it.
 func (c *Client) Extend(ctx context.Context, hold uint64, timeout time.Duration) error {
-	r, err := c.call(ctx, "POST", fmt.Sprintf("%s/%d/extend", wire.PathHolds, hold), struct{}{}, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.reqs.Reserve()
+	r, err := c.send(ctx, "POST", fmt.Sprintf("%s/%d/extend", wire.PathHolds, hold), struct{}{})
 	if err != nil {
 		return err
 	}
--- a/internal/state/client_test.go
+++ b/internal/state/client_test.go
@@ -122,3 +122,13 @@
 	// The stand-in's word is that there is no such hold: it was asked.
 	require.ErrorIs(t, c.Extend(t.Context(), 1, 3*time.Second), state.ErrNoHold)
 }
+
+// With the request budget spent for ten seconds to come, a hold's renewal is sent at once.
+func TestRenewalsDontWaitForTheBudget(t *testing.T) {
+	none := raw(404, `{"ledger_rev":7}`)
+	c := answeringAt(t, 0.1, none, none)
+	_, _, err := c.Get(t.Context(), "k")
+	require.NoError(t, err)
+	// The stand-in's word is that there is no such hold: it was asked.
+	require.ErrorIs(t, c.Extend(t.Context(), 1, 5*time.Second), state.ErrNoHold)
+}
