--- a/internal/httpx/server_test.go
+++ b/internal/httpx/server_test.go
@@ -48,6 +48,8 @@
 		return err == nil
 	}, time.Minute, 10*time.Millisecond)
 	t.Cleanup(func() { c.Close() })
+	// Only a test that fails waits for so long.
+	require.NoError(t, c.SetDeadline(time.Now().Add(time.Minute)))
 	return c
 }
 
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -15,28 +15,28 @@
 	most int
 	of   map[string]*workerLine
 	idle *list.List // of machines, the one used longest ago first
-	full bool       // a courier had to wait
+	full bool       // a delivery had to wait
 
 	traffic *telemetry.Traffic
 }
 
 type workerLine struct {
 	client *httpx.Client
-	idle   *list.Element // nil while a courier has it
+	idle   *list.Element // nil while a delivery has it
 }
 
 func newLines(most int) *lines {
 	return &lines{most: most, of: map[string]*workerLine{}, idle: list.New()}
 }
 
-// room tells whether a courier may start for a machine now.
+// room tells whether a delivery may start for a machine now.
 func (l *lines) room(id string) bool {
 	ok := len(l.of) < l.most || l.idle.Len() > 0 || l.of[id] != nil
 	l.full = l.full || !ok
 	return ok
 }
 
-// take gives a machine's line to a courier.
+// take gives a machine's line to a delivery.
 func (l *lines) take(id, addr string) *httpx.Client {
 	w := l.of[id]
 	if w != nil && w.client.Addr() != addr {
@@ -58,7 +58,7 @@
 	return w.client
 }
 
-// put takes a line back from its courier, and tells whether others wait for one.
+// put takes a line back from its delivery, and tells whether others wait for one.
 func (l *lines) put(id string, c *httpx.Client) (wanted bool) {
 	if w := l.of[id]; w != nil && w.client == c {
 		w.idle = l.idle.PushBack(id)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -118,13 +118,13 @@
 	o.notify()
 }
 
-// notify has waiting polls and the couriers take note of a change. The lock is held.
+// notify has waiting polls and the loop that sends orders take note of a change. The lock is held.
 func (o *Owner) notify() {
 	o.feed.changed(o.table.Version(), pollGap(o.table.Len(), o.feed.waiting))
 	o.poke()
 }
 
-// poke has the couriers looked after.
+// poke has the loop that sends orders look for machines that want some.
 func (o *Owner) poke() {
 	select {
 	case o.wake <- struct{}{}:
@@ -203,13 +203,6 @@
 	return true
 }
 
-// Parts gives the partitions that are held, with their terms.
-func (o *Owner) Parts() map[int]uint64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.table.Parts()
-}
-
 // HandleReport answers a worker's report.
 func (o *Owner) HandleReport(body []byte) httpx.Response {
 	began := time.Now()
@@ -297,7 +290,7 @@
 	o.notify()
 }
 
-// Run does what is due until ctx ends: lapses, records of machines, couriers.
+// Run does what is due until ctx ends: lapses, records of machines, orders.
 func (o *Owner) Run(ctx context.Context) error {
 	tick := time.NewTicker(250 * time.Millisecond)
 	defer tick.Stop()
@@ -403,7 +396,7 @@
 	return nil
 }
 
-// send starts a courier for each machine that has something to be sent.
+// send starts a delivery for each machine that has something to be sent.
 func (o *Owner) send(ctx context.Context) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -414,20 +407,20 @@
 			continue
 		}
 		if !o.lines.room(id) {
-			return // they are looked at again when a courier is back
+			return // they are looked at again when a delivery is over
 		}
 		addr, orders := o.table.TakeOrders(id, now)
 		if orders == nil {
 			continue
 		}
-		go o.courier(ctx, id, part, o.lines.take(id, addr), orders)
+		go o.deliver(ctx, id, part, o.lines.take(id, addr), orders)
 	}
 }
 
 const orderTimeout = 1200 * time.Millisecond
 
-// courier carries orders to one worker and brings its answer back.
-func (o *Owner) courier(ctx context.Context, id string, part int, c *httpx.Client, orders *wire.Orders) {
+// deliver sends orders to one worker's own address and takes its answer.
+func (o *Owner) deliver(ctx context.Context, id string, part int, c *httpx.Client, orders *wire.Orders) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	r, err := o.post(ctx, part, c, orders)
--- a/internal/placer/meetings_test.go
+++ b/internal/placer/meetings_test.go
@@ -76,7 +76,7 @@
 				for _, id := range w.names {
 					if !hung[id] {
 						w.report(id, true)
-						w.courier(id, false, true)
+						w.deliver(id, false, true)
 					} else if x.reports {
 						w.report(id, false)
 					}
@@ -108,21 +108,21 @@
 		free  func(w *world, id string) // and lets it be known
 	}{
 		{"a start is on its way", func(w *world, id string) {
-			w.courier(id, true, false)
+			w.deliver(id, true, false)
 		}, func(w *world, id string) {
 			w.now += 3 * sec
 			w.workers[id].Orders(w.orders[0].orders, w.now)
 			w.settle(4)
 		}},
 		{"the image is being fetched", func(w *world, id string) {
-			w.courier(id, false, true)
+			w.deliver(id, false, true)
 			for _, k := range w.workers[id].InOrder() {
 				k.Phase = wire.TaskFetching
 			}
 			w.report(id, true)
 		}, func(w *world, id string) { w.settle(4) }},
 		{"a former placer's machine hangs", func(w *world, id string) {
-			w.courier(id, false, true)
+			w.deliver(id, false, true)
 			w.report(id, true)
 			w.newDesk()
 			h := w.partHost[w.part(id)]
--- a/internal/placer/rules_test.go
+++ b/internal/placer/rules_test.go
@@ -41,7 +41,7 @@
 			case 6, 7:
 				w.report(id, rng.IntN(4) > 0)
 			case 8, 9:
-				w.courier(id, rng.IntN(3) == 0, rng.IntN(3) > 0)
+				w.deliver(id, rng.IntN(3) == 0, rng.IntN(3) > 0)
 			case 10:
 				if len(w.orders) > 0 {
 					o := w.orders[rng.IntN(len(w.orders))]
@@ -164,7 +164,7 @@
 	}
 	for _, id := range w.names {
 		if w.part(id) == p {
-			w.courier(id, true, false)
+			w.deliver(id, true, false)
 		}
 	}
 	w.boot(at) // the answer is lost, the process too
@@ -180,7 +180,7 @@
 		for _, id := range w.names {
 			if w.part(id) != p {
 				w.report(id, true)
-				w.courier(id, false, true)
+				w.deliver(id, false, true)
 			}
 		}
 		w.check("waiting")
--- a/internal/placer/takeover_test.go
+++ b/internal/placer/takeover_test.go
@@ -35,7 +35,7 @@
 		}
 		for _, id := range []string{"m-1", "m-3"} {
 			w.report(id, true)
-			w.courier(id, false, true)
+			w.deliver(id, false, true)
 		}
 		w.check("unaccounted")
 	}
@@ -64,7 +64,7 @@
 		w.now += 100 * clock.Millisecond
 		for _, id := range others {
 			w.report(id, true)
-			w.courier(id, false, true)
+			w.deliver(id, false, true)
 		}
 		for _, h := range w.hosts {
 			w.poll(h, false)
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -223,8 +223,8 @@
 	}
 }
 
-// courier carries /orders: in time, late, or without the answer.
-func (w *world) courier(id string, late, answered bool) {
+// deliver carries /orders: in time, late, or without the answer.
+func (w *world) deliver(id string, late, answered bool) {
 	t := w.hosts[w.partHost[w.part(id)]].table
 	_, o := t.TakeOrders(id, w.now)
 	if o == nil {
@@ -285,7 +285,7 @@
 		w.now += 250 * clock.Millisecond
 		for _, id := range w.names {
 			w.report(id, true)
-			w.courier(id, false, true)
+			w.deliver(id, false, true)
 		}
 		w.tick()
 		for _, h := range w.hosts {
