--- a/internal/owner/cost_test.go
+++ b/internal/owner/cost_test.go
@@ -81,13 +81,15 @@
 }
 
 // leanFleet is about as many machines as one controller of the smaller sites owns.
-const leanFleet = 120
+const leanFleet = 410
 
 func BenchmarkReportUnchanged(b *testing.B) {
 	l := newLoadedOwner(b, leanFleet)
 	b.ReportAllocs()
-	for i := range b.N {
-		l.report(i % leanFleet)
+	next := 0
+	for b.Loop() {
+		l.report(next % leanFleet)
+		next++
 	}
 }
 
--- a/internal/peer/cost_test.go
+++ b/internal/peer/cost_test.go
@@ -33,7 +33,7 @@
 
 // A poll between two controllers, with net/rpc's coding on both sides.
 func BenchmarkPoll(b *testing.B) {
-	for _, machines := range []int{0, 5, 120} {
+	for _, machines := range []int{0, 5, 410} {
 		b.Run(fmt.Sprintf("%d machines changed", machines), func(b *testing.B) {
 			srv := rpc.NewServer()
 			if err := srv.RegisterName(serviceName, &answering{changedMachines(machines)}); err != nil {
--- a/internal/placer/cost_test.go
+++ b/internal/placer/cost_test.go
@@ -12,7 +12,7 @@
 )
 
 // leanFleet is about as many machines as the smaller sites have in all.
-const leanFleet = 350
+const leanFleet = 1240
 
 // loadedDesk is a desk of a fleet without room for more, with many jobs that wait.
 func loadedDesk(machines, waiting int) (*Desk, *peer.PollAnswer) {
