--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -26,9 +26,9 @@
 // Registration is the value of a controller's key, attached to its hold.
 type Registration struct {
 	Incarnation string `json:"incarnation"`
-	// Deaf tells that this controller is cut off from the workers: it should hold
+	// Unreachable tells that this controller is cut off from the workers: it should hold
 	// no duty that needs them, and its other duties go on.
-	Deaf bool `json:"deaf,omitempty"`
+	Unreachable bool `json:"deaf,omitempty"`
 }
 
 // Held is a claim as the replica last showed it.
@@ -142,7 +142,7 @@
 
 // barred tells that the i-th duty needs the workers and that a controller is cut
 // off from them.
-func (b *Book) barred(i int, host string) bool { return i < b.bound && b.nodes[host].Deaf }
+func (b *Book) barred(i int, host string) bool { return i < b.bound && b.nodes[host].Unreachable }
 
 // elsewhere tells that some other controller could hold the i-th duty.
 func (b *Book) elsewhere(i int) bool {
@@ -163,8 +163,8 @@
 	for _, h := range b.hosts {
 		r := b.nodes[h]
 		as := r.Incarnation
-		if r.Deaf {
-			as += " deaf"
+		if r.Unreachable {
+			as += " unreachable"
 		}
 		if b.seen[h] != as {
 			b.seen[h], b.since[h] = as, now
@@ -195,13 +195,13 @@
 
 // Note gives the write that tells in this controller's registration whether it is
 // cut off from the workers; ok is false when it says so already.
-func (b *Book) Note(deaf bool) (m wire.Multi, ok bool) {
+func (b *Book) Note(unreachable bool) (m wire.Multi, ok bool) {
 	r := b.nodes[b.host]
-	if !b.registeredMe() || r.Deaf == deaf {
+	if !b.registeredMe() || r.Unreachable == unreachable {
 		return m, false
 	}
 	return wire.Multi{When: []wire.Cond{{Key: state.Nodes + b.host, Stamp: r.stamp}},
-		Then: []wire.Op{{Put: state.Nodes + b.host, Value: Registration{b.incarnation, deaf}, Hold: b.hold}}}, true
+		Then: []wire.Op{{Put: state.Nodes + b.host, Value: Registration{b.incarnation, unreachable}, Hold: b.hold}}}, true
 }
 
 // Holder names the controller whose registered incarnation holds a duty.
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -34,14 +34,14 @@
 	log    *slog.Logger
 	wake   chan struct{}
 
-	mu       sync.Mutex
-	book     *Book
-	lastOK   clock.Micros // when the last confirmed renewal was sent
-	resigned string       // the last incarnation given up for good
-	peerOK   clock.Micros // when a peer last said that it has contact
-	heardAt  clock.Micros // when a peer last said anything
-	gaveAt   clock.Micros // when a duty was last handed over
-	deaf     bool         // no worker reaches this controller
+	mu          sync.Mutex
+	book        *Book
+	lastOK      clock.Micros // when the last confirmed renewal was sent
+	resigned    string       // the last incarnation given up for good
+	peerOK      clock.Micros // when a peer last said that it has contact
+	heardAt     clock.Micros // when a peer last said anything
+	gaveAt      clock.Micros // when a duty was last handed over
+	unreachable bool         // no worker reaches this controller
 }
 
 // NewKeeper makes a keeper around a book.
@@ -145,11 +145,11 @@
 	return k.book.Peers() > 0 && now-k.lastOK > k.timing.ResignAfter && now-k.heardAt > k.timing.ResignAfter
 }
 
-// SetDeaf tells whether this controller is cut off from the workers.
-func (k *Keeper) SetDeaf(deaf bool) {
+// SetUnreachable tells whether this controller is cut off from the workers.
+func (k *Keeper) SetUnreachable(unreachable bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.deaf = deaf
+	k.unreachable = unreachable
 	k.poke()
 }
 
@@ -217,10 +217,10 @@
 	}
 	inc := uuid.NewString()
 	k.mu.Lock()
-	deaf := k.deaf
+	unreachable := k.unreachable
 	k.mu.Unlock()
 	_, err = k.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: key, Stamp: it.Stamp}},
-		Then: []wire.Op{{Put: key, Value: Registration{inc, deaf}, Hold: hold}}})
+		Then: []wire.Op{{Put: key, Value: Registration{inc, unreachable}, Hold: hold}}})
 	if err != nil {
 		return err
 	}
@@ -257,7 +257,7 @@
 			k.gaveAt = now
 		}
 	}
-	note, noting := k.book.Note(k.deaf)
+	note, noting := k.book.Note(k.unreachable)
 	k.mu.Unlock()
 	if lapsed {
 		k.log.Info("the hold could not be confirmed in time: duties given up", "incarnation", inc)
@@ -289,7 +289,7 @@
 	}
 	if noting {
 		_, err := k.store.Commit(ctx, note)
-		k.log.Info("told whether workers reach this controller", "deaf", note.Then[0].Value, "err", err)
+		k.log.Info("told whether workers reach this controller", "unreachable", note.Then[0].Value, "err", err)
 	}
 	var wg sync.WaitGroup
 	for _, w := range give {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -137,7 +137,7 @@
 // New makes a fleet.
 func New(cloud *Cloud, claims Claims, store Store, others Controllers, c clock.Clock, k Knobs, backoff, lag, skew clock.Micros, wall func() time.Time, kept func() wire.Catalog, log *slog.Logger) *Fleet {
 	atOnce := max(1, int(cloud.rps*1.6))
-	return &Fleet{atOnce: atOnce, most: wire.MaxHire * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, skew: skew, wall: wall, kept: kept, log: log}
+	return &Fleet{atOnce: atOnce, most: wire.MaxRental * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, skew: skew, wall: wall, kept: kept, log: log}
 }
 
 // Measure has the fleet count its rounds and its traffic. It is called before Run.
@@ -209,24 +209,24 @@
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.views, Demands: f.others.Demands(ctx),
 		Refused: f.refused, Knobs: f.knobs, MaxCount: f.most, viewAt: f.viewAt}
 	f.notice(in, now)
-	hires, returns := Plan(in)
+	rentals, returns := Plan(in)
 	if now > f.told+10*clock.Second {
 		f.told = now
 		f.tell(in)
 	}
 	if f.log.Enabled(ctx, slog.LevelDebug) {
-		f.log.Debug("fleet", "rented", len(f.rented), "views", len(in.Views), "demands", in.Demands, "hires", hires, "returns", returns)
+		f.log.Debug("fleet", "rented", len(f.rented), "views", len(in.Views), "demands", in.Demands, "rentals", rentals, "returns", returns)
 	}
 	// What one kind could not give is asked of the next at once.
-	for pass := 0; pass < 4 && len(hires) > 0; pass++ {
+	for pass := 0; pass < 4 && len(rentals) > 0; pass++ {
 		if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
 			return
 		}
-		if !f.hire(ctx, f.some(hires)) {
+		if !f.rent(ctx, f.some(rentals)) {
 			break
 		}
 		in.Now = f.clock.Now()
-		hires, _ = Plan(in)
+		rentals, _ = Plan(in)
 	}
 	if len(returns) > 0 {
 		f.giveBack(ctx, returns)
@@ -349,7 +349,7 @@
 	lost := func(id, zone string) {
 		gone = append(gone, peer.Machine{ID: id, Zone: zone})
 		f.gone[id] = began // an older list may still show it
-		f.strike(id)
+		f.drop(id)
 	}
 	// The same holds of a machine that was recorded, and so was there, before
 	// the moment that the list describes, by the time of day. A new holder, to
@@ -364,7 +364,7 @@
 		if first := f.known[id]; absent && first != 0 && began > (first+2*f.lag).PlusDrift()+clock.Second {
 			lost(id, r.Zone)
 		} else if began > f.listedAt[id]+3*f.lag+2*clock.Second {
-			f.strike(id)
+			f.drop(id)
 		}
 	}
 	if len(gone) > 0 {
@@ -375,8 +375,8 @@
 	return nil
 }
 
-// strike takes a machine off what is known to be rented.
-func (f *Fleet) strike(id string) {
+// drop takes a machine off what is known to be rented.
+func (f *Fleet) drop(id string) {
 	delete(f.rented, id)
 	delete(f.listedAt, id)
 	delete(f.known, id)
@@ -385,9 +385,9 @@
 // some picks the requests to send now: of a kind that gave less than it was
 // asked for, one; of one that gave all, twice as many as the last time. So what
 // the cloud has not got costs few calls, and what it has comes in a few steps.
-func (f *Fleet) some(hires []Hire) (out []Hire) {
+func (f *Fleet) some(rentals []RentalRequest) (out []RentalRequest) {
 	n := map[Kind]int{}
-	for _, h := range hires {
+	for _, h := range rentals {
 		if f.window[h.Kind] == 0 {
 			f.window[h.Kind] = 2
 		}
@@ -399,16 +399,16 @@
 	return out
 }
 
-// hire rents, all kinds at once, and tells whether fewer came than were asked
+// rent sends rental requests, all kinds at once, and tells whether fewer came than were asked
 // for. A request's name is never used again: the term and a counter.
-func (f *Fleet) hire(ctx context.Context, list []Hire) (short bool) {
+func (f *Fleet) rent(ctx context.Context, list []RentalRequest) (short bool) {
 	sent := f.clock.Now()
 	got := make([]wire.Hosts, len(list))
 	errs := make([]error, len(list))
 	var wg sync.WaitGroup
 	for i, h := range list {
 		f.counter++
-		req := wire.Hire{Name: fmt.Sprintf("r-%d-%d", f.term, f.counter), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: h.Count}
+		req := wire.RentalRequest{Name: fmt.Sprintf("r-%d-%d", f.term, f.counter), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: h.Count}
 		wg.Go(func() { errs[i] = f.cloud.call(ctx, "POST", wire.PathRentals, req, &got[i]) })
 	}
 	wg.Wait()
@@ -470,7 +470,7 @@
 		gone = append(gone, peer.Machine{ID: id, Zone: zone[id]})
 		f.log.Info("returned a machine", "machine", id, "why", why[id])
 		f.gone[id] = now
-		f.strike(id)
+		f.drop(id)
 	}
 	f.others.Gone(ctx, gone)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,7 +27,7 @@
 	names    []string
 	returned []string
 	listed   []wire.Rental
-	answer   func(wire.Hire) (int, any)
+	answer   func(wire.RentalRequest) (int, any)
 }
 
 func (c *cloud) handle(_ context.Context, r *httpx.Request) httpx.Response {
@@ -45,7 +45,7 @@
 	case r.Method == "GET":
 		v = wire.Rentals{Hosts: c.listed}
 	default:
-		var h wire.Hire
+		var h wire.RentalRequest
 		json.Unmarshal(r.Body, &h) //nolint:errcheck // a bad one has no name
 		c.names = append(c.names, h.Name)
 		status, v = c.answer(h)
@@ -99,7 +99,7 @@
 	require.NoError(t, err)
 	addr := l.Addr().String()
 	require.NoError(t, l.Close())
-	c := &cloud{answer: func(h wire.Hire) (int, any) { return 200, wire.Hosts{Hosts: []string{"m-" + h.Name}} }}
+	c := &cloud{answer: func(h wire.RentalRequest) (int, any) { return 200, wire.Hosts{Hosts: []string{"m-" + h.Name}} }}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	srv := httpx.NewServer(c.handle, nil, 8, 1<<20, time.Minute, quiet)
 	ctx, stop := context.WithCancel(t.Context())
@@ -151,7 +151,7 @@
 	o.demands = waiting(2, nil)
 	kinds := []bool{}
 	c.with(func() {
-		c.answer = func(h wire.Hire) (int, any) {
+		c.answer = func(h wire.RentalRequest) (int, any) {
 			kinds = append(kinds, h.Spot)
 			if h.Spot {
 				return 503, wire.Error{Error: "no capacity"}
@@ -187,11 +187,11 @@
 func TestOddAnswersOfTheCloud(t *testing.T) {
 	f, c, o, _ := newFleet(t)
 	o.demands = waiting(2, nil)
-	for _, a := range []func(wire.Hire) (int, any){
-		func(wire.Hire) (int, any) { return 429, nil },
-		func(wire.Hire) (int, any) { return 503, wire.Error{Error: "trouble"} },
-		func(wire.Hire) (int, any) { return 200, "what?" },
-		func(wire.Hire) (int, any) { return 500, strings.Repeat("x", 300) },
+	for _, a := range []func(wire.RentalRequest) (int, any){
+		func(wire.RentalRequest) (int, any) { return 429, nil },
+		func(wire.RentalRequest) (int, any) { return 503, wire.Error{Error: "trouble"} },
+		func(wire.RentalRequest) (int, any) { return 200, "what?" },
+		func(wire.RentalRequest) (int, any) { return 500, strings.Repeat("x", 300) },
 	} {
 		c.with(func() { c.answer = a })
 		f.refused = map[Kind]clock.Micros{}
@@ -248,17 +248,17 @@
 func TestRequestsGrowWithWhatIsGiven(t *testing.T) {
 	f, _, _, _ := newFleet(t)
 	k := Kind{"big", "a", true}
-	many := make([]Hire, 20)
+	many := make([]RentalRequest, 20)
 	for i := range many {
-		many[i] = Hire{k, 1}
+		many[i] = RentalRequest{k, 1}
 	}
 	f.atOnce = 8
 	for _, want := range []int{2, 4, 8, 8} {
 		got := f.some(many)
 		require.Len(t, got, want)
-		f.hire(t.Context(), got)
+		f.rent(t.Context(), got)
 	}
 	f.refused = map[Kind]clock.Micros{}
-	f.hire(t.Context(), []Hire{{k, 2}}) // one comes of two
+	f.rent(t.Context(), []RentalRequest{{k, 2}}) // one comes of two
 	require.Len(t, f.some(many), 1)
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -68,8 +68,8 @@
 	return into
 }
 
-// Hire is a decision to rent.
-type Hire struct {
+// RentalRequest is a decision to rent.
+type RentalRequest struct {
 	Kind
 	Count int
 }
@@ -107,7 +107,7 @@
 }
 
 // Plan decides what to rent and what to return.
-func Plan(in Input) (hires []Hire, returns []Return) {
+func Plan(in Input) (rentals []RentalRequest, returns []Return) {
 	types := map[string]wire.MachineType{}
 	for _, t := range in.Types {
 		types[t.Name] = t
@@ -195,18 +195,18 @@
 	}
 	for k, n := range wants {
 		if n > 0 {
-			for ; n > 0; n -= wire.MaxHire {
-				hires = append(hires, Hire{k, min(n, wire.MaxHire)})
+			for ; n > 0; n -= wire.MaxRental {
+				rentals = append(rentals, RentalRequest{k, min(n, wire.MaxRental)})
 			}
 		}
 	}
-	sort.SliceStable(hires, func(a, b int) bool {
-		return hires[a].Type+hires[a].Zone < hires[b].Type+hires[b].Zone || hires[a].Spot && !hires[b].Spot
+	sort.SliceStable(rentals, func(a, b int) bool {
+		return rentals[a].Type+rentals[a].Zone < rentals[b].Type+rentals[b].Zone || rentals[a].Spot && !rentals[b].Spot
 	})
-	return hires, giveBack(in, types, room)
+	return rentals, giveBack(in, types, room)
 }
 
-// trim keeps thrifty deployments from renting machines for work that those at
+// trim keeps economical deployments from renting machines for work that those at
 // hand can do in time: together they do what waits within the time to catch
 // up, or sooner where a deadline asks for it.
 func trim(in Input, wants map[Kind]int, open []Kind, types map[string]wire.MachineType, have, used int64) {
@@ -283,8 +283,8 @@
 }
 
 // giveBack decides which machines are of no more use. On a large fleet something
-// waits at every moment, so with thrift an idle machine is kept only for what is
-// to go to that machine; without thrift, for anything that waits.
+// waits at every moment, so with economy an idle machine is kept only for what is
+// to go to that machine; without economy, for anything that waits.
 func giveBack(in Input, types map[string]wire.MachineType, room []bin) (out []Return) {
 	for i := range in.Views {
 		v := &in.Views[i]
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -28,8 +28,8 @@
 	return []peer.Demand{d}
 }
 
-func total(hires []Hire) (spot, ordinary int) {
-	for _, h := range hires {
+func total(rentals []RentalRequest) (spot, ordinary int) {
+	for _, h := range rentals {
 		if h.Spot {
 			spot += h.Count
 		} else {
@@ -44,8 +44,8 @@
 	in.Demands = waiting(8, nil)
 	in.Views = []peer.MachineView{{ID: "m-1", Type: "big", Zone: "a", Usable: true, Cap: res.Have(32, 0, 128), Free: res.Have(32, 0, 128)}}
 	in.Rented["m-2"] = Rented{Kind: Kind{"big", "a", true}, ID: "m-2", Phase: wire.MachineBooting, Since: in.Now}
-	hires, returns := Plan(in)
-	spot, ordinary := total(hires)
+	rentals, returns := Plan(in)
+	spot, ordinary := total(rentals)
 	require.Equal(t, 2, spot, "four machines are needed, one is up and one on its way")
 	require.Zero(t, ordinary)
 	require.Empty(t, returns)
@@ -63,15 +63,15 @@
 	require.Equal(t, 2, ordinary)
 	in = input()
 	in.Demands = waiting(4, func(d *peer.Demand) { d.Spot, d.Zone = false, "b" })
-	hires, _ := Plan(in)
-	require.Equal(t, []Hire{{Kind{"big", "b", false}, 2}}, hires)
+	rentals, _ := Plan(in)
+	require.Equal(t, []RentalRequest{{Kind{"big", "b", false}, 2}}, rentals)
 }
 
-func first(h []Hire, _ []Return) []Hire { return h }
+func first(h []RentalRequest, _ []Return) []RentalRequest { return h }
 
-// With thrift, work that can wait is done by the machines at hand; work whose
+// With economy, work that can wait is done by the machines at hand; work whose
 // deadline is near is not left waiting.
-func TestThrift(t *testing.T) {
+func TestEconomy(t *testing.T) {
 	in := input()
 	in.Knobs.Economy = true
 	in.Views = []peer.MachineView{}
@@ -120,7 +120,7 @@
 	return r
 }
 
-// On a large fleet something waits all the time. Under thrift that keeps the
+// On a large fleet something waits all the time. Under economy that keeps the
 // machines it is to go to, and not all others.
 func TestIdleMachinesGoBackAlthoughSomethingWaits(t *testing.T) {
 	in := input()
@@ -130,7 +130,7 @@
 			Cap: res.Have(32, 0, 128), Free: res.Have(32, 0, 128), Idle: 90 * sec})
 	}
 	_, returns := Plan(in)
-	require.Empty(t, returns, "without thrift they are kept while anything waits")
+	require.Empty(t, returns, "without economy they are kept while anything waits")
 	in.Knobs.Economy = true
 	_, returns = Plan(in)
 	require.Equal(t, []Return{{"m-3", "a", "idle"}, {"m-4", "a", "idle"}}, returns)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -179,7 +179,7 @@
 		return refuse(503, "the machine types are not known yet")
 	}
 	rec := jobs.Record{Job: spec, AcceptedMS: f.wall().UnixMilli()}
-	// Some begin at once: a mark would only be one more write to wait for. And of a
+	// Some begin at once: a watermark would only be one more write to wait for. And of a
 	// swarm of small jobs each would cost as much as a large one.
 	_, hasty := f.hasty[spec.Class]
 	rec.Marked = hasty || spec.Tasks <= fewTasks
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -229,7 +229,7 @@
 	panic("not found: " + old)
 }
 
-// A swarm of jobs of a task or two each: their marks come with their acceptance,
+// A swarm of jobs of a task or two each: their watermarks come with their acceptance,
 // in the same change. Larger ones are marked as their turn comes near.
 func TestSmallJobsAreMarkedWithTheirAcceptance(t *testing.T) {
 	s := newScene(t)
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -87,7 +87,7 @@
 }
 
 // Elder tells that there are machines which an earlier release has recorded:
-// tasks may be on them of which its placers left no mark.
+// tasks may be on them of which its placers left no watermark.
 func (b *Book) Elder() bool {
 	for key, g := range b.groups {
 		if elder(key) && len(g.machines) > 0 {
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -118,7 +118,7 @@
 		c.run(4*time.Second, 0)
 		before := c.running()
 		require.Equal(t, 6, before)
-		c.deaf["a"] = true
+		c.unreachable["a"] = true
 		c.run(30*time.Second, 0)
 		require.Equal(t, before, c.running())
 		for _, w := range c.workers {
--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -111,31 +111,31 @@
 					}
 				}
 				require.NotEmpty(t, leader, "some other controller has tasks of the job")
-				// Where it is deaf, no worker hears the stops that the first process sends.
+				// Where it is unreachable, no worker hears the stops that the first process sends.
 				refuse := func() {
 					c.anew(leader)
 					c.up[leader].view.SetCut(true)
 				}
 				switch x.replaced {
 				case "after its answer":
-					c.deaf[leader] = true
+					c.unreachable[leader] = true
 					c.setCut(third, true)
 					require.Empty(t, c.cancel(via, "job-1"), "the third controller has not taken it")
 					refuse()
-					c.deaf[leader] = false
+					c.unreachable[leader] = false
 					c.setCut(third, false)
 				case "in flight":
-					c.deaf[leader] = true
+					c.unreachable[leader] = true
 					c.setBefore(func(host string, m wire.Multi) lot {
 						if host == via && strings.Contains(puts(m), state.Final+"job-1") && c.note("the end was on its way") == 1 {
 							refuse()
-							c.deaf[leader] = false
+							c.unreachable[leader] = false
 						}
 						return served
 					})
 					defer func() { require.NotZero(t, c.count("the end was on its way")) }()
 				case "after the confirmation":
-					c.deaf[leader] = true
+					c.unreachable[leader] = true
 				default:
 					c.up[leader].view.SetCut(true)
 				}
@@ -150,7 +150,7 @@
 				if x.replaced == "after the confirmation" {
 					require.NotZero(t, c.on(leader, "job-1"), "its workers have not heard of it")
 					refuse() // it finds the end in its replica, as it has taken its partitions since
-					c.deaf[leader] = false
+					c.unreachable[leader] = false
 				}
 				time.Sleep(400 * time.Millisecond)
 				_, _, err := c.up[leader].view.Get(t.Context(), state.Final+"job-1")
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -247,7 +247,7 @@
 			case "peers":
 				c.setCut(host, false)
 			case "workers":
-				c.deaf[host] = false
+				c.unreachable[host] = false
 			case "outage":
 				c.st.SetDown(false)
 			}
@@ -274,7 +274,7 @@
 			c.setCut(h, true)
 			ends["state "+h], ends["peers "+h] = until, until
 		case 4:
-			c.deaf[h] = true
+			c.unreachable[h] = true
 			ends["workers "+h] = until
 		case 5, 6:
 			if c.gate(h) == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,8 +36,8 @@
 // told is what a peer last said of machines: how many of this controller's it has
 // met lately, how many of its own there are, and how many are unheard.
 type told struct {
-	strays, machines, unheard int
-	at                        time.Time
+	misdirected, machines, unheard int
+	at                             time.Time
 }
 
 // partsPerController is how many partitions there are for each controller.
@@ -150,7 +150,7 @@
 	_, lines := set.Sockets()
 	n.owner = owner.New(ctx, set.Host, instance, owner.NewSplit(partZones), p.State.TxnOps, valueMost, lines,
 		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
-	desk := placer.NewDesk(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
+	scheduler := placer.NewScheduler(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
 		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"), Times: times(p.Objectives),
 		Guarantee: spans(p.Objectives, "guarantee")[""]},
 		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
@@ -158,13 +158,13 @@
 	for h, pc := range n.peers {
 		owners[h] = remoteOwner{pc}
 	}
-	n.placer = placer.New(desk, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
+	n.placer = placer.New(scheduler, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
 		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, urgent, n.book, c, log)
 	n.front = front.New(users, n, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
 	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS, answerMost(p.Limits.MemoryMB)), n.keeper, n.store, n, c,
 		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
 			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
-		knobs.HireBackoff, clock.FromSeconds(p.Cloud.ListLagS), clock.FromSeconds(p.SkewMS/1000), wall, n.keptCatalog, log)
+		knobs.RentalBackoff, clock.FromSeconds(p.Cloud.ListLagS), clock.FromSeconds(p.SkewMS/1000), wall, n.keptCatalog, log)
 	return n
 }
 
@@ -314,10 +314,10 @@
 	return peer.Hello{Contact: ago, Resigned: resigned, From: n.set.Host}
 }
 
-// deafAfter is for how many looks in a row, a second apart, the workers must be
+// unreachableAfter is for how many looks in a row, a second apart, the workers must be
 // heard of elsewhere only. Looks are counted, not time: a process that stood still
 // finds everybody else's word of it waiting, and has not listened yet.
-const deafAfter = 3
+const unreachableAfter = 3
 
 // listen finds out whether the workers reach this controller. When they don't, it
 // says so and hands the machines to those whom they reach; once it reaches workers
@@ -325,39 +325,39 @@
 func (n *Node) listen(ctx context.Context) error {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
-	deaf, looks := false, 0
+	unreachable, looks := false, 0
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 		}
-		if deaf {
+		if unreachable {
 			if looks++; !n.owner.Reaches(ctx) {
 				looks = 0
 			}
 		} else {
 			looks++
 			all, unheard := n.owner.Unheard()
-			strays, better := 0, false
+			misdirected, better := 0, false
 			n.mu.Lock()
 			for _, t := range n.told {
 				if time.Since(t.at) < 3*time.Second {
-					strays += t.strays
+					misdirected += t.misdirected
 					better = better || 4*t.unheard <= t.machines
 				}
 			}
 			n.mu.Unlock()
 			// Machines that hear no answers stray as well, but from all controllers
 			// alike: then none of them is better placed than this one.
-			if all < 3 || 3*unheard < 2*all || 3*strays < all || !better {
+			if all < 3 || 3*unheard < 2*all || 3*misdirected < all || !better {
 				looks = 0
 			}
 		}
-		if looks >= deafAfter {
-			deaf, looks = !deaf, 0
-			n.log.Info("whether workers reach this controller has changed", "deaf", deaf)
-			n.keeper.SetDeaf(deaf)
+		if looks >= unreachableAfter {
+			unreachable, looks = !unreachable, 0
+			n.log.Info("whether workers reach this controller has changed", "unreachable", unreachable)
+			n.keeper.SetUnreachable(unreachable)
 		}
 	}
 }
@@ -560,7 +560,7 @@
 
 func (s *service) Hello(in peer.Hello, out *peer.Hello) error {
 	*out = s.n.hello()
-	out.Strays = s.n.owner.Strays(in.From)
+	out.Strays = s.n.owner.Misdirected(in.From)
 	out.Machines, out.Unheard = s.n.owner.Unheard()
 	return nil
 }
--- a/internal/owner/lines_test.go
+++ b/internal/owner/lines_test.go
@@ -10,7 +10,7 @@
 )
 
 // A controller that is left alone with 1,800 machines orders all of them about
-// and never has more lines to them than its sockets allow; couriers that find
+// and never has more lines to them than its sockets allow; deliveries that find
 // none wait for those that are out.
 func TestAFleetOfLinesStaysWithinItsSockets(t *testing.T) {
 	l := newLines(40)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -68,21 +68,21 @@
 
 // Owner serves the partitions that this process holds.
 type Owner struct {
-	host      string
-	instance  string
-	split     Split
-	txnOps    int
-	valueMost int // bytes of a record
-	claims    Claims
-	store     Store
-	clock     clock.Clock
-	log       *slog.Logger
-	ctx       context.Context
-	wall      func() time.Time
-	strays    strays
-	reports   *telemetry.Duty // reports answered
-	polls     *telemetry.Duty // polls answered, without their waits
-	ticks     *telemetry.Duty // the loop's own rounds
+	host        string
+	instance    string
+	split       Split
+	txnOps      int
+	valueMost   int // bytes of a record
+	claims      Claims
+	store       Store
+	clock       clock.Clock
+	log         *slog.Logger
+	ctx         context.Context
+	wall        func() time.Time
+	misdirected misdirected
+	reports     *telemetry.Duty // reports answered
+	polls       *telemetry.Duty // polls answered, without their waits
+	ticks       *telemetry.Duty // the loop's own rounds
 
 	mu      sync.Mutex
 	table   *Table
@@ -95,7 +95,7 @@
 // New makes an owner.
 func New(ctx context.Context, host, instance string, split Split, txnOps, valueMost, mostLines int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
 	o := &Owner{ctx: ctx, wall: wall, host: host, instance: instance, split: split, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
-		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines), strays: strays{of: map[string]map[string]clock.Micros{}},
+		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines), misdirected: misdirected{of: map[string]map[string]clock.Micros{}},
 		wake: make(chan struct{}, 1)}
 	o.feed = newFeed(&o.mu, o.table.Version, c)
 	return o
@@ -215,7 +215,7 @@
 	h, mine := o.claims.Mine(Duty(part))
 	if !mine {
 		if holder, ok := o.claims.Holder(Duty(part)); ok && holder != o.host {
-			o.strays.note(holder, r.Machine, o.clock.Now())
+			o.misdirected.note(holder, r.Machine, o.clock.Now())
 			return refuse(421, "another controller has this machine", holder, 0)
 		}
 		return refuse(503, "no controller has this machine now", "", 1)
--- a/internal/owner/reach.go
+++ b/internal/owner/reach.go
@@ -16,17 +16,17 @@
 // that get no answer try the next controller, which sends them back: whoever is
 // told by its peers that its silent machines are with them is cut off.
 
-// strayFor is how long a machine that was sent to its owner counts as astray: one
+// misdirectedFor is how long a machine that was sent to its owner counts as astray: one
 // that gets no answer there takes some five seconds for its round.
-const strayFor = 6 * clock.Second
+const misdirectedFor = 6 * clock.Second
 
-// strays are the machines that came here lately, by the controller that has them.
-type strays struct {
+// misdirected are the machines that came here lately, by the controller that has them.
+type misdirected struct {
 	mu sync.Mutex
 	of map[string]map[string]clock.Micros
 }
 
-func (s *strays) note(holder, machine string, now clock.Micros) {
+func (s *misdirected) note(holder, machine string, now clock.Micros) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.of[holder] == nil {
@@ -35,19 +35,19 @@
 	s.of[holder][machine] = now
 }
 
-func (s *strays) count(holder string, now clock.Micros) int {
+func (s *misdirected) count(holder string, now clock.Micros) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, at := range s.of[holder] {
-		if now > at+strayFor {
+		if now > at+misdirectedFor {
 			delete(s.of[holder], id)
 		}
 	}
 	return len(s.of[holder])
 }
 
-// Strays is how many machines of a controller's have come to this one lately.
-func (o *Owner) Strays(holder string) int { return o.strays.count(holder, o.clock.Now()) }
+// Misdirected is how many machines of a controller's have come to this one lately.
+func (o *Owner) Misdirected(holder string) int { return o.misdirected.count(holder, o.clock.Now()) }
 
 // Unheard tells how many machines should be reporting here, and how many of them
 // have left out a report.
--- a/internal/owner/table_test.go
+++ b/internal/owner/table_test.go
@@ -481,18 +481,18 @@
 	require.True(t, s.lease(0, 1))
 	_, o := s.table.TakeOrders("m-1", s.now)
 	s.table.Unanswered("m-1", o, s.now)
-	deaf := func() {
+	silence := func() {
 		s.now += sec
 		r := s.w.Report(s.now)
 		s.table.Report(&r, 0, s.now) // its answer is lost
 	}
 	for range 4 {
-		deaf()
+		silence()
 		require.False(t, s.lease(1, 2))
 	}
 	require.Len(t, s.tasks(), 1, "the first may have arrived: it counts")
 	s.now += 2 * lease
-	deaf() // its lease is over, a new session has begun
+	silence() // its lease is over, a new session has begun
 	require.Empty(t, s.tasks())
 	s.report() // now it is answered
 	s.report()
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -14,19 +14,19 @@
 	if f, ok := p.book.Final(q.ID); ok {
 		return peer.JobAnswer{Known: true, Found: true, State: f.State(q.ID)}
 	}
-	return p.desk.Status(q.Team, q.ID)
+	return p.scheduler.Status(q.Team, q.ID)
 }
 
 // Demands lists what waits, for the fleet.
 func (p *Placer) Demands() []peer.Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.desk.Demands(p.clock.Now())
+	return p.scheduler.Demands(p.clock.Now())
 }
 
 // Views appends the mirror of all machines, for the fleet.
 func (p *Placer) Views(to []peer.MachineView) []peer.MachineView {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.desk.Views(to, p.clock.Now())
+	return p.scheduler.Views(to, p.clock.Now())
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -10,7 +10,7 @@
 )
 
 // uncleared lists how much of a team's work machines could hold that are not accounted for.
-func (d *Desk) uncleared(tm *team) (n int, room res.Amounts) {
+func (d *Scheduler) uncleared(tm *team) (n int, room res.Amounts) {
 	for id := range tm.strange {
 		n++
 		if m := d.machines[id]; m != nil && m.Cap.CPU > 0 {
@@ -23,7 +23,7 @@
 }
 
 // largest is the most that any machine seen offers.
-func (d *Desk) largest() res.Amounts {
+func (d *Scheduler) largest() res.Amounts {
 	out := res.Amounts{CPU: 1e9, GPU: 0, Mem: 1e9} // a thousand CPUs, before any was seen
 	seen := false
 	for _, m := range d.machines {
@@ -42,7 +42,7 @@
 
 // Place decides on asks for one round of decisions. What it decides waits in
 // the owners' next rounds. The batch widens with what waits.
-func (d *Desk) Place(now clock.Micros) (placed int) {
+func (d *Scheduler) Place(now clock.Micros) (placed int) {
 	list := d.order(now)
 	for _, tm := range d.teams {
 		tm.unknown, tm.held = d.uncleared(tm)
@@ -76,13 +76,13 @@
 // begun tells that some task of a job is, was, or may have been on a machine.
 func (j *job) begun() bool { return len(j.bound) > 0 || j.doneCount > 0 || j.lastStart > 0 }
 
-func (d *Desk) placeJob(j *job, most int, now clock.Micros) (placed int) {
-	if j.parked && j.team.unknown == 0 && j.mark >= j.former {
+func (d *Scheduler) placeJob(j *job, most int, now clock.Micros) (placed int) {
+	if j.parked && j.team.unknown == 0 && j.watermark >= j.former {
 		j.unpark()
 	}
 	for placed < most {
 		if !within(j.team.used.Plus(j.team.held).Plus(j.Need), j.team.Limit) {
-			d.makeWay(j, now)
+			d.preemptOwn(j, now)
 			return placed
 		}
 		t := j.take()
@@ -155,7 +155,7 @@
 // choose draws a small sample of the machines that showed room and takes the
 // best fit: of those that have the image, if any, one where a small task takes no
 // place from a large one, if any, and of these the one that is better.
-func (d *Desk) choose(j *job, now clock.Micros) (*mirror, []peer.TaskID, bool) {
+func (d *Scheduler) choose(j *job, now clock.Micros) (*mirror, []peer.TaskID, bool) {
 	var list []*mirror
 	searched := !d.full.knows(j)
 	if searched {
@@ -194,7 +194,7 @@
 		}
 	}
 	if !d.timing.Economy && d.fragile(j) {
-		// Without thrift the machines that are not taken are its own, also in pieces.
+		// Without economy the machines that are not taken are its own, also in pieces.
 		prefer(ordinary(list))
 	}
 	if _, hasty := d.timing.Waits[j.Class]; bare && hasty {
@@ -220,12 +220,12 @@
 // patience is the longest that a job leaves scarce room to others.
 const patience = 8 * clock.Second
 
-// patient tells that a job of a thrifty deployment should leave scarce room to
+// patient tells that a job of a economical deployment should leave scarce room to
 // others for a moment: its image is on some machines, and room may come up there
 // sooner than it is fetched. What is fetched for nothing is paid for.
-func (d *Desk) patient(j *job, list []*mirror, now clock.Micros) bool {
+func (d *Scheduler) patient(j *job, list []*mirror, now clock.Micros) bool {
 	fetch, ok := d.fetchTime(j, list[0])
-	if !d.timing.Economy || !d.imaged[j.Image].any() || !ok || len(list)*8 >= d.shelved {
+	if !d.timing.Economy || !d.imaged[j.Image].any() || !ok || len(list)*8 >= d.indexed {
 		return false
 	}
 	if within, ok := d.timing.Waits[j.Class]; ok && now+fetch > j.since+within-fetch/2 {
@@ -248,11 +248,11 @@
 }
 
 // small tells that a job's tasks are small beside the largest about.
-func (d *Desk) small(j *job) bool { return d.big > 0 && j.Need.CPU*2 <= d.big }
+func (d *Scheduler) small(j *job) bool { return d.big > 0 && j.Need.CPU*2 <= d.big }
 
 // harmless picks the machines where a small task takes no place from a large
 // one: as many large tasks fit there with it as without.
-func (d *Desk) harmless(j *job, list []*mirror) (out []*mirror) {
+func (d *Scheduler) harmless(j *job, list []*mirror) (out []*mirror) {
 	if !d.small(j) {
 		return nil
 	}
@@ -265,7 +265,7 @@
 }
 
 // largestTask is the most CPUs that any task takes that waits or is seen running.
-func (d *Desk) largestTask(list []*job) (big int64) {
+func (d *Scheduler) largestTask(list []*job) (big int64) {
 	for _, j := range list {
 		big = max(big, j.Need.CPU)
 	}
@@ -280,9 +280,9 @@
 // tasks find them; those take what is left with least room, from the other end.
 // Each team has an order of its own: placers that decide at the same time would
 // ask for the same room otherwise.
-func (d *Desk) better(j *job, a, b *mirror) bool {
+func (d *Scheduler) better(j *job, a, b *mirror) bool {
 	if a.Spot != b.Spot {
-		// Thrift empties the dear machines. But a job that would be late if a
+		// Economy empties the dear machines. But a job that would be late if a
 		// machine were taken from it keeps to those that are not taken, and
 		// leaves them to such jobs otherwise.
 		return a.Spot != d.fragile(j)
@@ -301,7 +301,7 @@
 
 // fragile tells that the time for a job leaves none to notice that a machine
 // was taken and run its tasks once more.
-func (d *Desk) fragile(j *job) bool {
+func (d *Scheduler) fragile(j *job) bool {
 	twice := clock.FromSeconds(2*j.EstimateS) + d.timing.Lease
 	within, ok := d.timing.Finishes[j.Class]
 	return ok && within < twice || j.DueS != nil && clock.FromSeconds(*j.DueS) < twice
@@ -318,7 +318,7 @@
 
 // hurried tells that a task can start in time on a machine that has its image,
 // and not on one that must fetch it.
-func (d *Desk) hurried(j *job, m *mirror, now clock.Micros) bool {
+func (d *Scheduler) hurried(j *job, m *mirror, now clock.Micros) bool {
 	within, ok := d.timing.Waits[j.Class]
 	fetch, known := d.fetchTime(j, m)
 	return ok && known && now <= j.since+within && now+fetch > j.since+within
@@ -326,7 +326,7 @@
 
 // fetchTime is how long a machine's type takes to fetch a job's image; ok is
 // false while that is not known.
-func (d *Desk) fetchTime(j *job, m *mirror) (fetch clock.Micros, ok bool) {
+func (d *Scheduler) fetchTime(j *job, m *mirror) (fetch clock.Micros, ok bool) {
 	rate := d.fetch[m.Type]
 	if rate <= 0 {
 		return 0, false
@@ -334,7 +334,7 @@
 	return clock.FromSeconds(j.ImageGB / rate), true
 }
 
-func (d *Desk) draw(from []*mirror, n int) []*mirror {
+func (d *Scheduler) draw(from []*mirror, n int) []*mirror {
 	if len(from) <= n {
 		return from
 	}
--- a/internal/placer/cost_test.go
+++ b/internal/placer/cost_test.go
@@ -14,10 +14,10 @@
 // leanFleet is about as many machines as the smaller sites have in all.
 const leanFleet = 1240
 
-// loadedDesk is a desk of a fleet without room for more, with many jobs that wait.
-func loadedDesk(machines, waiting int) (*Desk, *peer.PollAnswer) {
+// loadedScheduler is a scheduler of a fleet without room for more, with many jobs that wait.
+func loadedScheduler(machines, waiting int) (*Scheduler, *peer.PollAnswer) {
 	teams := []Team{{Name: red}}
-	d := NewDesk(Timing{Sample: 12, Batch: 40, Lease: lease, PreemptAfter: sec}, "desk", teams, []string{"h0"}, 1, func() int64 { return 0 })
+	d := NewScheduler(Timing{Sample: 12, Batch: 40, Lease: lease, PreemptAfter: sec}, "scheduler", teams, []string{"h0"}, 1, func() int64 { return 0 })
 	var active []*jobs.Job
 	for i := range waiting {
 		spec := wire.Job{ID: fmt.Sprintf("job-%06d", i), Team: red, Rank: "normal", Tasks: 100, CPUs: 2, MemGB: 1, Spot: true, EstimateS: 30}
@@ -41,7 +41,7 @@
 
 // A round of decisions while thousands of tasks wait and nothing is free.
 func BenchmarkRoundWithoutRoom(b *testing.B) {
-	d, _ := loadedDesk(leanFleet, 60)
+	d, _ := loadedScheduler(leanFleet, 60)
 	b.ReportAllocs()
 	now := 2 * sec
 	for b.Loop() {
@@ -55,7 +55,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		b.StopTimer()
-		d, ans := loadedDesk(leanFleet, 60)
+		d, ans := loadedScheduler(leanFleet, 60)
 		for i := range ans.Machines {
 			v := &ans.Machines[i]
 			v.Free, v.Count, v.Tasks, v.Version = v.Cap, 0, nil, 2
@@ -74,7 +74,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		b.StopTimer()
-		d, ans := loadedDesk(leanFleet, 1)
+		d, ans := loadedScheduler(leanFleet, 1)
 		b.StartTimer()
 		ans.Cursor++
 		d.Hear("h0", d.Cursor("h0"), ans, 2*sec)
@@ -83,7 +83,7 @@
 
 // What the fleet duty asks for a few times a second.
 func BenchmarkFleetViews(b *testing.B) {
-	d, _ := loadedDesk(leanFleet, 1)
+	d, _ := loadedScheduler(leanFleet, 1)
 	var views []peer.MachineView
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/placer/meetings_test.go
+++ b/internal/placer/meetings_test.go
@@ -24,15 +24,15 @@
 
 // withdraw has a job withdrawn and its end written.
 func (w *world) withdraw(id string) {
-	w.desk.Cancel(red, id)
-	j := w.desk.teams[red].jobs[id]
+	w.scheduler.Cancel(red, id)
+	j := w.scheduler.teams[red].jobs[id]
 	for range 4 {
 		for _, h := range w.hosts {
 			w.send(h, true, true)
 			w.poll(h, false)
 		}
 	}
-	require.True(w.t, w.desk.Cancelled(j, w.parts()), "the owners have taken it")
+	require.True(w.t, w.scheduler.Cancelled(j, w.parts()), "the owners have taken it")
 	w.end(id, wire.Cancelled)
 }
 
@@ -65,7 +65,7 @@
 					w.report(id, true) // its answer brings the new token, and nothing else
 				}
 			}
-			w.newDesk()
+			w.newScheduler()
 			w.addJob("job-2", 6, nil)
 			hung := map[string]bool{}
 			for _, id := range busy {
@@ -90,7 +90,7 @@
 				w.check("the withdrawn job's machines are out of reach")
 			}
 			require.Len(t, w.busy(), len(busy), "nothing of the withdrawn job has been stopped, and nothing fits beside it")
-			require.Empty(t, w.desk.teams[red].jobs["job-2"].bound, "the limit leaves nothing for the other job")
+			require.Empty(t, w.scheduler.teams[red].jobs["job-2"].bound, "the limit leaves nothing for the other job")
 			w.now += 2 * lease
 			w.settle(30)
 			require.Equal(t, 6, w.running(), "the other job runs once their leases are over")
@@ -124,7 +124,7 @@
 		{"a former placer's machine hangs", func(w *world, id string) {
 			w.deliver(id, false, true)
 			w.report(id, true)
-			w.newDesk()
+			w.newScheduler()
 			h := w.partHost[w.part(id)]
 			w.boot(w.hosts[h])
 			for p, at := range w.partHost {
@@ -143,14 +143,14 @@
 				w.send(h, true, true)
 			}
 			at := ""
-			for id, m := range w.desk.machines {
+			for id, m := range w.scheduler.machines {
 				if len(m.bound) > 0 {
 					at = id
 				}
 			}
 			x.until(w, at)
-			w.desk.Cancel(red, "job-1")
-			j := w.desk.teams[red].jobs["job-1"]
+			w.scheduler.Cancel(red, "job-1")
+			j := w.scheduler.teams[red].jobs["job-1"]
 			for range 4 {
 				w.now += 200 * clock.Millisecond
 				for _, h := range w.hosts {
@@ -162,7 +162,7 @@
 						w.report(id, true)
 					}
 				}
-				require.False(t, w.desk.Cancelled(j, w.parts()), "it may start yet")
+				require.False(t, w.scheduler.Cancelled(j, w.parts()), "it may start yet")
 			}
 			for _, h := range w.hosts {
 				require.True(t, j.taken[h.instance], "its owners know")
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -61,14 +61,14 @@
 	rounds    *telemetry.Duty // rounds of decisions
 	views     *telemetry.Duty // answers of owners taken
 
-	mu      sync.Mutex
-	desk    *Desk
-	records *machines.Book
-	wake    chan struct{}
-	senders map[string]chan struct{}
-	writes  chan struct{}
-	news    chan struct{} // closed and made anew with every word of an owner
-	running context.Context
+	mu        sync.Mutex
+	scheduler *Scheduler
+	records   *machines.Book
+	wake      chan struct{}
+	senders   map[string]chan struct{}
+	writes    chan struct{}
+	news      chan struct{} // closed and made anew with every word of an owner
+	running   context.Context
 }
 
 // Options of a placer.
@@ -81,12 +81,12 @@
 	ProgressEvery clock.Micros
 }
 
-// New makes a placer around a desk.
-func New(desk *Desk, o Options, claims Claims, store, urgent Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
+// New makes a placer around a scheduler.
+func New(scheduler *Scheduler, o Options, claims Claims, store, urgent Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
 	p := &Placer{teams: o.Teams, parts: o.PartDuties, owners: o.Owners, claims: claims, store: store, book: book, clock: c,
-		txnOps: o.TxnOps, valueMost: o.ValueMost, urgent: urgent, progress: o.ProgressEvery, log: log, desk: desk, records: machines.NewBook(), wake: make(chan struct{}, 1),
+		txnOps: o.TxnOps, valueMost: o.ValueMost, urgent: urgent, progress: o.ProgressEvery, log: log, scheduler: scheduler, records: machines.NewBook(), wake: make(chan struct{}, 1),
 		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), news: make(chan struct{}), running: context.Background()}
-	desk.chunk = chunkTasks(o.ValueMost)
+	scheduler.chunk = chunkTasks(o.ValueMost)
 	for h := range o.Owners {
 		p.senders[h] = make(chan struct{}, 1)
 	}
@@ -115,7 +115,7 @@
 func (p *Placer) SetFetch(rates map[string]float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.desk.SetFetch(rates)
+	p.scheduler.SetFetch(rates)
 }
 
 // Apply takes events of the replica: jobs, progress and machines' records.
@@ -128,9 +128,9 @@
 		case strings.HasPrefix(e.Key, state.Active):
 			id := strings.TrimPrefix(e.Key, state.Active)
 			if j, ok := p.book.Find(id); ok && e.Value != nil {
-				p.desk.AddJob(j, now)
+				p.scheduler.AddJob(j, now)
 			} else {
-				p.desk.DropJob(id)
+				p.scheduler.DropJob(id)
 			}
 		case strings.HasPrefix(e.Key, state.Progress):
 			id, c, _ := strings.Cut(strings.TrimPrefix(e.Key, state.Progress), "/")
@@ -139,31 +139,31 @@
 			switch {
 			case !ok:
 			case e.Value == nil:
-				p.desk.DropProgress(id, n)
+				p.scheduler.DropProgress(id, n)
 			case json.Unmarshal(e.Value, &text) == nil:
 				if bits, err := base64.StdEncoding.DecodeString(text); err == nil {
-					p.desk.Progress(id, n, bits, e.Stamp)
+					p.scheduler.Progress(id, n, bits, e.Stamp)
 				}
 			}
-		case strings.HasPrefix(e.Key, state.Marks):
+		case strings.HasPrefix(e.Key, state.Watermarks):
 			var jobs map[string]int
 			if e.Value != nil && json.Unmarshal(e.Value, &jobs) != nil {
 				continue
 			}
-			p.desk.Marks(e.Key, jobs, e.Stamp)
+			p.scheduler.Watermarks(e.Key, jobs, e.Stamp)
 		case strings.HasPrefix(e.Key, state.Machines):
 			came, went := p.records.Apply(e)
 			recorded = true
 			for _, id := range went {
-				p.desk.Register(id, false)
+				p.scheduler.Register(id, false)
 			}
 			for id := range came {
-				p.desk.Register(id, true)
+				p.scheduler.Register(id, true)
 			}
 		}
 	}
 	if recorded {
-		p.desk.elder = p.records.Elder()
+		p.scheduler.elder = p.records.Elder()
 	}
 	poke(p.wake)
 }
@@ -172,7 +172,7 @@
 func (p *Placer) Reconcile() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	terms := p.desk.Terms()
+	terms := p.scheduler.Terms()
 	gained := false
 	for _, t := range p.teams {
 		h, mine := p.claims.Mine(Duty(t.Name))
@@ -180,11 +180,11 @@
 		switch {
 		case mine && (!have || term != h.Term):
 			active := p.book.OfTeam(t.Name)
-			p.desk.Gain(t.Name, h.Term, h.Stamp, active, p.clock.Now())
+			p.scheduler.Gain(t.Name, h.Term, h.Stamp, active, p.clock.Now())
 			p.log.Info("team taken over", "team", t.Name, "term", h.Term, "jobs", len(active))
 			gained = true
 		case !mine && have:
-			p.desk.Lose(t.Name)
+			p.scheduler.Lose(t.Name)
 			p.log.Info("team given up", "team", t.Name, "term", term)
 		}
 	}
@@ -208,7 +208,7 @@
 	}
 	g.Go(func() error { return p.placeLoop(ctx) })
 	g.Go(func() error { return p.writeLoop(ctx) })
-	g.Go(func() error { return p.markLoop(ctx) })
+	g.Go(func() error { return p.watermarkLoop(ctx) })
 	g.Go(func() error { return p.tellLoop(ctx) })
 	return g.Wait()
 }
@@ -226,7 +226,7 @@
 	for ctx.Err() == nil {
 		if err := p.poll(host, clock.Second); err != nil {
 			p.mu.Lock()
-			p.desk.Down(host)
+			p.scheduler.Down(host)
 			p.mu.Unlock()
 			pause(ctx, 150*time.Millisecond)
 		}
@@ -238,7 +238,7 @@
 // new to it, so that its answer is given under the fence of that term.
 func (p *Placer) poll(host string, wait clock.Micros) error {
 	p.mu.Lock()
-	in := p.desk.Cursor(host)
+	in := p.scheduler.Cursor(host)
 	in.Wait = wait
 	p.mu.Unlock()
 	ans, err := p.owners[host].Poll(in)
@@ -248,7 +248,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	began := p.clock.Now()
-	p.desk.Hear(host, in, &ans, began)
+	p.scheduler.Hear(host, in, &ans, began)
 	p.views.Round((p.clock.Now() - began).Duration())
 	p.heard()
 	poke(p.wake)
@@ -265,7 +265,7 @@
 		}
 		for ctx.Err() == nil {
 			p.mu.Lock()
-			r := p.desk.Send(host)
+			r := p.scheduler.Send(host)
 			p.mu.Unlock()
 			if r == nil {
 				break
@@ -273,13 +273,13 @@
 			ans, err := p.owners[host].Round(*r)
 			p.mu.Lock()
 			if err != nil {
-				p.desk.Down(host)
+				p.scheduler.Down(host)
 				p.mu.Unlock()
 				p.log.Debug("round had no answer", "owner", host, "err", err)
 				pause(ctx, 150*time.Millisecond)
 				continue
 			}
-			met := p.desk.Answered(host, r, &ans, p.clock.Now())
+			met := p.scheduler.Answered(host, r, &ans, p.clock.Now())
 			p.heard()
 			poke(p.wake)
 			poke(p.writes)
@@ -299,7 +299,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, 10*time.Second)
 		p.mu.Lock()
-		c, waiting, bound, withdrawn := p.desk.Summary()
+		c, waiting, bound, withdrawn := p.scheduler.Summary()
 		p.mu.Unlock()
 		if c != last {
 			p.log.Info("placing", "waiting", waiting, "bound", bound, "withdrawn", withdrawn, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused,
@@ -332,13 +332,13 @@
 		}
 		p.mu.Lock()
 		began := p.clock.Now()
-		p.desk.Place(began)
+		p.scheduler.Place(began)
 		for h, c := range p.senders {
-			if p.desk.Waiting(h, began) {
+			if p.scheduler.Waiting(h, began) {
 				poke(c)
 			}
 		}
-		_, _, bound, _ := p.desk.Summary()
+		_, _, bound, _ := p.scheduler.Summary()
 		took := (p.clock.Now() - began).Duration()
 		p.rounds.Round(took)
 		gap := roundGap(bound, took)
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -9,9 +9,9 @@
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 )
 
-// makeWay stops tasks of lower rank of the job's own team, where the team's
+// preemptOwn stops tasks of lower rank of the job's own team, where the team's
 // limit leaves no room for it. It is placed once they are gone for certain.
-func (d *Desk) makeWay(j *job, now clock.Micros) {
+func (d *Scheduler) preemptOwn(j *job, now clock.Micros) {
 	if j.stalled == 0 {
 		j.stalled = now
 	}
@@ -48,7 +48,7 @@
 }
 
 // waitedOut tells that a job has waited long enough to take room from others.
-func (d *Desk) waitedOut(j *job, now clock.Micros) bool {
+func (d *Scheduler) waitedOut(j *job, now clock.Micros) bool {
 	return j.stalled != 0 && now >= j.stalled+d.timing.PreemptAfter
 }
 
@@ -61,7 +61,7 @@
 // work is lost. Work that is late already takes no room from others: it would
 // be as late, and what it stops would be late too. Like any search, it looks at
 // some of the machines in question, not at the fleet.
-func (d *Desk) preempt(j *job, in *rooms, now clock.Micros) (best *mirror, victims []peer.TaskID, over bool) {
+func (d *Scheduler) preempt(j *job, in *rooms, now clock.Micros) (best *mirror, victims []peer.TaskID, over bool) {
 	if in == nil || j.late(now) {
 		return nil, nil, false
 	}
@@ -111,7 +111,7 @@
 
 // victims picks the tasks to stop on a machine to make room for one of a job;
 // none when that makes no room.
-func (d *Desk) victims(j *job, m *mirror, owed bool, now clock.Micros) (out []peer.TaskID, cost clock.Micros, over bool) {
+func (d *Scheduler) victims(j *job, m *mirror, owed bool, now clock.Micros) (out []peer.TaskID, cost clock.Micros, over bool) {
 	var cand []*seen
 	for _, t := range m.tasks {
 		if !t.there || t.Stopping || now < t.markedUntil || t.Team == "" || t.Covered && t.Rank >= j.Level {
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -10,13 +10,13 @@
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
-// shelf is a set of machines. Its order depends only on what was put in and taken out.
-type shelf struct {
+// bucket is a set of machines. Its order depends only on what was put in and taken out.
+type bucket struct {
 	list []*mirror
 	at   map[*mirror]int
 }
 
-func (s *shelf) put(m *mirror) {
+func (s *bucket) put(m *mirror) {
 	if s.at == nil {
 		s.at = map[*mirror]int{}
 	}
@@ -24,7 +24,7 @@
 	s.list = append(s.list, m)
 }
 
-func (s *shelf) take(m *mirror) {
+func (s *bucket) take(m *mirror) {
 	i, last := s.at[m], len(s.list)-1
 	s.list[i] = s.list[last]
 	s.at[s.list[i]] = i
@@ -45,7 +45,7 @@
 
 // rooms keeps machines by how many CPUs they show free, so that a search for
 // room costs what it finds and not the fleet.
-type rooms [levels]shelf
+type rooms [levels]bucket
 
 // walk visits the machines that show at least so many CPUs free, those with
 // least room first and of a level from any one on, until visit has had enough.
@@ -75,27 +75,27 @@
 }
 
 // ready tells that a machine may get tasks, as far as it and its owner are known.
-func (d *Desk) ready(m *mirror) bool {
+func (d *Scheduler) ready(m *mirror) bool {
 	o := d.owners[m.host]
 	return m.Usable && o.up && o.instance == m.instance && o.parts[m.Part] == m.Term && d.machines[m.ID] == m
 }
 
 // index puts a machine where its room and images belong. It is called after
 // every change of what they depend on.
-func (d *Desk) index(m *mirror) {
+func (d *Scheduler) index(m *mirror) {
 	on, level := d.ready(m), levelOf(m.free.CPU)
-	if on == m.shelved && (!on || level == m.level && slices.Equal(m.Images, m.shelvedImages)) {
+	if on == m.indexed && (!on || level == m.level && slices.Equal(m.Images, m.indexedImages)) {
 		return
 	}
-	if m.shelved {
+	if m.indexed {
 		d.rooms[m.level].take(m)
-		for _, i := range m.shelvedImages {
+		for _, i := range m.indexedImages {
 			d.imaged[i][m.level].take(m)
 		}
-		d.usable -= m.shelvedCPU
-		d.shelved--
+		d.usable -= m.indexedCPU
+		d.indexed--
 	}
-	m.shelved, m.level, m.shelvedImages, m.shelvedCPU = on, level, m.Images, m.Cap.CPU
+	m.indexed, m.level, m.indexedImages, m.indexedCPU = on, level, m.Images, m.Cap.CPU
 	if !on {
 		return
 	}
@@ -106,12 +106,12 @@
 		}
 		d.imaged[i][level].put(m)
 	}
-	d.usable += m.shelvedCPU
-	d.shelved++
+	d.usable += m.indexedCPU
+	d.indexed++
 }
 
 // indexOf puts all of an owner's machines where they belong.
-func (d *Desk) indexOf(host string) {
+func (d *Scheduler) indexOf(host string) {
 	for _, m := range d.machines {
 		if m.host == host {
 			d.index(m)
@@ -120,7 +120,7 @@
 }
 
 // up notes whether an owner can be reached.
-func (d *Desk) up(host string, up bool) {
+func (d *Scheduler) up(host string, up bool) {
 	if o := d.owners[host]; o.up != up {
 		o.up = up
 		d.indexOf(host)
@@ -128,7 +128,7 @@
 }
 
 // setTask takes a task into a machine's mirror, unset takes it out.
-func (d *Desk) setTask(m *mirror, t *seen) {
+func (d *Scheduler) setTask(m *mirror, t *seen) {
 	d.unsetTask(m, t.ID)
 	m.tasks[t.ID] = t
 	if t.Phase == "" || t.Phase == wire.TaskFetching {
@@ -141,7 +141,7 @@
 	}
 }
 
-func (d *Desk) unsetTask(m *mirror, id peer.TaskID) {
+func (d *Scheduler) unsetTask(m *mirror, id peer.TaskID) {
 	t := m.tasks[id]
 	if t == nil {
 		return
@@ -239,7 +239,7 @@
 
 // find collects machines that have room for a task of a job, a few times as many
 // as are drawn; for a small one many more, since it goes where its team gathers.
-func (d *Desk) find(j *job, in *rooms, now clock.Micros) (out []*mirror) {
+func (d *Scheduler) find(j *job, in *rooms, now clock.Micros) (out []*mirror) {
 	if in == nil {
 		return nil
 	}
--- a/internal/placer/rules_test.go
+++ b/internal/placer/rules_test.go
@@ -31,10 +31,10 @@
 			case 0, 1:
 				w.poll(h, rng.IntN(4) == 0)
 			case 2, 3:
-				w.mark(rng.IntN(4) > 0, rng.IntN(4) > 0)
-				w.desk.Place(w.now)
-				for key, m := range w.marks { // the replica tells in the end
-					w.desk.Marks(key, m.Marks, m.Stamp)
+				w.watermark(rng.IntN(4) > 0, rng.IntN(4) > 0)
+				w.scheduler.Place(w.now)
+				for key, m := range w.watermarks { // the replica tells in the end
+					w.scheduler.Watermarks(key, m.Watermarks, m.Stamp)
 				}
 			case 4, 5:
 				w.send(h, rng.IntN(5) > 0, rng.IntN(4) > 0)
@@ -76,7 +76,7 @@
 				case 1: // a partition moves
 					w.gain(rng.IntN(2), rng.IntN(2))
 				case 2:
-					w.newDesk()
+					w.newScheduler()
 				}
 			case 15:
 				w.tick()
@@ -92,7 +92,7 @@
 					w.now += clock.Micros(3+rng.IntN(40)) * sec
 				case 1:
 					if id := fmt.Sprintf("job-%d", 1+rng.IntN(6)); w.active[id] != nil {
-						w.desk.Cancel(red, id)
+						w.scheduler.Cancel(red, id)
 					}
 				}
 			}
@@ -114,13 +114,13 @@
 	w.addJob("job-1", 1, nil)
 	w.place()
 	h := w.hosts[0]
-	r := w.desk.Send(h.name)
+	r := w.scheduler.Send(h.name)
 	ans := h.table.Round(*r, h.instance, w.now)
 	w.now += 5 * sec
 	h.table.Tick(w.now) // the lease lapses unused
 	w.poll(h, false)
-	w.desk.Answered(h.name, r, &ans, w.now)
-	require.Empty(t, w.desk.teams[red].jobs["job-1"].bound)
+	w.scheduler.Answered(h.name, r, &ans, w.now)
+	require.Empty(t, w.scheduler.teams[red].jobs["job-1"].bound)
 	w.settle(8)
 	require.Equal(t, 1, w.running())
 }
@@ -137,7 +137,7 @@
 	w.tick()
 	w.poll(w.hosts[0], false)
 	require.Empty(t, w.registry)
-	require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 1)
+	require.Len(t, w.scheduler.teams[red].jobs["job-1"].bound, 1)
 	w.settle(12)
 	require.Equal(t, 1, w.running())
 }
@@ -151,7 +151,7 @@
 	w.place()
 	var at *host
 	for _, h := range w.hosts {
-		if r := w.desk.Send(h.name); r != nil {
+		if r := w.scheduler.Send(h.name); r != nil {
 			at = h
 			h.table.Round(*r, h.instance, w.now)
 		}
@@ -198,15 +198,15 @@
 	w.addJob("job-1", 1, nil)
 	w.place()
 	for _, h := range w.hosts {
-		r := w.desk.Send(h.name)
+		r := w.scheduler.Send(h.name)
 		if r == nil {
 			continue
 		}
 		ans := peer.RoundAnswer{Incarnation: "someone else", Refused: []bool{true}}
-		w.desk.Answered(h.name, r, &ans, w.now)
+		w.scheduler.Answered(h.name, r, &ans, w.now)
 	}
-	require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 1)
-	require.NotZero(t, w.desk.teams[red].used.CPU, "it counts against the limit")
+	require.Len(t, w.scheduler.teams[red].jobs["job-1"].bound, 1)
+	require.NotZero(t, w.scheduler.teams[red].used.CPU, "it counts against the limit")
 }
 
 // Spread and one_zone count every task that may be somewhere.
@@ -217,14 +217,14 @@
 	w.addJob("job-2", 2, func(j *wire.Job) { j.OneZone = true })
 	w.place() // nothing is sent yet: all are only asked for
 	zones := map[string]int{}
-	for n, b := range w.desk.teams[red].jobs["job-1"].bound {
+	for n, b := range w.scheduler.teams[red].jobs["job-1"].bound {
 		require.NotNil(t, b, n)
 		zones[b.zone]++
 	}
 	require.LessOrEqual(t, zones["a"], 2)
 	require.LessOrEqual(t, zones["b"], 2)
 	zones = map[string]int{}
-	for _, b := range w.desk.teams[red].jobs["job-2"].bound {
+	for _, b := range w.scheduler.teams[red].jobs["job-2"].bound {
 		zones[b.zone]++
 	}
 	require.Len(t, zones, 1)
@@ -237,14 +237,14 @@
 	w.addJob("job-1", 2, nil)
 	w.settle(2)
 	require.Equal(t, 2, w.running())
-	require.True(t, w.desk.Cancel(red, "job-1"))
-	j := w.desk.teams[red].jobs["job-1"]
-	require.False(t, w.desk.Cancelled(j, w.parts()))
+	require.True(t, w.scheduler.Cancel(red, "job-1"))
+	j := w.scheduler.teams[red].jobs["job-1"]
+	require.False(t, w.scheduler.Cancelled(j, w.parts()))
 	w.send(w.hosts[0], true, true)
 	w.send(w.hosts[1], true, false) // taken, but the answer is lost
-	require.False(t, w.desk.Cancelled(j, w.parts()))
+	require.False(t, w.scheduler.Cancelled(j, w.parts()))
 	w.send(w.hosts[1], true, true)
-	require.True(t, w.desk.Cancelled(j, w.parts()))
+	require.True(t, w.scheduler.Cancelled(j, w.parts()))
 	w.settle(4)
 	require.Zero(t, w.running())
 }
--- a/internal/placer/desk.go
+++ b/internal/placer/scheduler.go
@@ -1,7 +1,7 @@
 // Package placer is the duty of holding teams: it places all tasks of their
 // jobs, keeps their limits, and alone writes their jobs' records after acceptance.
 //
-// Desk is the decision, plain code that takes the time; Placer does the I/O.
+// Scheduler is the decision, plain code that takes the time; Placer does the I/O.
 package placer
 
 import (
@@ -86,7 +86,7 @@
 	*jobs.Job
 	per        int // tasks that a record of its progress covers
 	team       *team
-	mark       int  // tasks from here on were never asked for: so the state service says
+	watermark  int  // tasks from here on were never asked for: so the state service says
 	former     int  // tasks up to here a former placer may have asked for
 	parked     bool // and those wait until all machines are accounted for
 	next       int  // tasks from here on were never queued
@@ -128,7 +128,7 @@
 	version  uint64 // of the machine's view when granted
 	instance string
 	phase    string
-	stray    bool // ran although not wanted here: only counted, and stopped
+	orphan   bool // ran although not wanted here: only counted, and stopped
 	stopping bool
 	since    clock.Micros
 	running  clock.Micros // when it was first seen running
@@ -154,10 +154,10 @@
 	refused   bool // an ask was refused, and no newer view has come
 	refusedAt clock.Micros
 
-	shelved       bool // where index has put it
+	indexed       bool // where index has put it
 	level         int
-	shelvedImages []string
-	shelvedCPU    int64
+	indexedImages []string
+	indexedCPU    int64
 }
 
 // seen is a task as its machine's owner last showed it.
@@ -185,7 +185,7 @@
 }
 
 // SetFetch tells how fast machine types fetch images, in GB a second.
-func (d *Desk) SetFetch(rates map[string]float64) { d.fetch = rates }
+func (d *Scheduler) SetFetch(rates map[string]float64) { d.fetch = rates }
 
 // Counts is what happened since the start, for the logs.
 type Counts struct {
@@ -194,36 +194,36 @@
 	FetchCPUs                                               clock.Micros // CPU time from placing tasks until they ran
 }
 
-// Desk holds the teams that this controller places, and mirrors all owners' machines.
-type Desk struct {
-	timing   Timing
-	instance string
-	known    map[string]Team
-	teams    map[string]*team
-	machines map[string]*mirror
-	owners   map[string]*ownerState
-	registry map[string]bool
-	progress map[string]map[chunkID]progress
-	chunk    int  // tasks that a record of progress covers
-	elder    bool // machines recorded by an earlier release are there: it left no marks
-	marks    map[string]marks
-	rng      *rand.Rand
-	wall     func() int64       // time of day in ms, good to the settings' bound
-	fetch    map[string]float64 // GB a second by machine type
-	big      int64              // CPUs of the largest task about
-	rooms    rooms              // machines that may get tasks
-	imaged   map[string]*rooms  // and those of them that have an image
-	usable   int64              // CPUs of all of them
-	shelved  int                // how many they are
-	ranks    [4]int             // tasks seen on machines, by rank
-	sizes    map[int64]int      // and by the CPUs they take
-	full     full               // what found no room in this round
-	counts   Counts
+// Scheduler holds the teams that this controller places, and mirrors all owners' machines.
+type Scheduler struct {
+	timing     Timing
+	instance   string
+	known      map[string]Team
+	teams      map[string]*team
+	machines   map[string]*mirror
+	owners     map[string]*ownerState
+	registry   map[string]bool
+	progress   map[string]map[chunkID]progress
+	chunk      int  // tasks that a record of progress covers
+	elder      bool // machines recorded by an earlier release are there: it left no watermarks
+	watermarks map[string]watermarks
+	rng        *rand.Rand
+	wall       func() int64       // time of day in ms, good to the settings' bound
+	fetch      map[string]float64 // GB a second by machine type
+	big        int64              // CPUs of the largest task about
+	rooms      rooms              // machines that may get tasks
+	imaged     map[string]*rooms  // and those of them that have an image
+	usable     int64              // CPUs of all of them
+	indexed    int                // how many they are
+	ranks      [4]int             // tasks seen on machines, by rank
+	sizes      map[int64]int      // and by the CPUs they take
+	full       full               // what found no room in this round
+	counts     Counts
 }
 
-// NewDesk makes an empty desk.
-func NewDesk(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Desk {
-	d := &Desk{marks: map[string]marks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
+// NewScheduler makes an empty scheduler.
+func NewScheduler(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Scheduler {
+	d := &Scheduler{watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID]progress{}, chunk: ChunkTasks,
 		rng: rand.New(rand.NewPCG(seed, 1)), wall: wall}
 	for _, tm := range teams {
@@ -236,7 +236,7 @@
 }
 
 // Gain takes a team over, with its active jobs.
-func (d *Desk) Gain(name string, term, stamp uint64, active []*jobs.Job, now clock.Micros) {
+func (d *Scheduler) Gain(name string, term, stamp uint64, active []*jobs.Job, now clock.Micros) {
 	d.Lose(name)
 	tm := &team{Team: d.known[name], salt: hashOf(name), term: term, stamp: stamp, jobs: map[string]*job{}, cleared: map[string]bool{},
 		strange: maps.Clone(d.registry)}
@@ -250,7 +250,7 @@
 }
 
 // Lose gives a team up.
-func (d *Desk) Lose(name string) {
+func (d *Scheduler) Lose(name string) {
 	tm := d.teams[name]
 	if tm == nil {
 		return
@@ -271,7 +271,7 @@
 
 // Summary gives the counts, how many tasks wait and are bound, and how many
 // withdrawn jobs are not over yet.
-func (d *Desk) Summary() (c Counts, waiting, bound, withdrawn int) {
+func (d *Scheduler) Summary() (c Counts, waiting, bound, withdrawn int) {
 	for _, tm := range d.teams {
 		for _, j := range tm.jobs {
 			if j.cancelling {
@@ -285,7 +285,7 @@
 }
 
 // Terms gives the teams held and their terms.
-func (d *Desk) Terms() map[string]uint64 {
+func (d *Scheduler) Terms() map[string]uint64 {
 	out := make(map[string]uint64, len(d.teams))
 	for n, t := range d.teams {
 		out[n] = t.term
@@ -294,21 +294,21 @@
 }
 
 // AddJob takes an active job of a team that is held.
-func (d *Desk) AddJob(j *jobs.Job, now clock.Micros) {
+func (d *Scheduler) AddJob(j *jobs.Job, now clock.Micros) {
 	if tm := d.teams[j.Team]; tm != nil && tm.jobs[j.ID] == nil {
 		d.addJob(tm, j, now)
 	}
 }
 
-func (d *Desk) addJob(tm *team, spec *jobs.Job, now clock.Micros) {
-	j := &job{Job: spec, per: d.chunk, team: tm, mark: d.markOf(tm.Name, spec), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
+func (d *Scheduler) addJob(tm *team, spec *jobs.Job, now clock.Micros) {
+	j := &job{Job: spec, per: d.chunk, team: tm, watermark: d.watermarkOf(tm.Name, spec), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
 		zones: map[string]int{}, dirty: map[int]bool{}, failedOn: map[string]clock.Micros{},
 		unsettled: map[peer.TaskID]string{}, acked: map[peer.TaskID]uint64{}, since: now}
 	if spec.Stamp < tm.stamp {
-		j.former = min(j.mark, j.Tasks)
+		j.former = min(j.watermark, j.Tasks)
 		if j.former > 0 && (j.OneZone || j.Spread) || d.elder {
 			// Where its other tasks are decides where these may go. And while
-			// machines of an earlier release are there, which left no marks,
+			// machines of an earlier release are there, which left no watermarks,
 			// any task may have been asked for.
 			j.former = j.Tasks
 		}
@@ -331,14 +331,14 @@
 }
 
 // DropJob takes note that a job is final.
-func (d *Desk) DropJob(id string) {
+func (d *Scheduler) DropJob(id string) {
 	delete(d.progress, id)
 	for _, tm := range d.teams {
 		if j := tm.jobs[id]; j != nil {
 			delete(tm.jobs, id)
 			d.judge(j)
 			for _, b := range j.bound {
-				b.stray = true
+				b.orphan = true
 			}
 		}
 	}
@@ -352,7 +352,7 @@
 
 // Progress takes a record of completed tasks, as the replica shows it or as it
 // was written. Older words than the newest known change nothing.
-func (d *Desk) Progress(id string, chunk chunkID, bits []byte, stamp uint64) {
+func (d *Scheduler) Progress(id string, chunk chunkID, bits []byte, stamp uint64) {
 	if d.progress[id] == nil {
 		d.progress[id] = map[chunkID]progress{}
 	}
@@ -362,10 +362,10 @@
 }
 
 // DropProgress takes note that a record of completed tasks is gone.
-func (d *Desk) DropProgress(id string, chunk chunkID) { delete(d.progress[id], chunk) }
+func (d *Scheduler) DropProgress(id string, chunk chunkID) { delete(d.progress[id], chunk) }
 
 // Register takes note of a machine's record.
-func (d *Desk) Register(id string, there bool) {
+func (d *Scheduler) Register(id string, there bool) {
 	if there {
 		d.registry[id] = true
 		for _, tm := range d.teams {
@@ -418,7 +418,7 @@
 			return n
 		}
 	}
-	for j.next < min(j.mark, j.Tasks) {
+	for j.next < min(j.watermark, j.Tasks) {
 		n := j.next
 		j.next++
 		if !j.isDone(n) && j.bound[n] == nil {
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -19,14 +19,14 @@
 // forgetSilent drops a machine that fell silent and has no record any more.
 // An ask that has no answer yet stays bound: the machine may come back with a
 // new session, and the ask be granted then.
-func (d *Desk) forgetSilent(m *mirror) {
+func (d *Scheduler) forgetSilent(m *mirror) {
 	if m.Silent && !d.registry[m.ID] && len(m.bound) == 0 {
 		d.drop(m)
 	}
 }
 
 // forgetMachine drops a machine that is gone for certain, with all asks for it.
-func (d *Desk) forgetMachine(m *mirror) {
+func (d *Scheduler) forgetMachine(m *mirror) {
 	for _, b := range m.inOrder() {
 		d.release(b)
 	}
@@ -34,7 +34,7 @@
 }
 
 // drop takes a machine out of the mirror.
-func (d *Desk) drop(m *mirror) {
+func (d *Scheduler) drop(m *mirror) {
 	for id := range m.tasks {
 		d.unsetTask(m, id)
 	}
@@ -52,7 +52,7 @@
 	return out
 }
 
-func (d *Desk) refree(m *mirror) {
+func (d *Scheduler) refree(m *mirror) {
 	m.free = m.Free
 	for _, b := range m.bound {
 		if b.asked || b.instance == m.instance && b.term == m.Term && b.version > m.Version {
@@ -63,17 +63,17 @@
 }
 
 // bind counts a task as being, or possibly being, on a machine.
-func (d *Desk) bind(b *binding, m *mirror) {
+func (d *Scheduler) bind(b *binding, m *mirror) {
 	m.bound[b.id] = b
 	b.job.team.used = b.job.team.used.Plus(b.job.Need)
 	b.job.zones[b.zone]++
-	if !b.stray {
+	if !b.orphan {
 		b.job.bound[b.id.N] = b
 	}
 }
 
 // release takes note that a task is gone from its machine for certain.
-func (d *Desk) release(b *binding) {
+func (d *Scheduler) release(b *binding) {
 	if m := d.machines[b.machine]; m != nil {
 		if m.bound[b.id] != b {
 			return
@@ -93,7 +93,7 @@
 
 // Cursor gives the next poll for an owner. When a team's term is new to it,
 // everything is asked for, so that the answer is given under that term's fence.
-func (d *Desk) Cursor(host string) peer.Poll {
+func (d *Scheduler) Cursor(host string) peer.Poll {
 	o := d.owners[host]
 	in := peer.Poll{Incarnation: o.instance, Cursor: o.cursor, Terms: d.Terms(), Gen: o.gen}
 	for t, term := range in.Terms {
@@ -112,7 +112,7 @@
 const sweepEvery = 2 * clock.Second
 
 // Hear takes an owner's answer to a poll.
-func (d *Desk) Hear(host string, in peer.Poll, ans *peer.PollAnswer, now clock.Micros) {
+func (d *Scheduler) Hear(host string, in peer.Poll, ans *peer.PollAnswer, now clock.Micros) {
 	o := d.owners[host]
 	d.up(host, true)
 	if ans.Incarnation != o.instance {
@@ -157,7 +157,7 @@
 
 // meet notes the instance of an owner's process. A round that was on its way to
 // a former process is over: what it asked for is settled by the machines' next owner.
-func (d *Desk) meet(o *ownerState, instance string) {
+func (d *Scheduler) meet(o *ownerState, instance string) {
 	o.fenced = map[string]uint64{}
 	o.parts = map[int]uint64{}
 	o.cursor = 0
@@ -166,10 +166,10 @@
 }
 
 // Down notes that an owner can't be reached now.
-func (d *Desk) Down(host string) { d.up(host, false) }
+func (d *Scheduler) Down(host string) { d.up(host, false) }
 
 // see takes one machine's view and settles with it what it can.
-func (d *Desk) see(host string, o *ownerState, v *peer.MachineView, now clock.Micros) {
+func (d *Scheduler) see(host string, o *ownerState, v *peer.MachineView, now clock.Micros) {
 	m := d.machines[v.ID]
 	if m == nil {
 		if v.Silent && !d.registry[v.ID] {
@@ -217,7 +217,7 @@
 
 // reconcile compares what a view tells of an accounted machine's tasks with
 // what is known of them.
-func (d *Desk) reconcile(o *ownerState, m *mirror, v *peer.MachineView, gone []peer.TaskID, now clock.Micros) {
+func (d *Scheduler) reconcile(o *ownerState, m *mirror, v *peer.MachineView, gone []peer.TaskID, now clock.Micros) {
 	for i := range v.Tasks {
 		d.compare(o, m, &v.Tasks[i], now)
 	}
@@ -254,7 +254,7 @@
 // checkGone releases a binding whose task is not on its accounted machine. That
 // is certain when the view is newer than the grant, or comes from a later
 // owner, to whom the ask can't be granted any more.
-func (d *Desk) checkGone(b *binding, m *mirror) {
+func (d *Scheduler) checkGone(b *binding, m *mirror) {
 	if m.tasks[b.id] != nil {
 		return
 	}
@@ -266,7 +266,7 @@
 }
 
 // compare takes a task that an accounted machine shows.
-func (d *Desk) compare(o *ownerState, m *mirror, tv *peer.TaskView, now clock.Micros) {
+func (d *Scheduler) compare(o *ownerState, m *mirror, tv *peer.TaskView, now clock.Micros) {
 	b := m.bound[tv.ID]
 	tm := d.teams[tv.Team]
 	if b != nil {
@@ -289,12 +289,12 @@
 			if j == nil {
 				// Its owner ends what belongs to no active job, but may not reach it: until
 				// it is gone it counts against the limit.
-				b.job, b.stray = &job{Job: &jobs.Job{Need: tv.Need}, team: tm, zones: map[string]int{}}, true
+				b.job, b.orphan = &job{Job: &jobs.Job{Need: tv.Need}, team: tm, zones: map[string]int{}}, true
 			} else {
-				b.stray = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
+				b.orphan = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
 			}
 			d.bind(b, m)
-			if b.stray {
+			if b.orphan {
 				d.stop(b, 0)
 			}
 		}
@@ -314,7 +314,7 @@
 }
 
 // exited takes the end of a task.
-func (d *Desk) exited(j *job, b *binding, m *mirror, tv *peer.TaskView, now clock.Micros) {
+func (d *Scheduler) exited(j *job, b *binding, m *mirror, tv *peer.TaskView, now clock.Micros) {
 	if j == nil {
 		if b != nil {
 			d.release(b)
@@ -335,7 +335,7 @@
 			j.unsettled[tv.ID] = m.ID
 		}
 		if other := j.bound[n]; other != nil && other != b {
-			other.stray = true
+			other.orphan = true
 			delete(j.bound, n)
 			d.stop(other, 0)
 		}
@@ -371,7 +371,7 @@
 // long they ran on the others, and has a machine set aside on which tasks take much
 // longer. A job is judged only as a whole: those of its tasks that are done
 // first are the short ones.
-func (d *Desk) judge(j *job) {
+func (d *Scheduler) judge(j *job) {
 	if len(j.runs) < 4 || j.doneCount < j.Tasks {
 		return
 	}
@@ -413,7 +413,7 @@
 }
 
 // settle tells a machine's owner that the end of a task is taken note of.
-func (d *Desk) settle(j *job, id peer.TaskID, machine string) {
+func (d *Scheduler) settle(j *job, id peer.TaskID, machine string) {
 	m := d.machines[machine]
 	if m == nil {
 		return
@@ -423,7 +423,7 @@
 	j.acked[id] = m.Term
 }
 
-func (d *Desk) stop(b *binding, grace float64) {
+func (d *Scheduler) stop(b *binding, grace float64) {
 	if m := d.machines[b.machine]; m != nil {
 		o := d.owners[m.host]
 		o.next.Stops = append(o.next.Stops, peer.Stop{ID: b.id, Machine: b.machine, GraceS: grace})
--- a/internal/placer/takeover_test.go
+++ b/internal/placer/takeover_test.go
@@ -21,7 +21,7 @@
 	w.settle(2)
 	require.Equal(t, 2, w.running())
 	w.boot(w.hosts[0])
-	w.newDesk()
+	w.newScheduler()
 	w.gain(0, 0) // and the machines of partition 0 are silent for now
 	w.addJob("job-2", 2, nil)
 	for range 5 {
@@ -39,7 +39,7 @@
 		}
 		w.check("unaccounted")
 	}
-	n, held := w.desk.uncleared(w.desk.teams[red])
+	n, held := w.scheduler.uncleared(w.scheduler.teams[red])
 	require.Equal(t, 2, n)
 	require.GreaterOrEqual(t, held.CPUs(), 16.0)
 	require.Equal(t, 2, w.running(), "two machines of 8 CPUs may hold more than the limit of 12 leaves")
@@ -52,7 +52,7 @@
 // are done, so that there is room, and a second goes by.
 func (w *world) takeOverWithoutPartition0() {
 	w.boot(w.hosts[0])
-	w.newDesk()
+	w.newScheduler()
 	w.gain(0, 0)
 	others := []string{"m-1", "m-3"}
 	for _, id := range others {
@@ -102,7 +102,7 @@
 	require.Greater(t, w.running(), 8, "the rest of the first job goes on once the machines are accounted for")
 }
 
-// The release before left no marks. What its placer may have asked for waits until
+// The release before left no watermarks. What its placer may have asked for waits until
 // all machines are accounted for, and is marked before it is asked for again.
 func TestTakeOverFromAnEarlierRelease(t *testing.T) {
 	w := newWorldOf(t, 1, 4, 0)
@@ -110,14 +110,14 @@
 	w.addJob("job-1", 16, nil)
 	w.settle(4)
 	require.Equal(t, 16, w.running())
-	clear(w.marks)
+	clear(w.watermarks)
 	w.elder = true
 	w.takeOverWithoutPartition0()
 	require.Equal(t, 8, w.running(), "those of the machines that are silent, and no more")
 	w.now += 2 * lease
 	w.settle(30)
 	require.Equal(t, 8, w.running(), "those that were lost")
-	require.Equal(t, 16, w.desk.markOf(red, w.active["job-1"]))
+	require.Equal(t, 16, w.scheduler.watermarkOf(red, w.active["job-1"]))
 }
 
 // A partition moves; the former owner's last answer comes late and shows a
@@ -127,21 +127,21 @@
 	w.settle(8)
 	w.addJob("job-1", 16, nil)
 	w.settle(4)
-	in := peer.Poll{Gen: w.desk.owners["h0"].gen, Terms: w.desk.Terms()}
+	in := peer.Poll{Gen: w.scheduler.owners["h0"].gen, Terms: w.scheduler.Terms()}
 	late := w.hosts[0].table.Poll(in, w.hosts[0].instance, w.now)
 	delete(w.registry, "m-0")
 	w.gain(0, 1)
 	w.record("m-0", false)
 	w.poll(w.hosts[1], false)
-	require.NotContains(t, w.desk.machines, "m-0")
-	w.desk.Hear("h0", in, &late, w.now)
+	require.NotContains(t, w.scheduler.machines, "m-0")
+	w.scheduler.Hear("h0", in, &late, w.now)
 	for range 4 {
 		w.now += sec
 		w.poll(w.hosts[0], false)
 		w.poll(w.hosts[1], false)
 	}
-	require.NotContains(t, w.desk.machines, "m-0")
-	require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 12)
+	require.NotContains(t, w.scheduler.machines, "m-0")
+	require.Len(t, w.scheduler.teams[red].jobs["job-1"].bound, 12)
 }
 
 // Attempt numbers of two placers never meet.
@@ -153,12 +153,12 @@
 		w.addJob(fmt.Sprintf("job-%d", w.term), 2, nil)
 		w.place()
 		for _, h := range w.hosts {
-			for _, a := range w.desk.owners[h.name].next.Asks {
+			for _, a := range w.scheduler.owners[h.name].next.Asks {
 				require.False(t, seen[a.ID.Attempt])
 				seen[a.ID.Attempt] = true
 			}
 		}
-		w.newDesk()
+		w.newScheduler()
 	}
 	require.Len(t, seen, 6)
 }
@@ -179,9 +179,9 @@
 		require.False(t, ok, odd)
 	}
 	w := newWorldOf(t, 1, 4, 0)
-	w.desk.Progress("job-1", chunkID{1, 8}, []byte{0b101}, 1)
+	w.scheduler.Progress("job-1", chunkID{1, 8}, []byte{0b101}, 1)
 	w.addJob("job-1", 20, nil)
-	j := w.desk.teams[red].jobs["job-1"]
+	j := w.scheduler.teams[red].jobs["job-1"]
 	require.Equal(t, 2, j.doneCount)
 	require.True(t, j.isDone(8) && j.isDone(10))
 }
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -21,7 +21,7 @@
 
 // Send gives the round to send to an owner now, nil for nothing. A round
 // without an answer is given again as it was.
-func (d *Desk) Send(host string) *peer.Round {
+func (d *Scheduler) Send(host string) *peer.Round {
 	o := d.owners[host]
 	if o.sending != nil && o.sentTo == o.instance {
 		return o.sending
@@ -41,7 +41,7 @@
 // process may have granted and started them, and only the next owner of their
 // machines can tell. What bears repeating goes to the next process; it is told of
 // withdrawals when their ends are looked at.
-func (d *Desk) abandon(o *ownerState) {
+func (d *Scheduler) abandon(o *ownerState) {
 	if o.sending == nil {
 		return
 	}
@@ -53,7 +53,7 @@
 const settleGap = 300 * clock.Millisecond
 
 // Waiting tells whether there is something to send to an owner now.
-func (d *Desk) Waiting(host string, now clock.Micros) bool {
+func (d *Scheduler) Waiting(host string, now clock.Micros) bool {
 	o := d.owners[host]
 	if o.sending != nil {
 		return true
@@ -71,7 +71,7 @@
 
 // Answered takes the answer to a round; ok is false when another process has
 // given it than the one that the round was for.
-func (d *Desk) Answered(host string, r *peer.Round, ans *peer.RoundAnswer, now clock.Micros) (ok bool) {
+func (d *Scheduler) Answered(host string, r *peer.Round, ans *peer.RoundAnswer, now clock.Micros) (ok bool) {
 	o := d.owners[host]
 	if o.sending != r {
 		return true
@@ -121,7 +121,7 @@
 }
 
 // Status tells what a job's user may be told.
-func (d *Desk) Status(teamName, id string) peer.JobAnswer {
+func (d *Scheduler) Status(teamName, id string) peer.JobAnswer {
 	tm := d.teams[teamName]
 	if tm == nil {
 		return peer.JobAnswer{}
@@ -147,7 +147,7 @@
 
 // Ready lists a team's jobs whose tasks are all done and whose end is to be
 // written, those that were accepted first in front.
-func (d *Desk) Ready(tm *team) (out []*job) {
+func (d *Scheduler) Ready(tm *team) (out []*job) {
 	for _, j := range tm.jobs {
 		if j.doneCount == j.Tasks && !j.finishing && !j.cancelling {
 			out = append(out, j)
@@ -158,7 +158,7 @@
 }
 
 // Demands lists what waits, for the fleet.
-func (d *Desk) Demands(now clock.Micros) (out []peer.Demand) {
+func (d *Scheduler) Demands(now clock.Micros) (out []peer.Demand) {
 	list := d.order(now)
 	for _, tm := range d.teams {
 		room := res.Amounts{CPU: math.MaxInt64 / 4, GPU: math.MaxInt64 / 4}
@@ -198,7 +198,7 @@
 
 // Views appends the mirror of all machines, for the fleet. An idle machine sends
 // no news of itself, so its idle time is what it was then and what has passed since.
-func (d *Desk) Views(to []peer.MachineView, now clock.Micros) []peer.MachineView {
+func (d *Scheduler) Views(to []peer.MachineView, now clock.Micros) []peer.MachineView {
 	to = slices.Grow(to, len(d.machines))
 	for _, m := range d.machines {
 		if o := d.owners[m.host]; o.parts[m.Part] == m.Term {
--- a/internal/placer/turns.go
+++ b/internal/placer/turns.go
@@ -37,7 +37,7 @@
 // deadline first, by rank, guarantee, deadline and age; then what can still be
 // in time by the longer measure that an objective sets, in the same order; then
 // what is late, the longest tasks first.
-func (d *Desk) order(now clock.Micros) []*job {
+func (d *Scheduler) order(now clock.Micros) []*job {
 	var out []*job
 	for _, tm := range d.teams {
 		tm.cover()
@@ -80,7 +80,7 @@
 
 // finish is when a job's tasks should start so that it is finished within its
 // class's time: of jobs without a deadline, those with long tasks can wait least.
-func (d *Desk) finish(j *job) clock.Micros {
+func (d *Scheduler) finish(j *job) clock.Micros {
 	within, ok := d.timing.Finishes[j.Class]
 	if !ok {
 		return math.MaxInt64
@@ -108,7 +108,7 @@
 	hopeless // nothing is left to be in time for but the end of all
 )
 
-func (d *Desk) lateness(j *job, now clock.Micros) int {
+func (d *Scheduler) lateness(j *job, now clock.Micros) int {
 	if !j.late(now) {
 		return inTime
 	}
--- a/internal/placer/turns_test.go
+++ b/internal/placer/turns_test.go
@@ -25,7 +25,7 @@
 	}
 	require.Positive(t, starts)
 	require.Less(t, starts, 40, "ten seconds of failures")
-	require.NotZero(t, w.desk.teams[red].jobs["job-1"].backoff)
+	require.NotZero(t, w.scheduler.teams[red].jobs["job-1"].backoff)
 }
 
 // High rank takes the least work from lower rank; late work takes nothing.
@@ -49,13 +49,13 @@
 // objective sets, goes before one that has missed both, and after one in time.
 func TestLatenessDecidesWhoseTurnItIs(t *testing.T) {
 	w := newWorldOf(t, 1, 4, 0)
-	w.desk.timing.Times = map[string]float64{"sweep": 1.5}
+	w.scheduler.timing.Times = map[string]float64{"sweep": 1.5}
 	for i, due := range []float64{10, 70, 200} { // hopeless, overdue, in time
 		w.addJob(fmt.Sprintf("job-%d", i), 1, func(j *wire.Job) { j.Class, j.DueS, j.EstimateS = "sweep", &due, 10 })
 	}
 	w.now += 80 * sec
 	var ids []string
-	for _, j := range w.desk.order(w.now) {
+	for _, j := range w.scheduler.order(w.now) {
 		ids = append(ids, j.ID)
 	}
 	require.Equal(t, []string{"job-2", "job-1", "job-0"}, ids)
@@ -69,7 +69,7 @@
 		w.addJob(fmt.Sprintf("job-%d", i), []int{20, 2, 20}[i], func(j *wire.Job) { j.DueS, j.EstimateS = &due, 10 })
 	}
 	var ids []string
-	for _, j := range w.desk.order(w.now) {
+	for _, j := range w.scheduler.order(w.now) {
 		ids = append(ids, j.ID)
 	}
 	require.Equal(t, []string{"job-1", "job-2", "job-0"}, ids)
@@ -81,11 +81,11 @@
 func TestATrickleOfRoomKeepsAGuarantee(t *testing.T) {
 	for _, trickle := range []bool{true, false} {
 		w := newWorldOf(t, 1, 2, 0)
-		w.desk.timing.Guarantee = 5 * sec
+		w.scheduler.timing.Guarantee = 5 * sec
 		blue := &team{Team: Team{Name: "blue", Guarantee: res.Have(100, 0, 0)}, term: 1, jobs: map[string]*job{},
 			cleared: map[string]bool{}, strange: map[string]bool{}}
 		j := &job{Job: jobs.New(jobs.Record{Job: wire.Job{ID: "job-9", Team: "blue", Rank: "normal", Tasks: 50, CPUs: 2, MemGB: 1, Spot: true}}, 1),
-			team: blue, covered: true, mark: 50, since: w.now, bound: map[int]*binding{}, zones: map[string]int{}, done: make([]uint64, 1)}
+			team: blue, covered: true, watermark: 50, since: w.now, bound: map[int]*binding{}, zones: map[string]int{}, done: make([]uint64, 1)}
 		w.settle(8)
 		w.addJob("job-1", 8, func(j *wire.Job) { j.Rank = "high" })
 		w.settle(4)
@@ -93,14 +93,14 @@
 		taken := false
 		for step := range 40 {
 			w.now += 250 * clock.Millisecond
-			w.desk.full = full{}
+			w.scheduler.full = full{}
 			if trickle && step%4 == 0 {
-				m := w.desk.machines["m-0"]
+				m := w.scheduler.machines["m-0"]
 				m.free = j.Need // a task of others has ended
-				w.desk.index(m)
+				w.scheduler.index(m)
 			}
-			w.desk.placeJob(j, 1, w.now)
-			for _, o := range w.desk.owners {
+			w.scheduler.placeJob(j, 1, w.now)
+			for _, o := range w.scheduler.owners {
 				for _, a := range o.next.Asks {
 					taken = taken || a.Over
 				}
@@ -116,15 +116,15 @@
 func TestImagesAreFetchedApart(t *testing.T) {
 	w := newWorldOf(t, 1, 4, 0)
 	w.settle(8)
-	w.desk.SetFetch(map[string]float64{"big": 0.25})
-	w.desk.timing.Waits = map[string]clock.Micros{"rescore": 4 * sec}
+	w.scheduler.SetFetch(map[string]float64{"big": 0.25})
+	w.scheduler.timing.Waits = map[string]clock.Micros{"rescore": 4 * sec}
 	for i := range 2 {
 		w.addJob(fmt.Sprintf("job-%d", i), 3, func(j *wire.Job) { j.Class, j.Image, j.ImageGB = "rescore", fmt.Sprintf("img-%d", i), 2 })
 	}
 	w.addJob("job-9", 1, func(j *wire.Job) { j.CPUs, j.Zone = 8, "nowhere" }) // something large is about
 	w.place()
 	images := map[string]map[string]bool{}
-	for id, m := range w.desk.machines {
+	for id, m := range w.scheduler.machines {
 		for _, b := range m.bound {
 			if images[id] == nil {
 				images[id] = map[string]bool{}
@@ -138,12 +138,12 @@
 	}
 }
 
-// Where thrift is in order, a job leaves the last bit of room that lacks its
+// Where economy is in order, a job leaves the last bit of room that lacks its
 // image to others for as long as a fetch would take; then it takes it.
-func TestThriftWaitsForAnImage(t *testing.T) {
+func TestEconomyWaitsForAnImage(t *testing.T) {
 	w := newWorldOf(t, 1, 10, 0)
-	w.desk.timing.Economy = true
-	w.desk.SetFetch(map[string]float64{"big": 0.5})
+	w.scheduler.timing.Economy = true
+	w.scheduler.SetFetch(map[string]float64{"big": 0.5})
 	w.settle(8)
 	image := func(j *wire.Job) { j.Image, j.ImageGB = "img-1", 2 }
 	w.addJob("job-1", 1, func(j *wire.Job) { image(j); j.CPUs = 8 }) // one machine has the image, and is full
@@ -153,7 +153,7 @@
 	require.Equal(t, 36, w.running())
 	w.addJob("job-3", 1, image)
 	began := w.now
-	for len(w.desk.teams[red].jobs["job-3"].bound) == 0 && w.now < began+20*sec {
+	for len(w.scheduler.teams[red].jobs["job-3"].bound) == 0 && w.now < began+20*sec {
 		w.settle(1)
 	}
 	require.InDelta(t, 4, (w.now - began).Seconds(), 0.6)
@@ -162,10 +162,10 @@
 // Jobs that could not be in time if a machine were taken from them keep to those
 // that are not taken; the others leave those to them.
 func TestFragileJobsKeepToOrdinaryMachines(t *testing.T) {
-	for _, thrift := range []bool{false, true} {
+	for _, economy := range []bool{false, true} {
 		w := newWorldOf(t, 1, 4, 0)
-		w.desk.timing.Economy, w.desk.timing.Lease = thrift, 20*sec
-		w.desk.timing.Finishes = map[string]clock.Micros{"refit": 30 * sec}
+		w.scheduler.timing.Economy, w.scheduler.timing.Lease = economy, 20*sec
+		w.scheduler.timing.Finishes = map[string]clock.Micros{"refit": 30 * sec}
 		w.workers["m-0"].Spot, w.workers["m-3"].Spot = true, true
 		w.settle(8)
 		due := 500.0
@@ -190,7 +190,7 @@
 	w.addJob("job-1", 500, func(j *wire.Job) { j.Rank = "high" })
 	w.settle(4)
 	w.addJob("job-2", 100, nil)
-	begun := func() bool { return w.desk.teams[red].jobs["job-2"].begun() }
+	begun := func() bool { return w.scheduler.teams[red].jobs["job-2"].begun() }
 	for range 4 * 160 {
 		if begun() {
 			break
@@ -205,7 +205,7 @@
 		}
 	}
 	require.True(t, begun())
-	require.Less(t, w.now-w.desk.teams[red].jobs["job-2"].since, 240*sec)
+	require.Less(t, w.now-w.scheduler.teams[red].jobs["job-2"].since, 240*sec)
 }
 
 // Room for a large job of high rank comes up bit by bit. It does not wait for
@@ -264,8 +264,8 @@
 				}
 			}
 		}
-		require.Equal(t, slow, w.desk.machines["m-1"].Sick)
-		require.False(t, w.desk.machines["m-0"].Sick)
+		require.Equal(t, slow, w.scheduler.machines["m-1"].Sick)
+		require.False(t, w.scheduler.machines["m-0"].Sick)
 	}
 }
 
@@ -276,22 +276,22 @@
 		w := newWorldOf(t, 9, machines, 0)
 		w.settle(8)
 		w.addJob("job-1", 6, nil)
-		before := w.desk.counts.Looked
+		before := w.scheduler.counts.Looked
 		w.place()
-		looked = w.desk.counts.Looked - before
-		require.Len(t, w.desk.teams[red].jobs["job-1"].bound, 6)
+		looked = w.scheduler.counts.Looked - before
+		require.Len(t, w.scheduler.teams[red].jobs["job-1"].bound, 6)
 		for _, h := range w.hosts {
 			w.send(h, true, true)
-			in := w.desk.Cursor(h.name)
+			in := w.scheduler.Cursor(h.name)
 			ans := h.table.Poll(in, h.instance, w.now)
 			told += len(ans.Machines)
-			w.desk.Hear(h.name, in, &ans, w.now)
+			w.scheduler.Hear(h.name, in, &ans, w.now)
 		}
 		// A job for which no machine is large enough searches none of them.
 		w.addJob("job-2", 1, func(j *wire.Job) { j.CPUs = 64 })
-		before = w.desk.counts.Looked
+		before = w.scheduler.counts.Looked
 		w.place()
-		require.Equal(t, before, w.desk.counts.Looked)
+		require.Equal(t, before, w.scheduler.counts.Looked)
 		return looked, told
 	}
 	smallLooked, smallTold := work(60)
--- a/internal/placer/withdraw.go
+++ b/internal/placer/withdraw.go
@@ -33,7 +33,7 @@
 
 // Cancel starts the end of a job: nothing of it starts any more, and every owner
 // is to be told. found is false when the job is not active here.
-func (d *Desk) Cancel(teamName, id string) (found bool) {
+func (d *Scheduler) Cancel(teamName, id string) (found bool) {
 	tm := d.teams[teamName]
 	if tm == nil || tm.jobs[id] == nil {
 		return false
@@ -60,7 +60,7 @@
 }
 
 // tellCancel has the present process of an owner told of a job's withdrawal, once.
-func (d *Desk) tellCancel(o *ownerState, j *job) {
+func (d *Scheduler) tellCancel(o *ownerState, j *job) {
 	c := peer.Cancel{Job: j.ID, Team: j.Team}
 	if slices.Contains(o.next.Cancels, c) || o.sending != nil && o.sentTo == o.instance && slices.Contains(o.sending.Cancels, c) {
 		return
@@ -75,7 +75,7 @@
 // Cancelled tells whether the end of a withdrawn job may be written on the condition of
 // these claims: the present process of each holder has the withdrawal in memory, and
 // nothing of the job can start any more. Processes that have not been told are told.
-func (d *Desk) Cancelled(j *job, parts []PartClaim) bool {
+func (d *Scheduler) Cancelled(j *job, parts []PartClaim) bool {
 	if !j.offered() {
 		return j.cancelling
 	}
@@ -144,7 +144,7 @@
 			return peer.JobAnswer{Known: true, Found: true, State: f.State(q.ID)}
 		}
 		ctx := p.running
-		tm := p.desk.teams[q.Team]
+		tm := p.scheduler.teams[q.Team]
 		if tm == nil || tm.jobs[q.ID] == nil {
 			p.mu.Unlock()
 			return peer.JobAnswer{Known: tm != nil}
@@ -154,7 +154,7 @@
 			p.mu.Unlock()
 			return retry // its end as done is being written
 		}
-		p.desk.Cancel(q.Team, q.ID)
+		p.scheduler.Cancel(q.Team, q.ID)
 		ready := p.beginCancelled(j, parts)
 		news := p.news
 		p.mu.Unlock()
@@ -178,7 +178,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var parts []PartClaim
-	for _, tm := range p.desk.teams {
+	for _, tm := range p.scheduler.teams {
 		for _, j := range tm.jobs {
 			if !j.cancelling {
 				continue
@@ -196,7 +196,7 @@
 // beginCancelled tells whether the end of a withdrawn job is to be written now, by the
 // caller. The lock is held.
 func (p *Placer) beginCancelled(j *job, parts []PartClaim) bool {
-	if j.finishing || p.clock.Now() < j.endAfter || !p.desk.Cancelled(j, parts) {
+	if j.finishing || p.clock.Now() < j.endAfter || !p.scheduler.Cancelled(j, parts) {
 		return false
 	}
 	j.finishing = true
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -44,28 +44,28 @@
 // world is a small cluster without I/O: owners, one placer, workers, and a
 // network that loses, holds up and repeats what the test tells it to.
 type world struct {
-	t        *testing.T
-	now      clock.Micros
-	rng      *rand.Rand
-	book     *jobs.Book
-	stamp    uint64
-	active   map[string]*jobs.Job
-	hosts    []*host
-	partHost []int
-	partTerm []uint64
-	registry map[string]owner.Registered
-	workers  map[string]*fakes.Worker
-	names    []string
-	desk     *Desk
-	term     uint64
-	crashes  int
-	orders   []lateOrders
-	rounds   []lateRound
-	copies   []wire.Report // of reports, that may come once more
-	ended    map[string]bool
-	limit    float64              // CPUs; 0: none
-	marks    map[string]MarkWrite // on record, with their stamps
-	elder    bool                 // an earlier release has recorded machines
+	t          *testing.T
+	now        clock.Micros
+	rng        *rand.Rand
+	book       *jobs.Book
+	stamp      uint64
+	active     map[string]*jobs.Job
+	hosts      []*host
+	partHost   []int
+	partTerm   []uint64
+	registry   map[string]owner.Registered
+	workers    map[string]*fakes.Worker
+	names      []string
+	scheduler  *Scheduler
+	term       uint64
+	crashes    int
+	orders     []lateOrders
+	rounds     []lateRound
+	copies     []wire.Report // of reports, that may come once more
+	ended      map[string]bool
+	limit      float64                   // CPUs; 0: none
+	watermarks map[string]WatermarkWrite // on record, with their stamps
+	elder      bool                      // an earlier release has recorded machines
 }
 
 func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
@@ -81,7 +81,7 @@
 
 func newWorldOf(t *testing.T, seed uint64, machines int, limit float64) *world {
 	w := &world{t: t, limit: limit, now: 100 * sec, rng: fakes.Rand(seed), book: jobs.NewBook(), stamp: 10, active: map[string]*jobs.Job{},
-		registry: map[string]owner.Registered{}, workers: map[string]*fakes.Worker{}, ended: map[string]bool{}, marks: map[string]MarkWrite{}}
+		registry: map[string]owner.Registered{}, workers: map[string]*fakes.Worker{}, ended: map[string]bool{}, watermarks: map[string]WatermarkWrite{}}
 	for i := range 2 {
 		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("h%d", i)})
 		w.boot(w.hosts[i])
@@ -96,7 +96,7 @@
 	for p := range w.partHost {
 		w.gain(p, p)
 	}
-	w.newDesk()
+	w.newScheduler()
 	return w
 }
 
@@ -124,37 +124,37 @@
 	w.hosts[to].table.Gain(p, w.partTerm[p], found, w.now)
 }
 
-// newDesk replaces the placer: the former one is gone, and with it its memory.
-func (w *world) newDesk() {
+// newScheduler replaces the placer: the former one is gone, and with it its memory.
+func (w *world) newScheduler() {
 	w.term++
 	w.stamp++
-	w.desk = NewDesk(Timing{Sample: 3, Batch: 10, PreemptAfter: sec}, fmt.Sprintf("desk-%d", w.term),
+	w.scheduler = NewScheduler(Timing{Sample: 3, Batch: 10, PreemptAfter: sec}, fmt.Sprintf("scheduler-%d", w.term),
 		[]Team{{Name: red, Limit: res.Have(w.limit, 0, 0)}}, []string{"h0", "h1"}, w.term, func() int64 { return 0 })
-	w.desk.elder = w.elder
+	w.scheduler.elder = w.elder
 	for id := range w.registry {
-		w.desk.Register(id, true)
+		w.scheduler.Register(id, true)
 	}
-	for key, m := range w.marks {
-		w.desk.Marks(key, m.Marks, m.Stamp)
+	for key, m := range w.watermarks {
+		w.scheduler.Watermarks(key, m.Watermarks, m.Stamp)
 	}
 	var list []*jobs.Job
 	for _, j := range w.active {
 		list = append(list, j)
 	}
-	w.desk.Gain(red, w.term, w.stamp, list, w.now)
+	w.scheduler.Gain(red, w.term, w.stamp, list, w.now)
 }
 
-// mark has the placer's marks written down; the answer may be lost, or the write.
-func (w *world) mark(written, answered bool) {
-	for _, m := range w.desk.PlanMarks(w.now, 4000) {
-		if !written || m.Stamp != w.marks[m.Key].Stamp {
+// watermark has the placer's watermarks written down; the answer may be lost, or the write.
+func (w *world) watermark(written, answered bool) {
+	for _, m := range w.scheduler.PlanWatermarks(w.now, 4000) {
+		if !written || m.Stamp != w.watermarks[m.Key].Stamp {
 			continue
 		}
 		w.stamp++
 		m.Stamp = w.stamp
-		w.marks[m.Key] = m
+		w.watermarks[m.Key] = m
 		if answered {
-			w.desk.Marks(m.Key, m.Marks, m.Stamp)
+			w.scheduler.Watermarks(m.Key, m.Watermarks, m.Stamp)
 		}
 	}
 }
@@ -167,10 +167,10 @@
 	return out
 }
 
-// place lets the placer decide, with marks written at once.
+// place lets the placer decide, with watermarks written at once.
 func (w *world) place() {
-	w.mark(true, true)
-	w.desk.Place(w.now)
+	w.watermark(true, true)
+	w.scheduler.Place(w.now)
 }
 
 func (w *world) addJob(id string, tasks int, change func(*wire.Job)) {
@@ -180,23 +180,23 @@
 		change(&spec)
 	}
 	w.active[id] = jobs.New(jobs.Record{Job: spec}, w.stamp)
-	w.desk.AddJob(w.active[id], w.now)
+	w.scheduler.AddJob(w.active[id], w.now)
 }
 
 // poll lets the placer hear an owner.
 func (w *world) poll(h *host, lost bool) {
-	in := w.desk.Cursor(h.name)
+	in := w.scheduler.Cursor(h.name)
 	ans := h.table.Poll(in, h.instance, w.now)
 	if lost {
-		w.desk.Down(h.name)
+		w.scheduler.Down(h.name)
 		return
 	}
-	w.desk.Hear(h.name, in, &ans, w.now)
+	w.scheduler.Hear(h.name, in, &ans, w.now)
 }
 
 // send lets the placer's next round reach an owner.
 func (w *world) send(h *host, reached, answered bool) {
-	r := w.desk.Send(h.name)
+	r := w.scheduler.Send(h.name)
 	if r == nil {
 		return
 	}
@@ -206,7 +206,7 @@
 	}
 	ans := h.table.Round(*r, h.instance, w.now)
 	if answered {
-		w.desk.Answered(h.name, r, &ans, w.now)
+		w.scheduler.Answered(h.name, r, &ans, w.now)
 	}
 }
 
@@ -255,11 +255,11 @@
 			w.record(id, true)
 		}
 	}
-	for _, j := range w.desk.Ready(w.desk.teams[red]) {
+	for _, j := range w.scheduler.Ready(w.scheduler.teams[red]) {
 		w.end(j.ID, wire.Done)
 	}
 	for id := range w.active {
-		if j := w.desk.teams[red].jobs[id]; j != nil && j.cancelling && w.desk.Cancelled(j, w.parts()) {
+		if j := w.scheduler.teams[red].jobs[id]; j != nil && j.cancelling && w.scheduler.Cancelled(j, w.parts()) {
 			w.end(id, wire.Cancelled)
 		}
 	}
@@ -269,11 +269,11 @@
 	w.book.Keep(id, jobs.Final{Phase: phase, Team: red})
 	w.ended[id] = true
 	delete(w.active, id)
-	w.desk.DropJob(id)
+	w.scheduler.DropJob(id)
 }
 
 func (w *world) record(id string, there bool) {
-	w.desk.Register(id, there)
+	w.scheduler.Register(id, there)
 	for _, h := range w.hosts {
 		h.table.Registered(id, w.part(id), w.registry[id], there, w.now)
 	}
@@ -303,7 +303,7 @@
 // check holds the rules against what the workers really run.
 func (w *world) check(when string) {
 	for _, h := range w.hosts {
-		require.False(w.t, w.desk.owners[h.name].resync, "%s: what changed did not fit what was known", when)
+		require.False(w.t, w.scheduler.owners[h.name].resync, "%s: what changed did not fit what was known", when)
 	}
 	on := map[string]string{}
 	cpus := 0.0
--- a/internal/placer/writes.go
+++ b/internal/placer/writes.go
@@ -15,15 +15,15 @@
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
-// markGap gathers raised marks into one write.
-const markGap = 150 * time.Millisecond
+// watermarkGap gathers raised watermarks into one write.
+const watermarkGap = 150 * time.Millisecond
 
-// markLoop writes which tasks may be asked for, ahead of their turn.
-func (p *Placer) markLoop(ctx context.Context) error {
+// watermarkLoop writes which tasks may be asked for, ahead of their turn.
+func (p *Placer) watermarkLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, markGap)
+		pause(ctx, watermarkGap)
 		p.mu.Lock()
-		list := p.desk.PlanMarks(p.clock.Now(), p.valueMost)
+		list := p.scheduler.PlanWatermarks(p.clock.Now(), p.valueMost)
 		p.mu.Unlock()
 		for _, w := range list {
 			h, ok := p.claims.Mine(Duty(w.Team))
@@ -32,13 +32,13 @@
 			}
 			rev, err := p.urgent.Commit(ctx, wire.Multi{
 				When: []wire.Cond{{Key: state.Claims + Duty(w.Team), Stamp: h.Stamp}, {Key: w.Key, Stamp: w.Stamp}},
-				Then: []wire.Op{{Put: w.Key, Value: w.Marks}}})
+				Then: []wire.Op{{Put: w.Key, Value: w.Watermarks}}})
 			if err != nil {
-				p.log.Debug("writing marks", "team", w.Team, "err", err)
+				p.log.Debug("writing watermarks", "team", w.Team, "err", err)
 				continue
 			}
 			p.mu.Lock()
-			p.desk.Marks(w.Key, w.Marks, rev)
+			p.scheduler.Watermarks(w.Key, w.Watermarks, rev)
 			p.mu.Unlock()
 			poke(p.wake)
 		}
@@ -92,8 +92,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	most := min(p.txnOps, mostEnds)
-	for _, tm := range p.desk.teams {
-		ready := p.desk.Ready(tm)
+	for _, tm := range p.scheduler.teams {
+		ready := p.scheduler.Ready(tm)
 		// Where many wait for the budget, each end costs one change instead of two.
 		brief := most < 2 || len(ready) > most/2
 		for len(ready) > 0 && tm.ending < endsAtOnce {
@@ -125,7 +125,7 @@
 
 // changes is how many changes the end of a job takes. The lock is held.
 func (p *Placer) changes(j *job, brief bool) int {
-	n := 2 + len(p.desk.progress[j.ID])
+	n := 2 + len(p.scheduler.progress[j.ID])
 	if brief {
 		n--
 	}
@@ -212,7 +212,7 @@
 
 // active tells that a job is still this placer's to end. The lock is held.
 func (p *Placer) active(j *job) bool {
-	return j.team.jobs[j.ID] == j && p.desk.teams[j.team.Name] == j.team
+	return j.team.jobs[j.ID] == j && p.scheduler.teams[j.team.Name] == j.team
 }
 
 // endsOf makes the transaction that ends jobs of one team, its first condition
@@ -235,7 +235,7 @@
 		}
 	}
 	for _, j := range batch {
-		for c := range p.desk.progress[j.ID] {
+		for c := range p.scheduler.progress[j.ID] {
 			if op := (wire.Op{Drop: progressKey(j.ID, c)}); len(m.Then) < p.txnOps {
 				m.Then = append(m.Then, op)
 			} else {
@@ -252,7 +252,7 @@
 	defer p.mu.Unlock()
 	for _, j := range batch {
 		p.book.Keep(j.ID, jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks})
-		p.desk.DropJob(j.ID)
+		p.scheduler.DropJob(j.ID)
 		p.log.Info("job is over", "job", j.ID, "class", j.Class, "phase", phase, "tasks", j.Tasks,
 			"after_s", (p.clock.Now() - j.since).Seconds(), "last_start_s", (j.lastStart - j.since).Seconds(), "again", j.again)
 	}
@@ -277,7 +277,7 @@
 func (p *Placer) writeProgress(ctx context.Context) {
 	p.mu.Lock()
 	byTeam := map[*team][]progressWrite{}
-	for _, tm := range p.desk.teams {
+	for _, tm := range p.scheduler.teams {
 		for _, j := range tm.jobs {
 			if j.finishing || j.doneCount == j.Tasks {
 				continue // its end costs no more, and says all of it
@@ -287,7 +287,7 @@
 			}
 			if len(j.dirty) == 0 {
 				for id, e := range j.unsettled {
-					p.desk.settle(j, id, e)
+					p.scheduler.settle(j, id, e)
 				}
 				clear(j.unsettled)
 			}
@@ -319,7 +319,7 @@
 				// Without the record's own stamp a late copy of an earlier write would take
 				// back what is written down and forgotten by the workers since.
 				m.When = append(m.When, wire.Cond{Key: state.Active + w.j.ID, Stamp: w.j.Stamp},
-					wire.Cond{Key: progressKey(w.j.ID, at), Stamp: p.desk.progress[w.j.ID][at].stamp})
+					wire.Cond{Key: progressKey(w.j.ID, at), Stamp: p.scheduler.progress[w.j.ID][at].stamp})
 				m.Then = append(m.Then, wire.Op{Put: progressKey(w.j.ID, at), Value: base64.StdEncoding.EncodeToString(w.bits)})
 				delete(w.j.dirty, w.chunk)
 				w.ends = map[peer.TaskID]string{}
@@ -338,11 +338,11 @@
 					continue
 				}
 				if p.active(w.j) {
-					p.desk.Progress(w.j.ID, chunkID{w.chunk, w.j.per}, w.bits, rev)
+					p.scheduler.Progress(w.j.ID, chunkID{w.chunk, w.j.per}, w.bits, rev)
 				}
 				for id, e := range w.ends {
 					delete(w.j.unsettled, id)
-					p.desk.settle(w.j, id, e)
+					p.scheduler.settle(w.j, id, e)
 				}
 			}
 			p.mu.Unlock()
--- a/internal/placer/writes_test.go
+++ b/internal/placer/writes_test.go
@@ -54,20 +54,20 @@
 func newWriter(t *testing.T, view *fakes.View, store Store) *writer {
 	stamp, err := view.Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Claims + Duty(red), Value: claim.Record{}}}})
 	require.NoError(t, err)
-	desk := NewDesk(Timing{}, "i", []Team{{Name: red}}, nil, 1, func() int64 { return 0 })
-	desk.Gain(red, 1, stamp, nil, 0)
+	scheduler := NewScheduler(Timing{}, "i", []Team{{Name: red}}, nil, 1, func() int64 { return 0 })
+	scheduler.Gain(red, 1, stamp, nil, 0)
 	claims := always{claim.Held{Record: claim.Record{Term: 1}, Stamp: stamp}}
-	return &writer{New(desk, Options{TxnOps: 12, ValueMost: 4000}, claims, store, store, jobs.NewBook(),
+	return &writer{New(scheduler, Options{TxnOps: 12, ValueMost: 4000}, claims, store, store, jobs.NewBook(),
 		clock.NewSteady(), slog.New(slog.NewTextHandler(io.Discard, nil))), t, view}
 }
 
-// accept has a job on record and at the desk.
+// accept has a job on record and at the scheduler.
 func (w *writer) accept(id string, tasks int) *job {
 	rec := jobs.Record{Job: wire.Job{ID: id, Team: red, Tasks: tasks}}
 	stamp, err := w.state.Commit(w.t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Active + id, Value: rec}}})
 	require.NoError(w.t, err)
-	w.desk.AddJob(jobs.New(rec, stamp), 0)
-	return w.desk.teams[red].jobs[id]
+	w.scheduler.AddJob(jobs.New(rec, stamp), 0)
+	return w.scheduler.teams[red].jobs[id]
 }
 
 // Hundreds of jobs of one task each are done within moments, far more than there
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -23,7 +23,7 @@
 	HandOver                                   clock.Micros
 	Sample, Batch                              int
 	LeaseTTL, ProgressEvery, PreemptAfter      clock.Micros
-	IdleReturn, HireBackoff, Catchup           clock.Micros
+	IdleReturn, RentalBackoff, Catchup         clock.Micros
 	CatchupOrdinary                            clock.Micros
 	SpareShare, BootPatience                   float64
 	SickErrors                                 int
@@ -35,10 +35,10 @@
 // for room, and to notice that a machine is gone and begin anew.
 const longFinish = 8
 
-// Economy tells whether thrift is in order: work need be no earlier than its
+// Economy tells whether economy is in order: work need be no earlier than its
 // deadline. It is not where an objective asks for work without deadlines to be
 // finished within a short fixed time; a long one, such as guests have, must not
-// put off thrift for everybody, and for work with deadlines it is one more of them.
+// put off economy for everybody, and for work with deadlines it is one more of them.
 func Economy(s *config.Settings) bool {
 	due := map[string]bool{}
 	for _, o := range s.Params.Objectives {
@@ -134,7 +134,7 @@
 		{"boot_patience", 1, 100, func(v float64) { k.BootPatience = v }},
 		{"catchup_s", 1, 3600, func(v float64) { k.Catchup = clock.FromSeconds(v) }},
 		{"catchup_ordinary_s", 1, 3600, func(v float64) { k.CatchupOrdinary = clock.FromSeconds(v) }},
-		{"hire_backoff_s", 0, 3600, func(v float64) { k.HireBackoff = clock.FromSeconds(v) }},
+		{"hire_backoff_s", 0, 3600, func(v float64) { k.RentalBackoff = clock.FromSeconds(v) }},
 		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
 	} {
 		v, err := num(f.name, f.lo, f.hi)
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -17,12 +17,12 @@
 	return s
 }
 
-// Thrift follows from the objectives: none asks for work without deadlines to be
+// Economy follows from the objectives: none asks for work without deadlines to be
 // finished within a fixed time.
-func TestThriftFollowsFromTheObjectives(t *testing.T) {
-	thrifty, err := Parse("", settings("deadline", "guarantee"))
+func TestEconomyFollowsFromTheObjectives(t *testing.T) {
+	economical, err := Parse("", settings("deadline", "guarantee"))
 	require.NoError(t, err)
-	require.True(t, thrifty.Economy)
+	require.True(t, economical.Economy)
 	early := settings("deadline", "finished")
 	early.Params.Objectives[0].Class = "nightly"
 	early.Params.Objectives[1].Class = "urgent"
@@ -31,8 +31,8 @@
 	quick, err := Parse("", early)
 	require.NoError(t, err)
 	require.False(t, quick.Economy)
-	require.Less(t, thrifty.IdleReturn, quick.IdleReturn)
-	// Guests that have minutes must not put off thrift for everybody.
+	require.Less(t, economical.IdleReturn, quick.IdleReturn)
+	// Guests that have minutes must not put off economy for everybody.
 	early.Params.Objectives[1].WithinS = 400
 	require.True(t, Economy(early))
 	early.Params.Objectives[1].WithinS = 70
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -17,18 +17,18 @@
 
 // Prefixes of keys below Root.
 const (
-	Claims   = Root + "c/" // duties
-	Nodes    = Root + "n/" // registered incarnations
-	Active   = Root + "a/" // jobs that are not final
-	Final    = Root + "f/" // final states of jobs
-	Machines = Root + "m/" // machines that may hold tasks
-	Progress = Root + "p/" // completed tasks of active jobs
-	Marks    = Root + "w/" // how many tasks of active jobs may have been asked for
-	Catalog  = Root + "k/catalog"
+	Claims     = Root + "c/" // duties
+	Nodes      = Root + "n/" // registered incarnations
+	Active     = Root + "a/" // jobs that are not final
+	Final      = Root + "f/" // final states of jobs
+	Machines   = Root + "m/" // machines that may hold tasks
+	Progress   = Root + "p/" // completed tasks of active jobs
+	Watermarks = Root + "w/" // how many tasks of active jobs may have been asked for
+	Catalog    = Root + "k/catalog"
 )
 
 // loaded are the prefixes read at the start; final states are only followed.
-var loaded = []string{Claims, Nodes, Active, Machines, Progress, Marks, Root + "k/"}
+var loaded = []string{Claims, Nodes, Active, Machines, Progress, Watermarks, Root + "k/"}
 
 // Event is one change of a key, in order of revisions.
 type Event struct {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -27,11 +27,11 @@
 
 // Limits of the protocol.
 const (
-	MaxBody  = 64 << 10
-	MaxTasks = 100_000
-	MaxHire  = 50
-	MaxList  = 500
-	MaxMulti = 48 << 10 // bytes of a transaction's values: what they are wrapped in comes on top
+	MaxBody   = 64 << 10
+	MaxTasks  = 100_000
+	MaxRental = 50
+	MaxList   = 500
+	MaxMulti  = 48 << 10 // bytes of a transaction's values: what they are wrapped in comes on top
 )
 
 // Phases of a job.
@@ -292,8 +292,8 @@
 	Types []MachineType `json:"hulls"`
 }
 
-// Hire asks for machines.
-type Hire struct {
+// RentalRequest asks for machines.
+type RentalRequest struct {
 	Name  string `json:"hire"`
 	Type  string `json:"hull"`
 	Zone  string `json:"yard"`
