The knob hire_backoff_s is called rental_backoff_s; names on the wire are held by tests

The former name is accepted and noted in the log. Tests hold the fields of records and the names of messages and methods between controllers, so that versions before and after the renames work together; no test plays two versions at a time.

--- a/cmd/merlinlatch/main.go
+++ b/cmd/merlinlatch/main.go
@@ -110,6 +110,9 @@
 	if ctx == nil {
 		ctx = context.Background()
 	}
+	for _, r := range knobs.Renamed {
+		log.Info("a knob of the policy script has a new name", "old", r.Old, "new", r.New)
+	}
 	// A controller has a small share of one core: more threads only cost switches.
 	runtime.GOMAXPROCS(1)
 	// Live data are a small part of the memory: collecting seldom costs less time,
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"testing"
@@ -321,3 +322,16 @@
 		require.Equal(t, before, after)
 	})
 }
+
+// What controllers of the version before have written is read by this one, and the other
+// way round: records keep their fields' names.
+func TestRecordsKeepTheirFields(t *testing.T) {
+	for want, record := range map[string]any{
+		`{"holder":"a","incarnation":"i","term":3}`: Record{Holder: "a", Incarnation: "i", Term: 3},
+		`{"incarnation":"i","deaf":true}`:           Registration{Incarnation: "i", Unreachable: true},
+	} {
+		b, err := json.Marshal(record)
+		require.NoError(t, err)
+		require.JSONEq(t, want, string(b))
+	}
+}
--- /dev/null
+++ b/internal/peer/names_test.go
@@ -0,0 +1,37 @@
+package peer
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Controllers of the version before and of this one work together while they are
+// restarted one by one: net/rpc carries fields and methods by these names.
+func TestNamesBetweenControllersStay(t *testing.T) {
+	for _, c := range []struct {
+		message any
+		fields  []string
+	}{
+		{Hello{}, []string{"Contact", "Resigned", "From", "Strays", "Machines", "Unheard"}},
+		{Poll{}, []string{"Incarnation", "Cursor", "Terms", "Wait", "Gen"}},
+		{PollAnswer{}, []string{"Incarnation", "Cursor", "Full", "Parts", "Machines"}},
+		{Round{}, []string{"From", "Seq", "Terms", "Asks", "Stops", "Settles", "Cancels", "Slow"}},
+		{RoundAnswer{}, []string{"Incarnation", "Refused", "Versions"}},
+		{JobQuery{}, []string{"Team", "ID"}},
+		{JobAnswer{}, []string{"Known", "Found", "Retry", "State"}},
+	} {
+		var names []string
+		for f := range reflect.TypeOf(c.message).Fields() {
+			names = append(names, f.Name)
+		}
+		require.Equal(t, c.fields, names, "%T", c.message)
+	}
+	service := reflect.TypeFor[Service]()
+	for _, method := range []string{"Round", "Poll", "Hello", "Demand", "Status", "Withdraw", "Submit", "Drain", "Gone"} {
+		_, ok := service.MethodByName(method)
+		require.True(t, ok, method)
+	}
+	require.Equal(t, "Merlinlatch", serviceName)
+}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -18,5 +18,5 @@
 catchup_ordinary_s = 90 # the same for ordinary machines, once spot ones are refused
 spare_share = 0.0 if economy else 0.5   # room rented ahead, as a share of what is in use
 boot_patience = 3.0    # a machine not up after so many times its boot time is given back
-hire_backoff_s = 5     # a kind of machine that was refused is not asked for so long
+rental_backoff_s = 5   # a kind of machine that was refused is not asked for so long
 sick_errors = 2        # jobs that fail in a row on a machine before it is set aside
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -28,8 +28,16 @@
 	SpareShare, BootPatience                   float64
 	SickErrors                                 int
 	Economy                                    bool
+	// Renamed are the knobs that the script set by a former name.
+	Renamed []Rename
 }
 
+// Rename is a knob's former name and the one that it has now.
+type Rename struct{ Old, New string }
+
+// renames are the former names that are accepted still.
+var renames = []Rename{{Old: "hire_backoff_s", New: "rental_backoff_s"}}
+
 // longFinish is from how many of the workers' leases on a time to be finished
 // within is one more deadline, also for work that has none: it leaves time to wait
 // for room, and to notice that a machine is gone and begin anew.
@@ -78,6 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
+		k.rename(own)
 		names := make([]string, 0, len(own))
 		for n := range own {
 			names = append(names, n)
@@ -96,6 +105,22 @@
 	return k, k.read(vals)
 }
 
+// rename gives the knobs that a script set by a former name their present one, unless
+// the script sets that too.
+func (k *Knobs) rename(own starlark.StringDict) {
+	for _, r := range renames {
+		v, ok := own[r.Old]
+		if !ok {
+			continue
+		}
+		if _, both := own[r.New]; !both {
+			own[r.New] = v
+		}
+		delete(own, r.Old)
+		k.Renamed = append(k.Renamed, r)
+	}
+}
+
 func run(name, text string, given starlark.StringDict) (starlark.StringDict, error) {
 	thread := &starlark.Thread{Name: name}
 	thread.SetMaxExecutionSteps(1_000_000) // a script can't hang the start
@@ -134,7 +159,7 @@
 		{"boot_patience", 1, 100, func(v float64) { k.BootPatience = v }},
 		{"catchup_s", 1, 3600, func(v float64) { k.Catchup = clock.FromSeconds(v) }},
 		{"catchup_ordinary_s", 1, 3600, func(v float64) { k.CatchupOrdinary = clock.FromSeconds(v) }},
-		{"hire_backoff_s", 0, 3600, func(v float64) { k.RentalBackoff = clock.FromSeconds(v) }},
+		{"rental_backoff_s", 0, 3600, func(v float64) { k.RentalBackoff = clock.FromSeconds(v) }},
 		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
 	} {
 		v, err := num(f.name, f.lo, f.hi)
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -60,3 +60,17 @@
 		require.ErrorContains(t, err, want, script)
 	}
 }
+
+// A script of an earlier release goes on to work: a knob's former name is accepted and told of.
+func TestFormerNamesOfKnobsAreAccepted(t *testing.T) {
+	for script, want := range map[string]clock.Micros{
+		"hire_backoff_s = 9":                         9 * clock.Second,
+		"rental_backoff_s = 7":                       7 * clock.Second,
+		"hire_backoff_s = 9\nrental_backoff_s = 7\n": 7 * clock.Second,
+	} {
+		k, err := Parse(script, settings())
+		require.NoError(t, err, script)
+		require.Equal(t, want, k.RentalBackoff, script)
+		require.Equal(t, script[0] == 'h', len(k.Renamed) == 1, script)
+	}
+}
