--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/httpx"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/placer"
+)
+
+// told is what a peer last said of machines: how many of this controller's it has
+// met lately, how many of its own there are, and how many are unheard.
+type told struct {
+	misdirected, machines, unheard int
+	at                             time.Time
+}
+
+// Peer calls another controller.
+type Peer interface {
+	Call(method string, in, out any, timeout time.Duration) error
+}
+
+// greet exchanges a word with a peer once a second: it tells whether a peer can
+// reach the state service while this controller can't, and which incarnations resigned.
+func (n *Node) greet(ctx context.Context, host string, c Peer) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		var out peer.Hello
+		if err := c.Call("Hello", n.hello(), &out, 800*time.Millisecond); err != nil {
+			n.log.Debug("greeting", "peer", host, "err", err)
+			continue
+		}
+		n.keeper.Hear(out.Contact)
+		n.mu.Lock()
+		n.told[host] = told{out.Strays, out.Machines, out.Unheard, time.Now()}
+		if out.Contact < n.fresh {
+			n.contact[host] = time.Now()
+		}
+		n.mu.Unlock()
+		if out.Resigned != "" {
+			n.keeper.Bury(ctx, host, out.Resigned)
+		}
+	}
+}
+
+func (n *Node) hello() peer.Hello {
+	ago, resigned := n.keeper.Contact()
+	return peer.Hello{Contact: ago, Resigned: resigned, From: n.set.Host}
+}
+
+// unreachableAfter is for how many looks in a row, a second apart, the workers must be
+// heard of elsewhere only. Looks are counted, not time: a process that stood still
+// finds everybody else's word of it waiting, and has not listened yet.
+const unreachableAfter = 3
+
+// listen finds out whether the workers reach this controller. When they don't, it
+// says so and hands the machines to those whom they reach; once it reaches workers
+// again it takes its part back.
+func (n *Node) listen(ctx context.Context) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	unreachable, looks := false, 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if unreachable {
+			if looks++; !n.owner.Reaches(ctx) {
+				looks = 0
+			}
+		} else {
+			looks++
+			all, unheard := n.owner.Unheard()
+			misdirected, better := 0, false
+			n.mu.Lock()
+			for _, t := range n.told {
+				if time.Since(t.at) < 3*time.Second {
+					misdirected += t.misdirected
+					better = better || 4*t.unheard <= t.machines
+				}
+			}
+			n.mu.Unlock()
+			// Machines that hear no answers stray as well, but from all controllers
+			// alike: then none of them is better placed than this one.
+			if all < 3 || 3*unheard < 2*all || 3*misdirected < all || !better {
+				looks = 0
+			}
+		}
+		if looks >= unreachableAfter {
+			unreachable, looks = !unreachable, 0
+			n.log.Info("whether workers reach this controller has changed", "unreachable", unreachable)
+			n.keeper.SetUnreachable(unreachable)
+		}
+	}
+}
+
+// Away tells that this controller has not reached the state service for a while.
+func (n *Node) Away() bool {
+	ago, _ := n.keeper.Contact()
+	return ago > n.fresh
+}
+
+// submitTimeout bounds how long another controller is waited for with a submission.
+const submitTimeout = 800 * time.Millisecond
+
+// Submit hands a submission to a peer that has said lately that it reaches the state service.
+func (n *Node) Submit(body []byte) (r httpx.Response, ok bool) {
+	host := ""
+	n.mu.Lock()
+	for h, at := range n.contact {
+		if time.Since(at) < n.fresh.Duration() && (host == "" || h < host) {
+			host = h
+		}
+	}
+	n.mu.Unlock()
+	if host == "" {
+		return r, false
+	}
+	var a peer.SubmitAnswer
+	if err := n.peers[host].Call("Submit", peer.SubmitQuery{Body: body}, &a, submitTimeout); err != nil {
+		n.log.Debug("handing a submission on", "peer", host, "err", err)
+		return r, false
+	}
+	return httpx.Response{Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter}, a.Status != 0
+}
+
+// askTimeout bounds a question to a peer on a user's behalf.
+const askTimeout = 1500 * time.Millisecond
+
+// Status asks the team's placer about a job.
+func (n *Node) Status(_ context.Context, q peer.JobQuery) (peer.JobAnswer, error) {
+	return n.ask("Status", n.placer.Status, q, askTimeout)
+}
+
+// Withdraw asks the team's placer to end a job.
+func (n *Node) Withdraw(_ context.Context, q peer.JobQuery) (peer.JobAnswer, error) {
+	return n.ask("Withdraw", n.placer.Withdraw, q, 2*askTimeout)
+}
+
+func (n *Node) ask(method string, local func(peer.JobQuery) peer.JobAnswer, q peer.JobQuery, timeout time.Duration) (peer.JobAnswer, error) {
+	host, ok := n.keeper.Holder(placer.Duty(q.Team))
+	if !ok {
+		return peer.JobAnswer{}, fmt.Errorf("team %s has no placer now", q.Team)
+	}
+	if host == n.set.Host {
+		return local(q), nil
+	}
+	var out peer.JobAnswer
+	err := n.peers[host].Call(method, q, &out, timeout)
+	return out, err
+}
+
+// each calls a method of all peers at once.
+func each[Out any](n *Node, method string, in any, take func(Out)) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, c := range n.peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var out Out
+			if err := c.Call(method, in, &out, 600*time.Millisecond); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				take(out)
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Demands asks all placers what waits.
+func (n *Node) Demands(context.Context) []peer.Demand {
+	out := n.placer.Demands()
+	each(n, "Demand", n.hello(), func(a peer.DemandAnswer) { out = append(out, a.Demands...) })
+	return out
+}
+
+// Views appends the mirror of all machines.
+func (n *Node) Views(to []peer.MachineView) []peer.MachineView { return n.placer.Views(to) }
+
+// RecordedBefore lists the machines that were on record by a time of day.
+func (n *Node) RecordedBefore(atMS int64) []peer.Machine { return n.owner.RecordedBefore(atMS) }
+
+// Drain asks all owners to set machines aside.
+func (n *Node) Drain(_ context.Context, list []peer.Machine) []string {
+	out := n.owner.Drain(list)
+	each(n, "Drain", peer.DrainQuery{Machines: list}, func(a peer.DrainAnswer) { out = append(out, a.Ready...) })
+	return out
+}
+
+// Gone tells all owners of machines that are gone for certain.
+func (n *Node) Gone(_ context.Context, list []peer.Machine) {
+	n.owner.Gone(list)
+	each(n, "Gone", peer.GoneNote{Machines: list}, func(peer.DrainAnswer) {})
+}
--- /dev/null
+++ b/internal/node/service.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/owner"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+)
+
+type localOwner struct{ o *owner.Owner }
+
+func (l localOwner) Round(in peer.Round) (peer.RoundAnswer, error) { return l.o.Round(in), nil }
+
+func (l localOwner) Poll(in peer.Poll) (peer.PollAnswer, error) { return l.o.Poll(in), nil }
+
+type remoteOwner struct{ c Peer }
+
+func (r remoteOwner) Round(in peer.Round) (out peer.RoundAnswer, err error) {
+	err = r.c.Call("Round", in, &out, 1500*time.Millisecond)
+	return out, err
+}
+
+func (r remoteOwner) Poll(in peer.Poll) (out peer.PollAnswer, err error) {
+	err = r.c.Call("Poll", in, &out, in.Wait.Duration()+1500*time.Millisecond)
+	return out, err
+}
+
+// service is what peers may call.
+type service struct{ n *Node }
+
+var _ peer.Service = (*service)(nil)
+
+func (s *service) Round(in peer.Round, out *peer.RoundAnswer) error {
+	*out = s.n.owner.Round(in)
+	return nil
+}
+
+func (s *service) Poll(in peer.Poll, out *peer.PollAnswer) error {
+	*out = s.n.owner.Poll(in)
+	return nil
+}
+
+func (s *service) Hello(in peer.Hello, out *peer.Hello) error {
+	*out = s.n.hello()
+	out.Strays = s.n.owner.Misdirected(in.From)
+	out.Machines, out.Unheard = s.n.owner.Unheard()
+	return nil
+}
+
+func (s *service) Demand(_ peer.Hello, out *peer.DemandAnswer) error {
+	out.Demands = s.n.placer.Demands()
+	return nil
+}
+
+func (s *service) Status(in peer.JobQuery, out *peer.JobAnswer) error {
+	*out = s.n.placer.Status(in)
+	return nil
+}
+
+func (s *service) Withdraw(in peer.JobQuery, out *peer.JobAnswer) error {
+	*out = s.n.placer.Withdraw(in)
+	return nil
+}
+
+func (s *service) Submit(in peer.SubmitQuery, out *peer.SubmitAnswer) error {
+	r := s.n.front.Accept(context.Background(), in.Body)
+	*out = peer.SubmitAnswer{Status: r.Status, Body: r.Body, RetryAfter: r.RetryAfter}
+	return nil
+}
+
+func (s *service) Drain(in peer.DrainQuery, out *peer.DrainAnswer) error {
+	out.Ready = s.n.owner.Drain(in.Machines)
+	return nil
+}
+
+func (s *service) Gone(in peer.GoneNote, _ *peer.DrainAnswer) error {
+	s.n.owner.Gone(in.Machines)
+	return nil
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"hash/fnv"
 	"log/slog"
 	"sync"
 	"time"
@@ -17,7 +14,6 @@
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
-	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
@@ -33,39 +29,6 @@
 	Commit(ctx context.Context, m wire.Multi) (uint64, error)
 }
 
-// Duty names the claim of a partition.
-func Duty(part int) string { return fmt.Sprintf("part-%03d", part) }
-
-// Split tells which partition a machine belongs to. Those of a zone belong to
-// partitions whose preferred controllers are in that zone: when it is cut off from
-// the others, its machines stay with a controller that reaches them, and no other
-// machines lose theirs. Machines of a zone without controllers go anywhere.
-type Split struct {
-	all    []int
-	byZone map[string][]int
-}
-
-// NewSplit splits the machines; zones holds the zone of each partition's preferred controller.
-func NewSplit(zones []string) Split {
-	s := Split{byZone: map[string][]int{}}
-	for p, z := range zones {
-		s.all = append(s.all, p)
-		s.byZone[z] = append(s.byZone[z], p)
-	}
-	return s
-}
-
-// Of gives the partition of a machine.
-func (s Split) Of(machine, zone string) int {
-	list := s.byZone[zone]
-	if len(list) == 0 {
-		list = s.all
-	}
-	h := fnv.New32a()
-	h.Write([]byte(machine))
-	return list[h.Sum32()%uint32(len(list))]
-}
-
 // Owner serves the partitions that this process holds.
 type Owner struct {
 	host        string
@@ -132,27 +95,6 @@
 	}
 }
 
-// Apply takes events of the replica: the records of machines.
-func (o *Owner) Apply(evs []state.Event) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, e := range evs {
-		o.recorded(o.records.Apply(e))
-	}
-	o.notify()
-}
-
-// recorded tells the table which machines are on record. The lock is held.
-func (o *Owner) recorded(came machines.Group, went []string) {
-	now := o.clock.Now()
-	for _, id := range went {
-		o.table.Registered(id, 0, Registered{}, false, now)
-	}
-	for id, r := range came {
-		o.table.Registered(id, o.split.Of(id, r.Zone), r, true, now)
-	}
-}
-
 // Reconcile takes over and gives up partitions as the claims now say.
 func (o *Owner) Reconcile() {
 	o.mu.Lock()
@@ -270,18 +212,6 @@
 	return ready
 }
 
-// RecordedBefore lists the machines that were recorded by a time of day, and are on record still.
-func (o *Owner) RecordedBefore(atMS int64) (out []peer.Machine) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.records.Each(func(id string, r Registered) {
-		if r.AtMS > 0 && r.AtMS < atMS {
-			out = append(out, peer.Machine{ID: id, Zone: r.Zone})
-		}
-	})
-	return out
-}
-
 // Gone takes the word that machines are gone for certain.
 func (o *Owner) Gone(list []peer.Machine) {
 	o.mu.Lock()
@@ -331,138 +261,3 @@
 		o.ticks.Round(time.Since(began))
 	}
 }
-
-// record writes the records of new machines, and drops those of machines that
-// are gone, each on the condition that the partition is still held.
-func (o *Owner) record(ctx context.Context, fresh machines.Group, drop []string) {
-	came, went := map[int]machines.Group{}, map[int][]string{}
-	parts := map[int]bool{}
-	for id, r := range fresh {
-		r.AtMS = o.wall().UnixMilli()
-		p := o.split.Of(id, r.Zone)
-		if came[p] == nil {
-			came[p] = machines.Group{}
-		}
-		came[p][id], parts[p] = r, true
-	}
-	o.mu.Lock()
-	for _, id := range drop {
-		r, ok := o.records.Find(id)
-		if !ok {
-			continue
-		}
-		p := o.split.Of(id, r.Zone)
-		went[p], parts[p] = append(went[p], id), true
-	}
-	o.mu.Unlock()
-	for p := range parts {
-		h, mine := o.claims.Mine(Duty(p))
-		if !mine {
-			continue
-		}
-		o.mu.Lock()
-		list := o.records.Plan(p, came[p], went[p], o.valueMost)
-		o.mu.Unlock()
-		for len(list) > 0 {
-			n, size := 0, 0
-			for n < min(len(list), o.txnOps) && (n == 0 || size+list[n].Size() < wire.MaxMulti) {
-				size += list[n].Size()
-				n++
-			}
-			if err := o.write(ctx, p, h, list[:n]); err != nil {
-				o.log.Debug("recording machines", "part", p, "err", err)
-				break
-			}
-			list = list[n:]
-		}
-	}
-}
-
-func (o *Owner) write(ctx context.Context, part int, h claim.Held, list []machines.Write) error {
-	m := wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty(part), Stamp: h.Stamp}}}
-	for _, w := range list {
-		w.Into(&m)
-	}
-	rev, err := o.store.Commit(ctx, m)
-	if err != nil {
-		return err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, w := range list {
-		o.recorded(o.records.Set(w.Key, w.Group, rev))
-	}
-	o.notify()
-	return nil
-}
-
-// send starts a delivery for each machine that has something to be sent.
-func (o *Owner) send(ctx context.Context) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.clock.Now()
-	for _, id := range o.table.Pending(now) {
-		part, _ := o.table.PartOf(id)
-		if term, _ := o.table.Part(part); !o.holds(part, term) {
-			continue
-		}
-		if !o.lines.room(id) {
-			return // they are looked at again when a delivery is over
-		}
-		addr, orders := o.table.TakeOrders(id, now)
-		if orders == nil {
-			continue
-		}
-		go o.deliver(ctx, id, part, o.lines.take(id, addr), orders)
-	}
-}
-
-const orderTimeout = 1200 * time.Millisecond
-
-// deliver sends orders to one worker's own address and takes its answer.
-func (o *Owner) deliver(ctx context.Context, id string, part int, c *httpx.Client, orders *wire.Orders) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	r, err := o.post(ctx, part, c, orders)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.lines.put(id, c) {
-		o.poke()
-	}
-	now := o.clock.Now()
-	if err != nil {
-		o.log.Debug("orders had no answer", "machine", id, "err", err)
-		o.table.Unanswered(id, orders, now)
-		return
-	}
-	o.table.Answered(id, orders, r, now)
-	o.notify()
-}
-
-var (
-	errOdd     = errors.New("odd answer")
-	errNotHeld = errors.New("the partition's claim is over")
-)
-
-// post sends orders while their partition is held under the term of their token.
-func (o *Owner) post(ctx context.Context, part int, c *httpx.Client, orders *wire.Orders) (*wire.Report, error) {
-	b, err := json.Marshal(orders)
-	if err != nil {
-		return nil, err
-	}
-	if !o.holds(part, orders.Token>>termShift) {
-		return nil, errNotHeld
-	}
-	resp, err := c.Do(ctx, "POST", wire.PathOrders, b)
-	if err != nil {
-		return nil, err
-	}
-	if resp.Status != 200 && resp.Status != 409 {
-		return nil, fmt.Errorf("%w: status %d", errOdd, resp.Status)
-	}
-	var r wire.Report
-	if err := json.Unmarshal(resp.Body, &r); err != nil || r.Machine == "" {
-		return nil, fmt.Errorf("%w: %.80s", errOdd, resp.Body)
-	}
-	return &r, nil
-}
--- /dev/null
+++ b/internal/owner/records.go
@@ -0,0 +1,108 @@
+package owner
+
+import (
+	"context"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/machines"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Apply takes events of the replica: the records of machines.
+func (o *Owner) Apply(evs []state.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range evs {
+		o.recorded(o.records.Apply(e))
+	}
+	o.notify()
+}
+
+// recorded tells the table which machines are on record. The lock is held.
+func (o *Owner) recorded(came machines.Group, went []string) {
+	now := o.clock.Now()
+	for _, id := range went {
+		o.table.Registered(id, 0, Registered{}, false, now)
+	}
+	for id, r := range came {
+		o.table.Registered(id, o.split.Of(id, r.Zone), r, true, now)
+	}
+}
+
+// RecordedBefore lists the machines that were recorded by a time of day, and are on record still.
+func (o *Owner) RecordedBefore(atMS int64) (out []peer.Machine) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records.Each(func(id string, r Registered) {
+		if r.AtMS > 0 && r.AtMS < atMS {
+			out = append(out, peer.Machine{ID: id, Zone: r.Zone})
+		}
+	})
+	return out
+}
+
+// record writes the records of new machines, and drops those of machines that
+// are gone, each on the condition that the partition is still held.
+func (o *Owner) record(ctx context.Context, fresh machines.Group, drop []string) {
+	came, went := map[int]machines.Group{}, map[int][]string{}
+	parts := map[int]bool{}
+	for id, r := range fresh {
+		r.AtMS = o.wall().UnixMilli()
+		p := o.split.Of(id, r.Zone)
+		if came[p] == nil {
+			came[p] = machines.Group{}
+		}
+		came[p][id], parts[p] = r, true
+	}
+	o.mu.Lock()
+	for _, id := range drop {
+		r, ok := o.records.Find(id)
+		if !ok {
+			continue
+		}
+		p := o.split.Of(id, r.Zone)
+		went[p], parts[p] = append(went[p], id), true
+	}
+	o.mu.Unlock()
+	for p := range parts {
+		h, mine := o.claims.Mine(Duty(p))
+		if !mine {
+			continue
+		}
+		o.mu.Lock()
+		list := o.records.Plan(p, came[p], went[p], o.valueMost)
+		o.mu.Unlock()
+		for len(list) > 0 {
+			n, size := 0, 0
+			for n < min(len(list), o.txnOps) && (n == 0 || size+list[n].Size() < wire.MaxMulti) {
+				size += list[n].Size()
+				n++
+			}
+			if err := o.write(ctx, p, h, list[:n]); err != nil {
+				o.log.Debug("recording machines", "part", p, "err", err)
+				break
+			}
+			list = list[n:]
+		}
+	}
+}
+
+func (o *Owner) write(ctx context.Context, part int, h claim.Held, list []machines.Write) error {
+	m := wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty(part), Stamp: h.Stamp}}}
+	for _, w := range list {
+		w.Into(&m)
+	}
+	rev, err := o.store.Commit(ctx, m)
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, w := range list {
+		o.recorded(o.records.Set(w.Key, w.Group, rev))
+	}
+	o.notify()
+	return nil
+}
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -5,11 +5,8 @@
 package placer
 
 import (
-	"fmt"
 	"maps"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
@@ -17,37 +14,6 @@
 	"github.com/merlinlatch/merlinlatch/internal/res"
 )
 
-// ChunkTasks is how many tasks one record of progress covers, where a record may
-// be as large as that takes.
-const ChunkTasks = 32768
-
-// chunkID names a record of progress: the tasks from N*Size on. Where records
-// must be smaller they say so, and each is read by its own size.
-type chunkID struct{ N, Size int }
-
-func (c chunkID) String() string {
-	if c.Size == ChunkTasks {
-		return strconv.Itoa(c.N)
-	}
-	return fmt.Sprintf("%d.%d", c.N, c.Size)
-}
-
-func parseChunk(text string) (c chunkID, ok bool) {
-	n, size, small := strings.Cut(text, ".")
-	c.Size = ChunkTasks
-	var err, err2 error
-	c.N, err = strconv.Atoi(n)
-	if small {
-		c.Size, err2 = strconv.Atoi(size)
-	}
-	return c, err == nil && err2 == nil && c.N >= 0 && c.Size > 0 && c.Size%8 == 0
-}
-
-// chunkTasks is how many tasks a record of at most so many bytes covers.
-func chunkTasks(most int) int {
-	return min(ChunkTasks, max(1, (most-2)/4*3/8)*64)
-}
-
 // Timing and sizes of placing.
 type Timing struct {
 	Sample, Batch int
@@ -82,42 +48,6 @@
 	ending  int             // transactions under way that write ends of its jobs
 }
 
-type job struct {
-	*jobs.Job
-	per        int // tasks that a record of its progress covers
-	team       *team
-	watermark  int  // tasks from here on were never asked for: so the state service says
-	former     int  // tasks up to here a former placer may have asked for
-	parked     bool // and those wait until all machines are accounted for
-	next       int  // tasks from here on were never queued
-	queue      []int
-	done       []uint64 // bits
-	doneCount  int
-	bound      map[int]*binding
-	zones      map[string]int
-	cancelling bool
-	taken      map[string]bool // processes that have its withdrawal in memory
-	endAfter   clock.Micros    // the end of its withdrawal is not tried until then
-	asked      bool            // a task of it was asked for by this placer
-	uncertain  bool            // its final record may have been written
-	unanswered bool            // and a try to write it had no definite answer
-	finishing  bool
-	dirty      map[int]bool           // chunks to be written
-	unsettled  map[peer.TaskID]string // ended as done, not written yet: on which machine
-	acked      map[peer.TaskID]uint64 // ends settled with the owner of that term
-	stalled    clock.Micros           // since when some task of it finds no room
-	dry        clock.Micros           // since when none does
-	bareSince  clock.Micros           // since when there is room, but none where its image is
-	covered    bool                   // fits its team's guarantee together with the team's earlier jobs
-	since      clock.Micros
-	runs       []runTime
-	errors     int
-	again      int          // tasks placed once more
-	lastStart  clock.Micros // when its last task was first seen running
-	failedOn   map[string]clock.Micros
-	backoff    clock.Micros
-}
-
 type binding struct {
 	id       peer.TaskID
 	job      *job
@@ -344,26 +274,6 @@
 	}
 }
 
-// progress is a record of completed tasks, and the stamp of its last change.
-type progress struct {
-	bits  []byte
-	stamp uint64
-}
-
-// Progress takes a record of completed tasks, as the replica shows it or as it
-// was written. Older words than the newest known change nothing.
-func (d *Scheduler) Progress(id string, chunk chunkID, bits []byte, stamp uint64) {
-	if d.progress[id] == nil {
-		d.progress[id] = map[chunkID]progress{}
-	}
-	if stamp >= d.progress[id][chunk].stamp {
-		d.progress[id][chunk] = progress{bits, stamp}
-	}
-}
-
-// DropProgress takes note that a record of completed tasks is gone.
-func (d *Scheduler) DropProgress(id string, chunk chunkID) { delete(d.progress[id], chunk) }
-
 // Register takes note of a machine's record.
 func (d *Scheduler) Register(id string, there bool) {
 	if there {
@@ -383,47 +293,3 @@
 		d.forgetSilent(m)
 	}
 }
-
-func (j *job) isDone(n int) bool { return j.done[n/64]&(1<<(n%64)) != 0 }
-
-func (j *job) markDone(n int) {
-	if !j.isDone(n) {
-		j.done[n/64] |= 1 << (n % 64)
-		j.doneCount++
-		j.dirty[n/j.per] = true
-	}
-}
-
-// chunk gives the bits of one record of progress.
-func (j *job) chunk(c int) []byte {
-	lo, hi := c*j.per, min((c+1)*j.per, j.Tasks)
-	out := make([]byte, (hi-lo+7)/8)
-	for n := lo; n < hi; n++ {
-		if j.isDone(n) {
-			out[(n-lo)/8] |= 1 << ((n - lo) % 8)
-		}
-	}
-	return out
-}
-
-// waiting is how many tasks are neither done nor bound.
-func (j *job) waiting() int { return max(0, j.Tasks-j.doneCount-len(j.bound)) }
-
-// take gives the next task to place, -1 for none. Tasks that are bound or done are skipped.
-func (j *job) take() int {
-	for len(j.queue) > 0 {
-		n := j.queue[0]
-		j.queue = j.queue[1:]
-		if !j.isDone(n) && j.bound[n] == nil {
-			return n
-		}
-	}
-	for j.next < min(j.watermark, j.Tasks) {
-		n := j.next
-		j.next++
-		if !j.isDone(n) && j.bound[n] == nil {
-			return n
-		}
-	}
-	return -1
-}
--- /dev/null
+++ b/internal/placer/slow_machines.go
@@ -0,0 +1,53 @@
+package placer
+
+import (
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+)
+
+// runTime is how long a task ran, and where.
+type runTime struct {
+	machine string
+	took    clock.Micros
+}
+
+// A machine is slow when its tasks take so many times as long as others of the
+// same jobs, over so many tasks. Machines differ by a tenth, tasks by more.
+const (
+	slowPace  = 1.6
+	slowTasks = 5
+)
+
+// judge compares how long a finished job's tasks ran on each machine with how
+// long they ran on the others, and has a machine set aside on which tasks take much
+// longer. A job is judged only as a whole: those of its tasks that are done
+// first are the short ones.
+func (d *Scheduler) judge(j *job) {
+	if len(j.runs) < 4 || j.doneCount < j.Tasks {
+		return
+	}
+	var all clock.Micros
+	sum, count := map[string]clock.Micros{}, map[string]int{}
+	for _, r := range j.runs {
+		all += r.took
+		sum[r.machine] += r.took
+		count[r.machine]++
+	}
+	for _, r := range j.runs {
+		m := d.machines[r.machine]
+		others := len(j.runs) - count[r.machine]
+		if m == nil || m.slow || others < 2 {
+			continue
+		}
+		mean := max(((all - sum[r.machine]) / clock.Micros(others)).Seconds(), 0.1)
+		if m.paced == 20 { // old news fade
+			m.pace, m.paced = m.pace/2, 10
+		}
+		m.pace += min(r.took.Seconds()/mean, 4)
+		m.paced++
+		if m.paced >= slowTasks && m.pace > slowPace*float64(m.paced) {
+			m.slow = true
+			o := d.owners[m.host]
+			o.next.Slow = append(o.next.Slow, m.ID)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placer/write_progress.go
@@ -0,0 +1,109 @@
+package placer
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+func progressKey(id string, chunk chunkID) string {
+	return fmt.Sprintf("%s%s/%s", state.Progress, id, chunk)
+}
+
+// progressWrite is a record of a job's progress that is to be written.
+type progressWrite struct {
+	j     *job
+	chunk int
+	bits  []byte
+	ends  map[peer.TaskID]string // that are settled with it
+}
+
+// size is about how many bytes it takes of a transaction.
+func (w *progressWrite) size() int { return min(w.j.per, w.j.Tasks)/6 + 300 }
+
+// writeProgress writes down which tasks are done, and then lets their machines forget them.
+func (p *Placer) writeProgress(ctx context.Context) {
+	p.mu.Lock()
+	byTeam := map[*team][]progressWrite{}
+	for _, tm := range p.scheduler.teams {
+		for _, j := range tm.jobs {
+			if j.finishing || j.doneCount == j.Tasks {
+				continue // its end costs no more, and says all of it
+			}
+			for c := range j.dirty {
+				byTeam[tm] = append(byTeam[tm], progressWrite{j: j, chunk: c})
+			}
+			if len(j.dirty) == 0 {
+				for id, e := range j.unsettled {
+					p.scheduler.settle(j, id, e)
+				}
+				clear(j.unsettled)
+			}
+		}
+	}
+	p.mu.Unlock()
+	for tm, list := range byTeam {
+		for len(list) > 0 {
+			n := 1
+			for size := list[0].size(); n < min(len(list), p.txnOps) && size+list[n].size() < wire.MaxMulti; n++ {
+				size += list[n].size()
+			}
+			if !p.store.Spare(n) {
+				n = 1
+				if !p.store.Spare(1) {
+					return
+				}
+			}
+			cond, err := p.mine(tm)
+			if err != nil {
+				break
+			}
+			m := wire.Multi{When: []wire.Cond{cond}}
+			p.mu.Lock()
+			for i := range list[:n] {
+				w := &list[i]
+				at := chunkID{w.chunk, w.j.per}
+				w.bits = w.j.chunk(w.chunk)
+				// Without the record's own stamp a late copy of an earlier write would take
+				// back what is written down and forgotten by the workers since.
+				m.When = append(m.When, wire.Cond{Key: state.Active + w.j.ID, Stamp: w.j.Stamp},
+					wire.Cond{Key: progressKey(w.j.ID, at), Stamp: p.scheduler.progress[w.j.ID][at].stamp})
+				m.Then = append(m.Then, wire.Op{Put: progressKey(w.j.ID, at), Value: base64.StdEncoding.EncodeToString(w.bits)})
+				delete(w.j.dirty, w.chunk)
+				w.ends = map[peer.TaskID]string{}
+				for id, e := range w.j.unsettled {
+					if id.N/w.j.per == w.chunk {
+						w.ends[id] = e
+					}
+				}
+			}
+			p.mu.Unlock()
+			rev, err := p.store.Commit(ctx, m)
+			p.mu.Lock()
+			for _, w := range list[:n] {
+				if err != nil {
+					w.j.dirty[w.chunk] = true
+					continue
+				}
+				if p.active(w.j) {
+					p.scheduler.Progress(w.j.ID, chunkID{w.chunk, w.j.per}, w.bits, rev)
+				}
+				for id, e := range w.ends {
+					delete(w.j.unsettled, id)
+					p.scheduler.settle(w.j, id, e)
+				}
+			}
+			p.mu.Unlock()
+			if err != nil {
+				p.log.Debug("writing progress", "err", err)
+				return
+			}
+			list = list[n:]
+		}
+	}
+	poke(p.wake)
+}
