--- /dev/null
+++ b/internal/node/assemble.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/fleet"
+	"github.com/merlinlatch/merlinlatch/internal/front"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/owner"
+	"github.com/merlinlatch/merlinlatch/internal/placer"
+	"github.com/merlinlatch/merlinlatch/internal/policy"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+// partsPerController is how many partitions there are for each controller.
+const partsPerController = 4
+
+// recordShare is how much of the largest value a record may take: what it is wrapped in
+// comes on top.
+const recordShare = 0.9
+
+// quietReports is after how many missed reports a machine gets no tasks for now.
+const quietReports = 2.5
+
+// layout is what the settings say of the controllers, the duties and the teams.
+type layout struct {
+	hosts      []string // all controllers, in order
+	partDuties []string // duties of the partitions
+	partZones  []string // zone of each partition's preferred controller
+	teams      []placer.Team
+	limits     map[string]res.Amounts // by team
+}
+
+// newLayout reads the layout from the settings. All controllers come to the same one.
+func newLayout(set *config.Settings) layout {
+	p := &set.Params
+	l := layout{hosts: []string{set.Host}, limits: map[string]res.Amounts{}}
+	zoneOf := map[string]string{set.Host: set.Zone}
+	for _, other := range set.Peers {
+		l.hosts = append(l.hosts, other.Host)
+		zoneOf[other.Host] = other.Zone
+	}
+	slices.Sort(l.hosts)
+	for i := range min(partsPerController*p.Count, placer.MostParts(p.State.TxnOps)) {
+		l.partDuties = append(l.partDuties, owner.Duty(i))
+		l.partZones = append(l.partZones, zoneOf[claim.Preferred(l.hosts, i, 0)])
+	}
+	for _, t := range p.Teams {
+		team := placer.Team{Name: t.Name, Guarantee: res.Have(t.CPUs, t.GPUs, 0), Limit: res.Have(t.CPUsMax, t.GPUsMax, 0)}
+		l.teams = append(l.teams, team)
+		l.limits[t.Name] = team.Limit
+	}
+	return l
+}
+
+// duties lists the duties of all kinds, the partitions first.
+func (l *layout) duties() []string {
+	out := slices.Clone(l.partDuties)
+	for _, t := range l.teams {
+		out = append(out, placer.Duty(t.Name))
+	}
+	return append(out, fleet.Duty)
+}
+
+// assemble wires a controller to a state service and to peers. What users or
+// other controllers wait for, accepted jobs and claims, goes the urgent way, and
+// what users ask a way of its own.
+func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, users front.Store, peers map[string]Peer, log *slog.Logger) *Node {
+	p := &set.Params
+	steady, wall := clock.NewSteady(), time.Now
+	l := newLayout(set)
+	instance := uuid.NewString()
+	valueMost := int(p.State.ValueKB * 1024 * recordShare)
+	n := &Node{
+		fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers,
+		contact: map[string]time.Time{}, told: map[string]told{}, loaded: make(chan struct{}),
+	}
+	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, l.hosts, l.duties(), len(l.partDuties)), urgent, steady, holdTiming(knobs), log)
+	_, lines := set.Sockets()
+	n.owner = owner.New(ctx, owner.Options{
+		Host: set.Host, Instance: instance, Split: owner.NewSplit(l.partZones), TxnOps: p.State.TxnOps, ValueMost: valueMost,
+		Lines: lines, Timing: ownerTiming(set, knobs),
+	}, n.book, n.keeper, n.store, steady, wall, log)
+	scheduler := placer.NewScheduler(schedulerTiming(set, knobs), instance, l.teams, l.hosts, rand.Uint64(),
+		func() int64 { return wall().UnixMilli() })
+	n.placer = placer.New(scheduler, placer.Options{
+		Teams: l.teams, PartDuties: l.partDuties, Owners: n.owners(), TxnOps: p.State.TxnOps,
+		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery,
+	}, n.keeper, n.store, urgent, n.book, steady, log)
+	n.front = front.New(users, n, n, n.book, l.limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
+	cloud := fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS, answerMost(p.Limits.MemoryMB))
+	n.fleet = fleet.New(cloud, n.keeper, n.store, n, steady, fleetKnobs(knobs), knobs.RentalBackoff,
+		clock.FromSeconds(p.Cloud.ListLagS), clock.FromSeconds(p.SkewMS/1000), wall, n.keptCatalog, log)
+	return n
+}
+
+// owners gives the ways to the owner parts of all controllers, this one's included.
+func (n *Node) owners() map[string]placer.OwnerCaller {
+	out := map[string]placer.OwnerCaller{n.set.Host: localOwner{n.owner}}
+	for host, p := range n.peers {
+		out[host] = remoteOwner{p}
+	}
+	return out
+}
+
+func holdTiming(knobs *policy.Knobs) claim.Timing {
+	return claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace,
+		ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}
+}
+
+func ownerTiming(set *config.Settings, knobs *policy.Knobs) owner.Timing {
+	quiet := min(clock.FromSeconds(quietReports*set.Params.Workers.ReportS+1), set.Lease()*2/3)
+	return owner.Timing{Lease: set.Lease(), Quiet: quiet, LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}
+}
+
+func schedulerTiming(set *config.Settings, knobs *policy.Knobs) placer.Timing {
+	objectives := set.Params.Objectives
+	return placer.Timing{
+		Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy,
+		Waits: spans(objectives, "wait"), Finishes: spans(objectives, "finished"), Times: times(objectives),
+		Guarantee: spans(objectives, "guarantee")[""],
+	}
+}
+
+func fleetKnobs(knobs *policy.Knobs) fleet.Knobs {
+	return fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn,
+		BootPatience: knobs.BootPatience, Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary}
+}
+
+// spans gives the shortest time that objectives of a kind set for each class;
+// those for no class in particular are under the empty name.
+func spans(objectives []config.Objective, kind string) map[string]clock.Micros {
+	out := map[string]clock.Micros{}
+	for _, o := range objectives {
+		within := clock.FromSeconds(o.WithinS)
+		if o.Kind == kind && within > 0 && (out[o.Class] == 0 || within < out[o.Class]) {
+			out[o.Class] = within
+		}
+	}
+	return out
+}
+
+// times gives the largest multiple of its deadlines that objectives set for each class.
+func times(objectives []config.Objective) map[string]float64 {
+	out := map[string]float64{}
+	for _, o := range objectives {
+		if o.Kind == "deadline" {
+			out[o.Class] = max(out[o.Class], o.Times)
+		}
+	}
+	return out
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,13 +6,10 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/merlinlatch/merlinlatch/internal/claim"
@@ -32,9 +29,6 @@
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
-// partsPerController is how many partitions there are for each controller.
-const partsPerController = 4
-
 // Store is the state service as all the duties together need it.
 type Store interface {
 	claim.Store
@@ -97,88 +91,6 @@
 // answerMost is the longest answer of a service that is taken, by the memory there is.
 func answerMost(memoryMB float64) int { return int(min(max(memoryMB/16, 1), 32) * (1 << 20)) }
 
-// assemble wires a controller to a state service and to peers. What users or
-// other controllers wait for, accepted jobs and claims, goes the urgent way, and
-// what users ask a way of its own.
-func assemble(ctx context.Context, set *config.Settings, knobs *policy.Knobs, store, urgent Store, users front.Store, peers map[string]Peer, log *slog.Logger) *Node {
-	p := &set.Params
-	n := &Node{fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers, contact: map[string]time.Time{}, told: map[string]told{}, loaded: make(chan struct{})}
-	c := clock.NewSteady()
-	instance := uuid.NewString()
-	hosts := []string{set.Host}
-	for _, o := range set.Peers {
-		hosts = append(hosts, o.Host)
-	}
-	slices.Sort(hosts)
-	parts := min(partsPerController*p.Count, placer.MostParts(p.State.TxnOps))
-	valueMost := int(p.State.ValueKB * 1024 * 0.9)
-	zoneOf := map[string]string{set.Host: set.Zone}
-	for _, o := range set.Peers {
-		zoneOf[o.Host] = o.Zone
-	}
-	duties, partDuties, partZones := []string{}, []string{}, []string{}
-	for i := range parts {
-		partDuties = append(partDuties, owner.Duty(i))
-		partZones = append(partZones, zoneOf[claim.Preferred(hosts, i, 0)])
-	}
-	duties = append(duties, partDuties...)
-	teams := make([]placer.Team, 0, len(p.Teams))
-	limits := map[string]res.Amounts{}
-	for _, t := range p.Teams {
-		tm := placer.Team{Name: t.Name, Guarantee: res.Have(t.CPUs, t.GPUs, 0), Limit: res.Have(t.CPUsMax, t.GPUsMax, 0)}
-		teams = append(teams, tm)
-		limits[t.Name] = tm.Limit
-		duties = append(duties, placer.Duty(t.Name))
-	}
-	duties = append(duties, fleet.Duty)
-	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, hosts, duties, parts), urgent, c,
-		claim.Timing{TTL: knobs.HoldTTL, Renew: knobs.HoldRenew, Grace: knobs.HoldGrace, ResignAfter: knobs.ResignAfter, Settle: knobs.HandOver}, log)
-	wall := time.Now
-	_, lines := set.Sockets()
-	n.owner = owner.New(ctx, set.Host, instance, owner.NewSplit(partZones), p.State.TxnOps, valueMost, lines,
-		owner.Timing{Lease: set.Lease(), Quiet: min(clock.FromSeconds(2.5*p.Workers.ReportS+1), set.Lease()*2/3), LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}, n.book, n.keeper, n.store, c, wall, log)
-	scheduler := placer.NewScheduler(placer.Timing{Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter,
-		Economy: knobs.Economy, Waits: spans(p.Objectives, "wait"), Finishes: spans(p.Objectives, "finished"), Times: times(p.Objectives),
-		Guarantee: spans(p.Objectives, "guarantee")[""]},
-		instance, teams, hosts, rand.Uint64(), func() int64 { return wall().UnixMilli() })
-	owners := map[string]placer.OwnerCaller{set.Host: localOwner{n.owner}}
-	for h, pc := range n.peers {
-		owners[h] = remoteOwner{pc}
-	}
-	n.placer = placer.New(scheduler, placer.Options{Teams: teams, PartDuties: partDuties, Owners: owners, TxnOps: p.State.TxnOps,
-		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery}, n.keeper, n.store, urgent, n.book, c, log)
-	n.front = front.New(users, n, n, n.book, limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
-	n.fleet = fleet.New(fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS, answerMost(p.Limits.MemoryMB)), n.keeper, n.store, n, c,
-		fleet.Knobs{Economy: knobs.Economy, SpareShare: knobs.SpareShare, IdleReturn: knobs.IdleReturn, BootPatience: knobs.BootPatience,
-			Catchup: knobs.Catchup, CatchupOrdinary: knobs.CatchupOrdinary},
-		knobs.RentalBackoff, clock.FromSeconds(p.Cloud.ListLagS), clock.FromSeconds(p.SkewMS/1000), wall, n.keptCatalog, log)
-	return n
-}
-
-// spans gives the shortest time that objectives of a kind set for each class;
-// those for no class in particular are under the empty name.
-func spans(objectives []config.Objective, kind string) map[string]clock.Micros {
-	out := map[string]clock.Micros{}
-	for _, o := range objectives {
-		within := clock.FromSeconds(o.WithinS)
-		if o.Kind == kind && within > 0 && (out[o.Class] == 0 || within < out[o.Class]) {
-			out[o.Class] = within
-		}
-	}
-	return out
-}
-
-// times gives the largest multiple of its deadlines that objectives set for each class.
-func times(objectives []config.Objective) map[string]float64 {
-	out := map[string]float64{}
-	for _, o := range objectives {
-		if o.Kind == "deadline" {
-			out[o.Class] = max(out[o.Class], o.Times)
-		}
-	}
-	return out
-}
-
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/owner/cost_test.go
+++ b/internal/owner/cost_test.go
@@ -40,8 +40,8 @@
 	tb.Helper()
 	spec := wire.Job{ID: "job-000001", Team: team, Rank: "normal", Tasks: machines * tasksEach, CPUs: 1, MemGB: 1}
 	list := &jobList{map[string]*jobs.Job{spec.ID: jobs.New(jobs.Record{Job: spec}, made)}, map[string]jobs.Final{}, made}
-	o := New(tb.Context(), "me", "incarnation", NewSplit([]string{"a"}), 12, 7000, 100,
-		Timing{Lease: 3600 * sec, LeaseTTL: 5 * sec, SickErrors: 2}, list, allHeld{}, nil, clock.NewSteady(), time.Now,
+	o := New(tb.Context(), Options{Host: "me", Instance: "incarnation", Split: NewSplit([]string{"a"}), TxnOps: 12, ValueMost: 7000, Lines: 100,
+		Timing: Timing{Lease: 3600 * sec, LeaseTTL: 5 * sec, SickErrors: 2}}, list, allHeld{}, nil, clock.NewSteady(), time.Now,
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	o.SetTypes(map[string]res.Amounts{"big": res.Have(8, 0, 32)}, nil)
 	o.Reconcile()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -55,11 +55,28 @@
 	wake    chan struct{}
 }
 
+// Options of an owner.
+type Options struct {
+	Host      string
+	Instance  string // names this process
+	Split     Split
+	TxnOps    int // changes in a transaction
+	ValueMost int // bytes of a record
+	Lines     int // connections to workers' own addresses
+	Timing    Timing
+}
+
 // New makes an owner.
-func New(ctx context.Context, host, instance string, split Split, txnOps, valueMost, mostLines int, t Timing, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
-	o := &Owner{ctx: ctx, wall: wall, host: host, instance: instance, split: split, txnOps: txnOps, valueMost: valueMost, claims: claims, store: store, clock: c, log: log,
-		table: NewTable(t, jobs), records: machines.NewBook(), lines: newLines(mostLines), misdirected: misdirected{of: map[string]map[string]clock.Micros{}},
-		wake: make(chan struct{}, 1)}
+func New(ctx context.Context, opts Options, jobs Jobs, claims Claims, store Store, c clock.Clock, wall func() time.Time, log *slog.Logger) *Owner {
+	o := &Owner{
+		ctx: ctx, host: opts.Host, instance: opts.Instance, split: opts.Split, txnOps: opts.TxnOps, valueMost: opts.ValueMost,
+		claims: claims, store: store, clock: c, wall: wall, log: log,
+		table:       NewTable(opts.Timing, jobs),
+		records:     machines.NewBook(),
+		lines:       newLines(opts.Lines),
+		misdirected: misdirected{of: map[string]map[string]clock.Micros{}},
+		wake:        make(chan struct{}, 1),
+	}
 	o.feed = newFeed(&o.mu, o.table.Version, c)
 	return o
 }
