fleet.Plan in steps of its own: counting, filling, renting, spare room, requests

No behaviour: one function of 110 lines becomes a planner with a method for each step; the weight that decides between equal kinds gets a name.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -106,59 +106,81 @@
 	return (!k.Spot || d.Spot) && (d.Zone == "" || d.Zone == k.Zone) && (len(d.Types) == 0 || slices.Contains(d.Types, k.Type))
 }
 
+// planner is one run of Plan: the machines at hand, those that are to be rented, and
+// what is to go where.
+type planner struct {
+	Input
+	types map[string]wire.MachineType
+	open  []Kind // that may be asked for now, the cheapest first
+	price map[Kind]float64
+	wants map[Kind]int // machines to rent
+	bins  []*bin       // room there is or will be
+	room  []bin        // of the machine of each view
+	have  int64        // CPUs of all machines that may get tasks, in millionths
+	used  int64        // and those in use
+}
+
 // Plan decides what to rent and what to return.
 func Plan(in Input) (rentals []RentalRequest, returns []Return) {
-	types := map[string]wire.MachineType{}
-	for _, t := range in.Types {
-		types[t.Name] = t
-	}
 	if in.viewAt == nil {
 		in.viewAt = indexViews(nil, in.Views)
 	}
-	bins := make([]*bin, 0, len(in.Views))
-	room := make([]bin, len(in.Views)) // of the machine of each view
-	var used, have int64
-	for i := range in.Views {
-		v := &in.Views[i]
-		if v.Usable {
-			room[i] = bin{kind: Kind{v.Type, v.Zone, v.Spot}, free: v.Free}
-			bins = append(bins, &room[i])
-			used += v.Cap.CPU - v.Free.CPU
-			have += v.Cap.CPU
-		}
+	p := &planner{Input: in, types: map[string]wire.MachineType{}, wants: map[Kind]int{}}
+	for _, t := range in.Types {
+		p.types[t.Name] = t
 	}
-	for _, r := range in.Rented {
-		_, viewed := in.viewAt[r.ID]
-		if t, ok := types[r.Type]; ok && !viewed && !r.Up && r.Phase != wire.MachineFailed {
-			bins = append(bins, &bin{kind: r.Kind, free: res.Have(t.CPUs, t.GPUs, t.MemGB)})
-			have += bins[len(bins)-1].free.CPU
-		}
+	p.open, p.price = kinds(in)
+	p.countViewed()
+	p.countBooting()
+	p.fill()
+	if in.Knobs.Economy {
+		trim(in, p.wants, p.open, p.types, p.have, p.used)
+	} else {
+		p.addSpare()
 	}
-	wants := map[Kind]int{}
-	open, price := kinds(in)
-	add := func(d *peer.Demand) *bin {
-		var at *Kind
-		for i := range open {
-			k := &open[i]
-			t := types[k.Type]
-			if !allows(d, *k) || !d.Need.Fits(res.Have(t.CPUs, t.GPUs, t.MemGB)) || wants[*k] >= in.MaxCount {
-				continue
-			}
-			// Of equals, the zone with fewer machines: a wave takes fewer.
-			if at == nil || price[*k]+1e-6*float64(wants[*k]) < price[*at]+1e-6*float64(wants[*at]) {
-				at = k
-			}
+	return p.requests(), giveBack(in, p.types, p.room)
+}
+
+// offer is what a new machine of a type has to offer.
+func (p *planner) offer(typeName string) res.Amounts {
+	t := p.types[typeName]
+	return res.Have(t.CPUs, t.GPUs, t.MemGB)
+}
+
+// countViewed takes the room of machines that may get tasks.
+func (p *planner) countViewed() {
+	p.bins = make([]*bin, 0, len(p.Views))
+	p.room = make([]bin, len(p.Views))
+	for i := range p.Views {
+		v := &p.Views[i]
+		if !v.Usable {
+			continue
 		}
-		if at == nil {
-			return nil
+		p.room[i] = bin{kind: Kind{v.Type, v.Zone, v.Spot}, free: v.Free}
+		p.bins = append(p.bins, &p.room[i])
+		p.used += v.Cap.CPU - v.Free.CPU
+		p.have += v.Cap.CPU
+	}
+}
+
+// countBooting takes the room of machines that are rented and not up yet.
+func (p *planner) countBooting() {
+	for _, r := range p.Rented {
+		_, viewed := p.viewAt[r.ID]
+		_, known := p.types[r.Type]
+		if !known || viewed || r.Up || r.Phase == wire.MachineFailed {
+			continue
 		}
-		wants[*at]++
-		t := types[at.Type]
-		b := &bin{kind: *at, free: res.Have(t.CPUs, t.GPUs, t.MemGB)}
-		bins = append(bins, b)
-		return b
+		b := &bin{kind: r.Kind, free: p.offer(r.Type)}
+		p.bins = append(p.bins, b)
+		p.have += b.free.CPU
 	}
-	demands := append([]peer.Demand(nil), in.Demands...)
+}
+
+// fill puts what waits where there is room, the highest rank and then the largest
+// tasks first, and rents for what is left.
+func (p *planner) fill() {
+	demands := slices.Clone(p.Demands)
 	sort.SliceStable(demands, func(a, b int) bool {
 		if demands[a].Rank != demands[b].Rank {
 			return demands[a].Rank > demands[b].Rank
@@ -168,42 +190,73 @@
 	for i := range demands {
 		d := &demands[i]
 		rest := d.Waiting
-		for _, b := range bins {
+		for _, b := range p.bins {
 			if rest == 0 {
 				break
 			}
 			rest -= b.take(d, rest)
 		}
 		for rest > 0 {
-			b := add(d)
+			b := p.rentFor(d)
 			if b == nil {
 				break
 			}
 			rest -= b.take(d, rest)
 		}
 	}
-	if in.Knobs.Economy {
-		trim(in, wants, open, types, have, used)
-	} else if spare := int64(in.Knobs.SpareShare*float64(used)) - (have - used); spare > 0 {
-		for _, k := range open {
-			t := types[k.Type]
-			for spare > 0 && wants[k] < in.MaxCount && t.CPUs > 0 {
-				wants[k]++
-				spare -= int64(t.CPUs * 1e6)
-			}
+}
+
+// rentFor adds a machine of the cheapest kind that serves a demand; nil when none does.
+func (p *planner) rentFor(d *peer.Demand) *bin {
+	var best *Kind
+	for i := range p.open {
+		k := &p.open[i]
+		if !allows(d, *k) || !d.Need.Fits(p.offer(k.Type)) || p.wants[*k] >= p.MaxCount {
+			continue
+		}
+		if best == nil || p.cost(*k) < p.cost(*best) {
+			best = k
 		}
 	}
-	for k, n := range wants {
-		if n > 0 {
-			for ; n > 0; n -= wire.MaxRental {
-				rentals = append(rentals, RentalRequest{k, min(n, wire.MaxRental)})
-			}
+	if best == nil {
+		return nil
+	}
+	p.wants[*best]++
+	b := &bin{kind: *best, free: p.offer(best.Type)}
+	p.bins = append(p.bins, b)
+	return b
+}
+
+// cost is a kind's price; of equals, the zone with fewer machines: a wave takes fewer.
+func (p *planner) cost(k Kind) float64 { return p.price[k] + spreadWeight*float64(p.wants[k]) }
+
+// spreadWeight is by how much each machine of a kind makes another one of it dearer. It
+// only decides between equals.
+const spreadWeight = 1e-6
+
+// addSpare rents room ahead, as a share of what is in use.
+func (p *planner) addSpare() {
+	spare := int64(p.Knobs.SpareShare*float64(p.used)) - (p.have - p.used)
+	for _, k := range p.open {
+		cpu := p.types[k.Type].CPUs
+		for spare > 0 && p.wants[k] < p.MaxCount && cpu > 0 {
+			p.wants[k]++
+			spare -= int64(cpu * 1e6)
 		}
 	}
-	sort.SliceStable(rentals, func(a, b int) bool {
-		return rentals[a].Type+rentals[a].Zone < rentals[b].Type+rentals[b].Zone || rentals[a].Spot && !rentals[b].Spot
+}
+
+// requests splits what is wanted into requests that the cloud takes, in a fixed order.
+func (p *planner) requests() (out []RentalRequest) {
+	for k, n := range p.wants {
+		for ; n > 0; n -= wire.MaxRental {
+			out = append(out, RentalRequest{k, min(n, wire.MaxRental)})
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool {
+		return out[a].Type+out[a].Zone < out[b].Type+out[b].Zone || out[a].Spot && !out[b].Spot
 	})
-	return rentals, giveBack(in, types, room)
+	return out
 }
 
 // trim keeps economical deployments from renting machines for work that those at
@@ -260,7 +313,7 @@
 				if in.Now < in.Refused[k] || p <= 0 {
 					continue
 				}
-				price[k] = p/max(t.CPUs, 1) + 1e-6*float64(have[k])
+				price[k] = p/max(t.CPUs, 1) + spreadWeight*float64(have[k])
 				list = append(list, k)
 			}
 		}
