--- a/internal/fakes/state.go
+++ b/internal/fakes/state.go
@@ -1,5 +1,5 @@
 // Package fakes holds in-memory stand-ins of the state service and of workers
-// for the stories that test the rules. They keep to the protocol's pages.
+// for the tests of the rules. They keep to the protocol's pages.
 package fakes
 
 import (
