A round after a restart looks for the largest machine once, not for each machine anew

Every machine on record that was not seen yet counts as the largest there is, and that was looked for among all machines for each of them and each team. Ruled out as its cause: the search for room (17 us with nothing free), the batch (10 us a task). Before -> after: a round with 620 machines seen and 620 not, one team: 9.9 -> 0.05 ms; machines looked at 385,020 -> under 4,960, held by a test that was red before.

--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -3,20 +3,22 @@
 import (
 	"hash/fnv"
 	"slices"
+	"sync"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 )
 
-// uncleared lists how much of a team's work machines could hold that are not accounted for.
-func (d *Scheduler) uncleared(tm *team) (n int, room res.Amounts) {
+// uncleared lists how much of a team's work machines could hold that are not accounted
+// for. Those that were not seen yet count as the largest machine there is.
+func (d *Scheduler) uncleared(tm *team, largest func() res.Amounts) (n int, room res.Amounts) {
 	for id := range tm.strange {
 		n++
 		if m := d.machines[id]; m != nil && m.Cap.CPU > 0 {
 			room = room.Plus(m.Cap)
 		} else {
-			room = room.Plus(d.largest())
+			room = room.Plus(largest())
 		}
 	}
 	return n, room
@@ -25,6 +27,7 @@
 // largest is the most that any machine seen offers.
 func (d *Scheduler) largest() res.Amounts {
 	out := res.Amounts{CPU: 1e9, GPU: 0, Mem: 1e9} // a thousand CPUs, before any was seen
+	d.counts.Looked += len(d.machines)
 	seen := false
 	for _, m := range d.machines {
 		if !seen {
@@ -44,8 +47,11 @@
 // the owners' next rounds. The batch widens with what waits.
 func (d *Scheduler) Place(now clock.Micros) (placed int) {
 	list := d.order(now)
+	// After a restart no machine was seen yet: the largest is looked for once a round at
+	// most, and not for each machine anew.
+	largest := sync.OnceValue(d.largest)
 	for _, tm := range d.teams {
-		tm.unknown, tm.held = d.uncleared(tm)
+		tm.unknown, tm.held = d.uncleared(tm, largest)
 	}
 	waiting := 0
 	for _, j := range list {
--- a/internal/placer/cost_test.go
+++ b/internal/placer/cost_test.go
@@ -9,6 +9,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/wire"
+	"github.com/stretchr/testify/require"
 )
 
 // leanFleet is about as many machines as the smaller sites have in all.
@@ -90,3 +91,36 @@
 		views = d.Views(views[:0], 2*sec)
 	}
 }
+
+// schedulerAfterRestart is a scheduler that knows so many machines by their records, has seen
+// half of them, and holds a team with tasks that wait.
+func schedulerAfterRestart(machines int) *Scheduler {
+	d, _ := loadedScheduler(machines/2, 60)
+	for i := range machines / 2 {
+		d.Register(fmt.Sprintf("m-1%05d", i), true)
+	}
+	return d
+}
+
+// Rounds of decisions just after a restart, when machines on record were not seen yet.
+func BenchmarkRoundAfterRestart(b *testing.B) {
+	d := schedulerAfterRestart(leanFleet)
+	b.ReportAllocs()
+	now := 2 * sec
+	for b.Loop() {
+		now += 50 * clock.Millisecond
+		d.Place(now)
+	}
+}
+
+// The largest machine is looked for once a round, however many machines were not seen yet:
+// on a small share of a core a round took most of a second otherwise, and the next one
+// waited for three times as long.
+func TestARoundAfterARestartLooksAtEachMachineAFewTimesAtMost(t *testing.T) {
+	d := schedulerAfterRestart(leanFleet)
+	before := d.counts.Looked
+	d.Place(2 * sec)
+	require.Equal(t, leanFleet/2, d.teams[red].unknown)
+	require.Equal(t, d.largest().Times(leanFleet/2), d.teams[red].held)
+	require.Less(t, d.counts.Looked-before, 4*leanFleet)
+}
--- a/internal/placer/takeover_test.go
+++ b/internal/placer/takeover_test.go
@@ -39,7 +39,7 @@
 		}
 		w.check("unaccounted")
 	}
-	n, held := w.scheduler.uncleared(w.scheduler.teams[red])
+	n, held := w.scheduler.uncleared(w.scheduler.teams[red], w.scheduler.largest)
 	require.Equal(t, 2, n)
 	require.GreaterOrEqual(t, held.CPUs(), 16.0)
 	require.Equal(t, 2, w.running(), "two machines of 8 CPUs may hold more than the limit of 12 leaves")
