--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"testing"
@@ -230,8 +231,8 @@
 		a, b, c := start(t, st, "a"), start(t, st, "b"), start(t, st, "c")
 		time.Sleep(20 * time.Second)
 		require.True(t, a.has("one") && b.has("two") && c.has("three"))
-		a.SetDeaf(true)
-		c.SetDeaf(true)
+		a.SetUnreachable(true)
+		c.SetUnreachable(true)
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
 			require.False(t, a.has("one") && b.has("one"))
@@ -239,7 +240,7 @@
 		require.True(t, b.has("one") && c.has("three"))
 		time.Sleep(40 * time.Second)
 		require.True(t, b.has("one") && b.has("two") && c.has("three"))
-		a.SetDeaf(false)
+		a.SetUnreachable(false)
 		time.Sleep(20 * time.Second)
 		require.True(t, a.has("one") && b.has("two"))
 	})
@@ -321,3 +322,16 @@
 		require.Equal(t, before, after)
 	})
 }
+
+// What controllers of the version before have written is read by this one, and the other
+// way round: records keep their fields' names.
+func TestRecordsKeepTheirFields(t *testing.T) {
+	for want, record := range map[string]any{
+		`{"holder":"a","incarnation":"i","term":3}`: Record{Holder: "a", Incarnation: "i", Term: 3},
+		`{"incarnation":"i","deaf":true}`:           Registration{Incarnation: "i", Unreachable: true},
+	} {
+		b, err := json.Marshal(record)
+		require.NoError(t, err)
+		require.JSONEq(t, want, string(b))
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,22 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
-	"slices"
-	"strings"
-	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-	"golang.org/x/time/rate"
-
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
-	"github.com/merlinlatch/merlinlatch/internal/httpx"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
-	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
@@ -25,56 +15,6 @@
 // Duty is the fleet's claim.
 const Duty = "fleet"
 
-// Cloud calls the cloud's API within its budget.
-type Cloud struct {
-	http  *httpx.Client
-	limit *rate.Limiter
-	rps   float64
-}
-
-// NewCloud makes a client for the cloud; answers over limit bytes are refused.
-func NewCloud(addr string, rps float64, limit int) *Cloud {
-	return &Cloud{rps: rps, http: httpx.NewClient(addr, 4, limit), limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))}
-}
-
-// Count has the client count its traffic.
-func (c *Cloud) Count(t *telemetry.Traffic) { c.http.Count(t) }
-
-// errNoCapacity is the cloud's refusal to rent.
-var errNoCapacity = errors.New("no capacity")
-
-func (c *Cloud) call(ctx context.Context, method, target string, body, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
-	if err := c.limit.Wait(ctx); err != nil {
-		return err
-	}
-	var b []byte
-	if body != nil {
-		var err error
-		if b, err = json.Marshal(body); err != nil {
-			return err
-		}
-	}
-	r, err := c.http.Do(ctx, method, target, b)
-	if err != nil {
-		return err
-	}
-	if r.Status == 503 {
-		var e wire.Error
-		if json.Unmarshal(r.Body, &e) == nil && e.Error == "no capacity" {
-			return errNoCapacity
-		}
-	}
-	if r.Status != 200 {
-		return fmt.Errorf("the cloud answered %d %.80s", r.Status, r.Body)
-	}
-	if into == nil {
-		return nil
-	}
-	return json.Unmarshal(r.Body, into)
-}
-
 // Controllers asks all controllers for what the fleet needs.
 type Controllers interface {
 	Demands(ctx context.Context) []peer.Demand
@@ -137,7 +77,7 @@
 // New makes a fleet.
 func New(cloud *Cloud, claims Claims, store Store, others Controllers, c clock.Clock, k Knobs, backoff, lag, skew clock.Micros, wall func() time.Time, kept func() wire.Catalog, log *slog.Logger) *Fleet {
 	atOnce := max(1, int(cloud.rps*1.6))
-	return &Fleet{atOnce: atOnce, most: wire.MaxHire * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, skew: skew, wall: wall, kept: kept, log: log}
+	return &Fleet{atOnce: atOnce, most: wire.MaxRental * atOnce, cloud: cloud, claims: claims, store: store, others: others, clock: c, knobs: k, backoff: backoff, lag: lag, skew: skew, wall: wall, kept: kept, log: log}
 }
 
 // Measure has the fleet count its rounds and its traffic. It is called before Run.
@@ -209,24 +149,24 @@
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.views, Demands: f.others.Demands(ctx),
 		Refused: f.refused, Knobs: f.knobs, MaxCount: f.most, viewAt: f.viewAt}
 	f.notice(in, now)
-	hires, returns := Plan(in)
+	rentals, returns := Plan(in)
 	if now > f.told+10*clock.Second {
 		f.told = now
 		f.tell(in)
 	}
 	if f.log.Enabled(ctx, slog.LevelDebug) {
-		f.log.Debug("fleet", "rented", len(f.rented), "views", len(in.Views), "demands", in.Demands, "hires", hires, "returns", returns)
+		f.log.Debug("fleet", "rented", len(f.rented), "views", len(in.Views), "demands", in.Demands, "rentals", rentals, "returns", returns)
 	}
 	// What one kind could not give is asked of the next at once.
-	for pass := 0; pass < 4 && len(hires) > 0; pass++ {
+	for pass := 0; pass < 4 && len(rentals) > 0; pass++ {
 		if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
 			return
 		}
-		if !f.hire(ctx, f.some(hires)) {
+		if !f.rent(ctx, f.some(rentals)) {
 			break
 		}
 		in.Now = f.clock.Now()
-		hires, _ = Plan(in)
+		rentals, _ = Plan(in)
 	}
 	if len(returns) > 0 {
 		f.giveBack(ctx, returns)
@@ -290,187 +230,3 @@
 	}
 	f.log.Info("fleet", "up", up, "rented", len(in.Rented), "spot", spot, "cpus", have/1e6, "used", used/1e6, "waiting_cpus", waiting/1e6, "pieces", pieces/1e6)
 }
-
-// fetchCatalog reads the catalog, and keeps it in the state service so that a
-// controller that starts while the cloud is out can decide.
-func (f *Fleet) fetchCatalog(ctx context.Context, h claim.Held, now clock.Micros) {
-	var c wire.Catalog
-	if err := f.cloud.call(ctx, "GET", wire.PathCatalog, nil, &c); err != nil || len(c.Types) == 0 {
-		f.log.Info("reading the catalog", "err", err)
-		return
-	}
-	f.catalog, f.fetched = c, now
-	if _, err := f.store.Commit(ctx, wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty, Stamp: h.Stamp}},
-		Then: []wire.Op{{Put: state.Catalog, Value: c}}}); err != nil {
-		f.log.Info("keeping the catalog", "err", err)
-		f.fetched = now - 27*clock.Second
-	}
-}
-
-// list reads the cloud's list. Absence proves nothing at once: the list lags. But
-// a machine that was on it once stays on it until it is gone. A list that
-// describes a later moment than that first sight, though it may be twice the lag
-// old, and lacks the machine is the cloud's word that it is gone with all that was
-// on it: nobody need wait for its worker's lease to run out.
-func (f *Fleet) list(ctx context.Context) error {
-	after, began, wall := "", f.clock.Now(), f.wall()
-	for {
-		var page wire.Rentals
-		if err := f.cloud.call(ctx, "GET", fmt.Sprintf("%s?after=%s&most=%d", wire.PathRentals, after, wire.MaxList), nil, &page); err != nil {
-			return err
-		}
-		for _, r := range page.Hosts {
-			after = r.ID
-			if f.gone[r.ID] != 0 {
-				continue
-			}
-			since := began - clock.FromSeconds(r.AgeS)
-			old, ok := f.rented[r.ID]
-			if ok {
-				since = min(old.Since, since)
-			}
-			f.rented[r.ID] = Rented{Kind: Kind{r.Type, r.Zone, r.Spot}, ID: r.ID, Phase: r.Phase, Since: since, Up: old.Up, Lost: old.Lost}
-			f.listedAt[r.ID] = began
-			if f.known[r.ID] == 0 {
-				f.known[r.ID] = f.clock.Now()
-			}
-		}
-		if !page.More || len(page.Hosts) == 0 {
-			break
-		}
-	}
-	f.listed = began
-	for id, at := range f.gone {
-		if began > at+600*clock.Second {
-			delete(f.gone, id) // no list is as old as that
-		}
-	}
-	var gone []peer.Machine
-	lost := func(id, zone string) {
-		gone = append(gone, peer.Machine{ID: id, Zone: zone})
-		f.gone[id] = began // an older list may still show it
-		f.strike(id)
-	}
-	// The same holds of a machine that was recorded, and so was there, before
-	// the moment that the list describes, by the time of day. A new holder, to
-	// whom every machine is new, tells by that which ones the owners need not wait for.
-	for _, m := range f.others.RecordedBefore(wall.UnixMilli() - (2*f.lag + 2*f.skew + 2*clock.Second).Duration().Milliseconds()) {
-		if f.listedAt[m.ID] < began && f.gone[m.ID] == 0 {
-			lost(m.ID, m.Zone)
-		}
-	}
-	for id, r := range f.rented {
-		absent := f.listedAt[id] < began
-		if first := f.known[id]; absent && first != 0 && began > (first+2*f.lag).PlusDrift()+clock.Second {
-			lost(id, r.Zone)
-		} else if began > f.listedAt[id]+3*f.lag+2*clock.Second {
-			f.strike(id)
-		}
-	}
-	if len(gone) > 0 {
-		slices.SortFunc(gone, func(a, b peer.Machine) int { return strings.Compare(a.ID, b.ID) })
-		f.log.Info("machines are on the cloud's list no more", "machines", gone)
-		f.others.Gone(ctx, gone)
-	}
-	return nil
-}
-
-// strike takes a machine off what is known to be rented.
-func (f *Fleet) strike(id string) {
-	delete(f.rented, id)
-	delete(f.listedAt, id)
-	delete(f.known, id)
-}
-
-// some picks the requests to send now: of a kind that gave less than it was
-// asked for, one; of one that gave all, twice as many as the last time. So what
-// the cloud has not got costs few calls, and what it has comes in a few steps.
-func (f *Fleet) some(hires []Hire) (out []Hire) {
-	n := map[Kind]int{}
-	for _, h := range hires {
-		if f.window[h.Kind] == 0 {
-			f.window[h.Kind] = 2
-		}
-		if n[h.Kind] < f.window[h.Kind] && len(out) < f.atOnce {
-			n[h.Kind]++
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
-// hire rents, all kinds at once, and tells whether fewer came than were asked
-// for. A request's name is never used again: the term and a counter.
-func (f *Fleet) hire(ctx context.Context, list []Hire) (short bool) {
-	sent := f.clock.Now()
-	got := make([]wire.Hosts, len(list))
-	errs := make([]error, len(list))
-	var wg sync.WaitGroup
-	for i, h := range list {
-		f.counter++
-		req := wire.Hire{Name: fmt.Sprintf("r-%d-%d", f.term, f.counter), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: h.Count}
-		wg.Go(func() { errs[i] = f.cloud.call(ctx, "POST", wire.PathRentals, req, &got[i]) })
-	}
-	wg.Wait()
-	grown := map[Kind]bool{}
-	for _, h := range list {
-		if !grown[h.Kind] {
-			grown[h.Kind] = true
-			f.window[h.Kind] = min(2*f.window[h.Kind], f.atOnce)
-		}
-	}
-	for i, h := range list {
-		hosts, err := got[i].Hosts, errs[i]
-		f.log.Info("renting", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Count, "got", len(hosts), "err", err)
-		if errors.Is(err, errNoCapacity) || err == nil && len(hosts) < h.Count {
-			f.refused[h.Kind], f.window[h.Kind] = sent+f.backoff, 1
-		} else if err != nil && f.refused[h.Kind] < sent {
-			f.refused[h.Kind] = sent + 3*clock.Second // perhaps rented all the same: the list will tell
-		}
-		for _, id := range hosts {
-			f.rented[id] = Rented{Kind: h.Kind, ID: id, Phase: wire.MachineBooting, Since: sent}
-			f.listedAt[id] = sent
-		}
-		short = short || len(hosts) < h.Count
-	}
-	return short
-}
-
-// giveBack returns machines that their owners have set aside.
-func (f *Fleet) giveBack(ctx context.Context, list []Return) {
-	why := map[string]string{}
-	zone := map[string]string{}
-	var some, failed []peer.Machine
-	for _, r := range list {
-		if f.rented[r.ID].Phase == wire.MachineFailed {
-			failed = append(failed, peer.Machine{ID: r.ID, Zone: r.Zone})
-		}
-		if len(some) < 100 {
-			some = append(some, peer.Machine{ID: r.ID, Zone: r.Zone})
-			why[r.ID], zone[r.ID] = r.Why, r.Zone
-		}
-	}
-	if len(failed) > 0 {
-		f.others.Gone(ctx, failed) // the cloud's own word that they have stopped
-	}
-	ready := f.others.Drain(ctx, some)
-	if len(ready) == 0 {
-		return
-	}
-	if got, mine := f.claims.Mine(Duty); !mine || got.Term != f.term {
-		return
-	}
-	if err := f.cloud.call(ctx, "POST", wire.PathReturn, wire.Hosts{Hosts: ready}, nil); err != nil {
-		f.log.Info("returning machines", "hosts", ready, "err", err)
-		return
-	}
-	now := f.clock.Now()
-	var gone []peer.Machine
-	for _, id := range ready {
-		gone = append(gone, peer.Machine{ID: id, Zone: zone[id]})
-		f.log.Info("returned a machine", "machine", id, "why", why[id])
-		f.gone[id] = now
-		f.strike(id)
-	}
-	f.others.Gone(ctx, gone)
-}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -17,12 +17,12 @@
 	return s
 }
 
-// Thrift follows from the objectives: none asks for work without deadlines to be
+// Economy follows from the objectives: none asks for work without deadlines to be
 // finished within a fixed time.
-func TestThriftFollowsFromTheObjectives(t *testing.T) {
-	thrifty, err := Parse("", settings("deadline", "guarantee"))
+func TestEconomyFollowsFromTheObjectives(t *testing.T) {
+	economical, err := Parse("", settings("deadline", "guarantee"))
 	require.NoError(t, err)
-	require.True(t, thrifty.Economy)
+	require.True(t, economical.Economy)
 	early := settings("deadline", "finished")
 	early.Params.Objectives[0].Class = "nightly"
 	early.Params.Objectives[1].Class = "urgent"
@@ -31,8 +31,8 @@
 	quick, err := Parse("", early)
 	require.NoError(t, err)
 	require.False(t, quick.Economy)
-	require.Less(t, thrifty.IdleReturn, quick.IdleReturn)
-	// Guests that have minutes must not put off thrift for everybody.
+	require.Less(t, economical.IdleReturn, quick.IdleReturn)
+	// Guests that have minutes must not put off economy for everybody.
 	early.Params.Objectives[1].WithinS = 400
 	require.True(t, Economy(early))
 	early.Params.Objectives[1].WithinS = 70
@@ -60,3 +60,17 @@
 		require.ErrorContains(t, err, want, script)
 	}
 }
+
+// A script of an earlier release goes on to work: a knob's former name is accepted and told of.
+func TestFormerNamesOfKnobsAreAccepted(t *testing.T) {
+	for script, want := range map[string]clock.Micros{
+		"hire_backoff_s = 9":                         9 * clock.Second,
+		"rental_backoff_s = 7":                       7 * clock.Second,
+		"hire_backoff_s = 9\nrental_backoff_s = 7\n": 7 * clock.Second,
+	} {
+		k, err := Parse(script, settings())
+		require.NoError(t, err, script)
+		require.Equal(t, want, k.RentalBackoff, script)
+		require.Equal(t, script[0] == 'h', len(k.Renamed) == 1, script)
+	}
+}
