--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,7 +107,7 @@
 		}
 		began := time.Now()
 		f.step(ctx, h)
-		f.steps.Since(began)
+		f.steps.Round(time.Since(began))
 	}
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -134,11 +134,11 @@
 	p.countBooting()
 	p.fill()
 	if in.Knobs.Economy {
-		p.trim()
+		trim(in, p.wants, p.open, p.types, p.have, p.used)
 	} else {
 		p.addSpare()
 	}
-	return p.requests(), p.returns()
+	return p.requests(), giveBack(in, p.types, p.room)
 }
 
 // offer is what a new machine of a type has to offer.
@@ -262,34 +262,34 @@
 // trim keeps economical deployments from renting machines for work that those at
 // hand can do in time: together they do what waits within the time to catch
 // up, or sooner where a deadline asks for it.
-func (p *planner) trim() {
+func trim(in Input, wants map[Kind]int, open []Kind, types map[string]wire.MachineType, have, used int64) {
 	var run, n float64
-	for _, d := range p.Demands {
+	for _, d := range in.Demands {
 		run += d.RunFor.Seconds() * float64(d.Waiting)
 		n += float64(d.Waiting)
 	}
 	run /= max(n, 1)
 	extra := 0.0
-	for _, k := range p.open {
-		if p.wants[k] == 0 {
+	for _, k := range open {
+		if wants[k] == 0 {
 			continue
 		}
-		t := p.types[k.Type]
-		limit := p.Knobs.Catchup.Seconds()
+		t := types[k.Type]
+		limit := in.Knobs.Catchup.Seconds()
 		if !k.Spot {
-			limit = p.Knobs.CatchupOrdinary.Seconds()
+			limit = in.Knobs.CatchupOrdinary.Seconds()
 		}
-		rate := float64(p.used) / 1e6 * run / 2 / limit // what runs is half done
-		for _, d := range p.Demands {
+		rate := float64(used) / 1e6 * run / 2 / limit // what runs is half done
+		for _, d := range in.Demands {
 			h := limit
 			if d.Slack > 0 {
 				h = min(limit, max(d.Slack.Seconds()-t.BootS*1.5, t.BootS+10))
 			}
 			rate += d.Need.CPUs() * max(d.RunFor.Seconds(), 5) * float64(d.Waiting) / h
 		}
-		missing := rate - float64(p.have)/1e6 - extra
-		p.wants[k] = min(p.wants[k], max(0, int(math.Ceil(missing/t.CPUs))))
-		extra += float64(p.wants[k]) * t.CPUs
+		missing := rate - float64(have)/1e6 - extra
+		wants[k] = min(wants[k], max(0, int(math.Ceil(missing/t.CPUs))))
+		extra += float64(wants[k]) * t.CPUs
 	}
 }
 
@@ -335,42 +335,42 @@
 	return idle > clock.FromSeconds(types[r.Type].BootS)
 }
 
-// returns decides which machines are of no more use. On a large fleet something
+// giveBack decides which machines are of no more use. On a large fleet something
 // waits at every moment, so with economy an idle machine is kept only for what is
 // to go to that machine; without economy, for anything that waits.
-func (p *planner) returns() (out []Return) {
-	for i := range p.Views {
-		v := &p.Views[i]
-		wanted := v.Usable && len(p.Demands) > 0 && (p.room[i].taken || !p.Knobs.Economy)
-		r, listed := p.Rented[v.ID]
+func giveBack(in Input, types map[string]wire.MachineType, room []bin) (out []Return) {
+	for i := range in.Views {
+		v := &in.Views[i]
+		wanted := v.Usable && len(in.Demands) > 0 && (room[i].taken || !in.Knobs.Economy)
+		r, listed := in.Rented[v.ID]
 		switch {
 		case r.Phase == wire.MachineFailed:
 			out = append(out, Return{v.ID, v.Zone, "failed"})
 		case v.Silent:
-			if listed && r.lostFor(p.Now, p.types) {
+			if listed && r.lostFor(in.Now, types) {
 				out = append(out, Return{v.ID, v.Zone, "silent for its whole lease"})
 			}
 		case v.Sick && v.Count == 0:
 			out = append(out, Return{v.ID, v.Zone, "several jobs failed on it, or it is slow"})
 		case v.Draining && v.Count == 0:
 			out = append(out, Return{v.ID, v.Zone, "set aside for return"})
-		case v.Accounted && v.Count == 0 && v.Idle > p.Knobs.IdleReturn && !wanted && (v.Usable || v.Noticed || r.idleFor(v.Idle-p.Knobs.IdleReturn, p.types)):
+		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !wanted && (v.Usable || v.Noticed || r.idleFor(v.Idle-in.Knobs.IdleReturn, types)):
 			out = append(out, Return{v.ID, v.Zone, "idle"})
 		}
 	}
-	for _, r := range p.Rented {
-		if _, viewed := p.viewAt[r.ID]; viewed {
+	for _, r := range in.Rented {
+		if _, viewed := in.viewAt[r.ID]; viewed {
 			continue
 		}
-		age := p.Now - r.Since
+		age := in.Now - r.Since
 		if r.Phase == wire.MachineFailed {
 			out = append(out, Return{r.ID, r.Zone, "failed"})
 		} else if r.Up {
-			if !r.lostFor(p.Now, p.types) {
+			if !r.lostFor(in.Now, types) {
 				continue
 			}
 			out = append(out, Return{r.ID, r.Zone, "its worker is gone"})
-		} else if t, ok := p.types[r.Type]; ok && age.Seconds() > max(t.BootS, 5)*p.Knobs.BootPatience {
+		} else if t, ok := types[r.Type]; ok && age.Seconds() > max(t.BootS, 5)*in.Knobs.BootPatience {
 			out = append(out, Return{r.ID, r.Zone, "never came up"})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,7 +132,8 @@
 // apply takes events of the replica. Jobs, machines and progress are taken
 // before claims, so that a duty gained stands on all that came before it.
 func (n *Node) apply(evs []state.Event, rev uint64) {
-	defer n.replayed.Since(time.Now())
+	began := time.Now()
+	defer func() { n.replayed.Round(time.Since(began)) }()
 	for _, e := range evs {
 		n.book.Apply(e)
 		if e.Key == state.Catalog && e.Value != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -100,7 +100,7 @@
 
 // notify has waiting polls and the loop that sends orders take note of a change. The lock is held.
 func (o *Owner) notify() {
-	o.feed.changed(pollGap(o.table.Len(), o.feed.waiting))
+	o.feed.changed(o.table.Version(), pollGap(o.table.Len(), o.feed.waiting))
 	o.poke()
 }
 
@@ -164,7 +164,8 @@
 
 // HandleReport answers a worker's report.
 func (o *Owner) HandleReport(body []byte) httpx.Response {
-	defer o.reports.Since(time.Now())
+	began := time.Now()
+	defer func() { o.reports.Round(time.Since(began)) }()
 	var r wire.Report
 	if err := json.Unmarshal(body, &r); err != nil || !validMachine(r.Machine) || r.Session == 0 || r.Tick == 0 {
 		return refuse(400, "not a report", "", 0)
@@ -274,6 +275,6 @@
 		}
 		began := time.Now()
 		o.send(ctx)
-		o.ticks.Since(began)
+		o.ticks.Round(time.Since(began))
 	}
 }
--- a/internal/owner/polls.go
+++ b/internal/owner/polls.go
@@ -42,9 +42,9 @@
 	return feed{lock: lock, version: version, clock: c, next: make(chan struct{})}
 }
 
-// changed has what is new published, no sooner than a gap after the last time. The lock is held.
-func (f *feed) changed(gap clock.Micros) {
-	if f.due || f.version() == f.published {
+// changed has a version published, no sooner than a gap after the last one. The lock is held.
+func (f *feed) changed(version uint64, gap clock.Micros) {
+	if f.due || version == f.published {
 		return
 	}
 	f.due = true
@@ -64,7 +64,8 @@
 // Poll gives the machines that changed after a cursor, waiting for a change.
 func (o *Owner) Poll(in peer.Poll) peer.PollAnswer {
 	o.await(in)
-	defer o.polls.Since(time.Now())
+	began := time.Now()
+	defer func() { o.polls.Round(time.Since(began)) }()
 	o.Reconcile() // what is held no more is not told of
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/telemetry/duty.go
+++ b/internal/telemetry/duty.go
@@ -24,9 +24,6 @@
 	raise(&d.longestNS, int64(took))
 }
 
-// Since counts one round that began at a time and ends now.
-func (d *Duty) Since(began time.Time) { d.Round(time.Since(began)) }
-
 // Late notes by how much a timer fired later than it was set for.
 func (d *Duty) Late(by time.Duration) {
 	if d != nil {
--- a/internal/telemetry/reporter.go
+++ b/internal/telemetry/reporter.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
+	"sort"
 	"sync"
 	"syscall"
 	"time"
@@ -129,10 +128,15 @@
 // tellDuties logs one line for all duties that did something.
 func (r *Reporter) tellDuties(ctx context.Context) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	names := make([]string, 0, len(r.duties))
+	for name := range r.duties {
+		names = append(names, name)
+	}
+	r.mu.Unlock()
+	sort.Strings(names)
 	var attrs []slog.Attr
-	for _, name := range slices.Sorted(maps.Keys(r.duties)) {
-		s := r.duties[name].take()
+	for _, name := range names {
+		s := r.Duty(name).take()
 		if s.rounds > 0 {
 			attrs = append(attrs, slog.Group(name, slog.Int64("rounds", s.rounds), slog.Int64("busy_us", s.busy.Microseconds()),
 				slog.Int64("longest_us", s.longest.Microseconds()), slog.Int64("late_us", s.late.Microseconds())))
--- a/internal/telemetry/runtime.go
+++ b/internal/telemetry/runtime.go
@@ -5,37 +5,22 @@
 	"time"
 )
 
-// The runtime's own metrics that are read, by their places among the samples.
+// Names of the runtime's own metrics that are read.
 const (
-	totalCPU = iota
-	idleCPU
-	gcCPU
-	gcCycles
-	allocBytes
-	allocs
-	heapLive
-	heapGoal
-	mapped
-	released
-	stacks
-	goroutines
+	metricTotalCPU   = "/cpu/classes/total:cpu-seconds"
+	metricIdleCPU    = "/cpu/classes/idle:cpu-seconds"
+	metricGCCPU      = "/cpu/classes/gc/total:cpu-seconds"
+	metricGCCycles   = "/gc/cycles/total:gc-cycles"
+	metricAllocBytes = "/gc/heap/allocs:bytes"
+	metricAllocs     = "/gc/heap/allocs:objects"
+	metricLive       = "/gc/heap/live:bytes"
+	metricGoal       = "/gc/heap/goal:bytes"
+	metricMapped     = "/memory/classes/total:bytes"
+	metricReleased   = "/memory/classes/heap/released:bytes"
+	metricStacks     = "/memory/classes/heap/stacks:bytes"
+	metricGoroutines = "/sched/goroutines:goroutines"
 )
 
-var metricNames = [...]string{
-	totalCPU:   "/cpu/classes/total:cpu-seconds",
-	idleCPU:    "/cpu/classes/idle:cpu-seconds",
-	gcCPU:      "/cpu/classes/gc/total:cpu-seconds",
-	gcCycles:   "/gc/cycles/total:gc-cycles",
-	allocBytes: "/gc/heap/allocs:bytes",
-	allocs:     "/gc/heap/allocs:objects",
-	heapLive:   "/gc/heap/live:bytes",
-	heapGoal:   "/gc/heap/goal:bytes",
-	mapped:     "/memory/classes/total:bytes",
-	released:   "/memory/classes/heap/released:bytes",
-	stacks:     "/memory/classes/heap/stacks:bytes",
-	goroutines: "/sched/goroutines:goroutines",
-}
-
 // Runtime is a reading of what the Go runtime tells of this process.
 type Runtime struct {
 	BusyCPU, GCCPU time.Duration // since the start, as of the last collection
@@ -51,27 +36,31 @@
 
 // runtimeReader reads the runtime's metrics into the same samples each time.
 type runtimeReader struct {
-	samples [len(metricNames)]metrics.Sample
+	samples []metrics.Sample
+	index   map[string]int
 }
 
 func newRuntimeReader() *runtimeReader {
-	r := &runtimeReader{}
-	for i, name := range metricNames {
+	names := []string{metricTotalCPU, metricIdleCPU, metricGCCPU, metricGCCycles, metricAllocBytes, metricAllocs,
+		metricLive, metricGoal, metricMapped, metricReleased, metricStacks, metricGoroutines}
+	r := &runtimeReader{samples: make([]metrics.Sample, len(names)), index: make(map[string]int, len(names))}
+	for i, name := range names {
 		r.samples[i].Name = name
+		r.index[name] = i
 	}
 	return r
 }
 
-func (r *runtimeReader) count(metric int) uint64 {
-	v := r.samples[metric].Value
+func (r *runtimeReader) count(name string) uint64 {
+	v := r.samples[r.index[name]].Value
 	if v.Kind() != metrics.KindUint64 {
 		return 0
 	}
 	return v.Uint64()
 }
 
-func (r *runtimeReader) span(metric int) time.Duration {
-	v := r.samples[metric].Value
+func (r *runtimeReader) span(name string) time.Duration {
+	v := r.samples[r.index[name]].Value
 	if v.Kind() != metrics.KindFloat64 {
 		return 0
 	}
@@ -79,17 +68,17 @@
 }
 
 func (r *runtimeReader) read() Runtime {
-	metrics.Read(r.samples[:])
+	metrics.Read(r.samples)
 	return Runtime{
-		BusyCPU:    r.span(totalCPU) - r.span(idleCPU),
-		GCCPU:      r.span(gcCPU),
-		GCCycles:   r.count(gcCycles),
-		AllocBytes: r.count(allocBytes),
-		Allocs:     r.count(allocs),
-		HeapLive:   r.count(heapLive),
-		HeapGoal:   r.count(heapGoal),
-		Held:       r.count(mapped) - r.count(released),
-		Stacks:     r.count(stacks),
-		Goroutines: r.count(goroutines),
+		BusyCPU:    r.span(metricTotalCPU) - r.span(metricIdleCPU),
+		GCCPU:      r.span(metricGCCPU),
+		GCCycles:   r.count(metricGCCycles),
+		AllocBytes: r.count(metricAllocBytes),
+		Allocs:     r.count(metricAllocs),
+		HeapLive:   r.count(metricLive),
+		HeapGoal:   r.count(metricGoal),
+		Held:       r.count(metricMapped) - r.count(metricReleased),
+		Stacks:     r.count(metricStacks),
+		Goroutines: r.count(metricGoroutines),
 	}
 }
