4,000 machines: polls for everything are read in pages; settings that don't suffice are told

Found: a poll for everything was one answer under a deadline of 1.5 s; on a small share of a core an owner of 1,300 machines may not write it in time, and it is asked for again for ever. Nothing was said of settings that don't suffice. Change: CollectPages reads 250 machines at a time and joins pages of one process and the same partitions only; the start tells which settings don't suffice for 4,000 machines. The test of names gains the three new fields, as exact as before.

--- /dev/null
+++ b/internal/config/scale_test.go
@@ -0,0 +1,21 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Settings that are too small for a large fleet are told of one by one.
+func TestInsufficientSettingsForALargeFleet(t *testing.T) {
+	s := &Settings{}
+	s.Params.Count = 5
+	s.Params.Limits.Sockets, s.Params.Limits.MemoryMB, s.Params.Cloud.RPS = 1200, 120, 3
+	require.Empty(t, s.Insufficient(LargeFleet))
+	s.Params.Limits.Sockets = 800
+	require.Len(t, s.Insufficient(LargeFleet), 1)
+	require.Contains(t, s.Insufficient(LargeFleet)[0], "fd_limit is 800: of the 800 workers")
+	s.Params.Limits.MemoryMB, s.Params.Cloud.RPS = 81, 1
+	require.Len(t, s.Insufficient(LargeFleet), 3)
+	require.Empty(t, s.Insufficient(300))
+}
--- /dev/null
+++ b/internal/fleet/scale_test.go
@@ -0,0 +1,37 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// A plan for a fleet that is in use, with sixty jobs that wait.
+func BenchmarkFleetSizes(b *testing.B) {
+	for _, machines := range []int{1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("plan/%d", machines), func(b *testing.B) {
+			in := Input{Now: 1000 * clock.Second, Rented: map[string]Rented{}, MaxCount: 200,
+				Types: []wire.MachineType{{Name: "big", CPUs: 32, MemGB: 64, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"a"}}}}
+			kind := Kind{"big", "a", true}
+			for i := range machines {
+				id := fmt.Sprintf("m-%06d", i)
+				in.Rented[id] = Rented{Kind: kind, ID: id, Phase: wire.MachineRunning, Since: clock.Second, Up: true}
+				in.Views = append(in.Views, peer.MachineView{ID: id, Type: "big", Zone: "a", Spot: true, Cap: res.Have(32, 0, 64),
+					Free: res.Have(float64(i%3), 0, 8), Accounted: true, Usable: true, Count: 4})
+			}
+			for i := range 60 {
+				in.Demands = append(in.Demands, peer.Demand{Need: res.Need(float64(2+i%4), 0, 2), Spot: true, Rank: 1, Waiting: 100,
+					RunFor: 30 * clock.Second})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				in.viewAt = nil
+				Plan(in)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,9 @@
 	for _, w := range n.set.Without() {
 		n.log.Error("a limit is very small", "what", w)
 	}
+	for _, w := range n.set.Insufficient(config.LargeFleet) {
+		n.log.Info("a setting does not suffice for a large fleet", "machines", config.LargeFleet, "what", w)
+	}
 	for _, a := range n.set.Assumed {
 		n.log.Info("a limit is not given", "what", a)
 	}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -21,9 +21,11 @@
 	return out, err
 }
 
-func (r remoteOwner) Poll(in peer.Poll) (out peer.PollAnswer, err error) {
-	err = r.c.Call("Poll", in, &out, in.Wait.Duration()+1500*time.Millisecond)
-	return out, err
+func (r remoteOwner) Poll(in peer.Poll) (peer.PollAnswer, error) {
+	return peer.CollectPages(in, func(in peer.Poll) (out peer.PollAnswer, err error) {
+		err = r.c.Call("Poll", in, &out, in.Wait.Duration()+1500*time.Millisecond)
+		return out, err
+	})
 }
 
 // service is what peers may call.
--- /dev/null
+++ b/internal/owner/scale_test.go
@@ -0,0 +1,44 @@
+package owner
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+)
+
+// An owner of all machines of a fleet: its table's memory, its idle loop, a take-over, and
+// one page of its answer to a poll for everything.
+func BenchmarkFleetSizes(b *testing.B) {
+	for _, machines := range []int{1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("idle-tick/%d", machines), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			l := newLoadedOwner(b, machines)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				l.idleTick()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(machines), "held-B/machine")
+		})
+		b.Run(fmt.Sprintf("take-over/%d", machines), func(b *testing.B) {
+			l := newLoadedOwner(b, machines)
+			for b.Loop() {
+				l.owner.table.Lose(0)
+				l.owner.Reconcile()
+				for i := range l.reports {
+					l.report(i)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("page/%d", machines), func(b *testing.B) {
+			l := newLoadedOwner(b, machines)
+			for b.Loop() {
+				l.owner.Poll(peer.Poll{Most: peer.PageMachines})
+			}
+		})
+	}
+}
--- a/internal/owner/views.go
+++ b/internal/owner/views.go
@@ -90,14 +90,23 @@
 	if in.Incarnation != incarnation {
 		after, out.Full = 0, true
 	}
+	var changed []*machine
 	for e := t.changes.Back(); e != nil; e = e.Prev() {
 		m := e.Value.(*machine)
 		if m.version <= after {
 			break
 		}
+		if m.id > in.AfterID {
+			changed = append(changed, m)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *machine) int { return strings.Compare(a.id, b.id) })
+	if in.Most > 0 && len(changed) > in.Most {
+		changed, out.More = changed[:in.Most], true
+	}
+	for _, m := range changed {
 		out.Machines = append(out.Machines, t.view(m, after, now))
 	}
-	slices.SortFunc(out.Machines, func(a, b peer.MachineView) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/peer/names_test.go
+++ b/internal/peer/names_test.go
@@ -15,8 +15,8 @@
 		fields  []string
 	}{
 		{Hello{}, []string{"Contact", "Resigned", "From", "Strays", "Machines", "Unheard"}},
-		{Poll{}, []string{"Incarnation", "Cursor", "Terms", "Wait", "Gen"}},
-		{PollAnswer{}, []string{"Incarnation", "Cursor", "Full", "Parts", "Machines"}},
+		{Poll{}, []string{"Incarnation", "Cursor", "Terms", "Wait", "Gen", "Most", "AfterID"}},
+		{PollAnswer{}, []string{"Incarnation", "Cursor", "Full", "Parts", "Machines", "More"}},
 		{Round{}, []string{"From", "Seq", "Terms", "Asks", "Stops", "Settles", "Cancels", "Slow"}},
 		{RoundAnswer{}, []string{"Incarnation", "Refused", "Versions"}},
 		{JobQuery{}, []string{"Team", "ID"}},
--- /dev/null
+++ b/internal/peer/pages.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"errors"
+	"maps"
+)
+
+// PageMachines is how many machines an answer to a poll lists at a time. A controller
+// with a small share of a core must be able to write, send and read one well within the
+// time that a call has: the first answer after a restart lists all machines with all tasks.
+const PageMachines = 250
+
+// ErrPagesDiffer means that the owner's process or its partitions changed between two
+// pages of an answer.
+var ErrPagesDiffer = errors.New("the pages of an answer do not belong together")
+
+// CollectPages polls an owner page by page and joins the pages into one answer.
+//
+// The cursor is that of the first page: what changes while the others are read is listed
+// again by the next poll. An answer must list every machine of the partitions that it
+// names, since a machine that is missing from it counts as gone. So pages of another
+// process, or given while other partitions were held, are not joined.
+func CollectPages(in Poll, call func(Poll) (PollAnswer, error)) (PollAnswer, error) {
+	in.Most = PageMachines
+	all, err := call(in)
+	if err != nil {
+		return PollAnswer{}, err
+	}
+	for more := all.More && len(all.Machines) > 0; more; {
+		in.Wait = 0
+		in.AfterID = all.Machines[len(all.Machines)-1].ID
+		page, err := call(in)
+		if err != nil {
+			return PollAnswer{}, err
+		}
+		if page.Incarnation != all.Incarnation || page.Full != all.Full || !maps.Equal(page.Parts, all.Parts) {
+			return PollAnswer{}, ErrPagesDiffer
+		}
+		all.Machines = append(all.Machines, page.Machines...)
+		more = page.More && len(page.Machines) > 0
+	}
+	all.More = false
+	return all, nil
+}
--- /dev/null
+++ b/internal/peer/pages_test.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pagedOwner answers polls with machines of its own, page by page.
+type pagedOwner struct {
+	instance string
+	parts    map[int]uint64
+	version  uint64
+	machines int
+	calls    []Poll
+	between  func(call int)
+}
+
+func (o *pagedOwner) poll(in Poll) (PollAnswer, error) {
+	o.calls = append(o.calls, in)
+	if o.between != nil {
+		o.between(len(o.calls))
+	}
+	out := PollAnswer{Incarnation: o.instance, Cursor: o.version, Full: true, Parts: o.parts}
+	for i := range o.machines {
+		id := fmt.Sprintf("m-%06d", i)
+		if id <= in.AfterID {
+			continue
+		}
+		if len(out.Machines) == in.Most {
+			out.More = true
+			break
+		}
+		out.Machines = append(out.Machines, MachineView{ID: id})
+	}
+	return out, nil
+}
+
+// The answer of an owner of thousands of machines is read in pages, none of which waits
+// for a change, and what changes meanwhile is listed by the next poll.
+func TestPagesAreJoined(t *testing.T) {
+	o := &pagedOwner{instance: "one", parts: map[int]uint64{0: 7}, version: 10, machines: 4*PageMachines + 1}
+	o.between = func(call int) { o.version = uint64(10 * call) }
+	all, err := CollectPages(Poll{Wait: 1000}, o.poll)
+	require.NoError(t, err)
+	require.Len(t, all.Machines, o.machines)
+	require.False(t, all.More)
+	require.EqualValues(t, 10, all.Cursor, "the first page's: later changes are asked for again")
+	require.Len(t, o.calls, 5)
+	require.EqualValues(t, 1000, o.calls[0].Wait)
+	require.Zero(t, o.calls[1].Wait)
+	for i := range all.Machines {
+		require.Equal(t, fmt.Sprintf("m-%06d", i), all.Machines[i].ID)
+	}
+}
+
+// An answer that names a partition must list all of its machines: those that are missing
+// count as gone, and their tasks would start once more elsewhere. So nothing is joined across
+// a change of the owner's process or of the partitions that it holds.
+func TestPagesOfDifferentOwnersAreNotJoined(t *testing.T) {
+	for name, change := range map[string]func(*pagedOwner){
+		"another process":      func(o *pagedOwner) { o.instance = "two" },
+		"a partition was lost": func(o *pagedOwner) { o.parts = map[int]uint64{} },
+		"a partition has another term": func(o *pagedOwner) {
+			o.parts = map[int]uint64{0: 8}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := &pagedOwner{instance: "one", parts: map[int]uint64{0: 7}, machines: 2 * PageMachines}
+			o.between = func(call int) {
+				if call == 2 {
+					change(o)
+				}
+			}
+			_, err := CollectPages(Poll{}, o.poll)
+			require.ErrorIs(t, err, ErrPagesDiffer)
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -130,6 +130,8 @@
 	Terms       map[string]uint64
 	Wait        clock.Micros
 	Gen         uint64 // for the asker's own use
+	Most        int    // machines that an answer may list; 0: any number
+	AfterID     string // lists only machines whose names follow, as the next page of an answer
 }
 
 // PollAnswer answers a poll.
@@ -138,7 +140,8 @@
 	Cursor      uint64
 	Full        bool
 	Parts       map[int]uint64 // partitions held, with terms
-	Machines    []MachineView
+	Machines    []MachineView  // in order of their names
+	More        bool           // there are more machines than the asker wanted at a time
 }
 
 // Hello is what controllers tell each other once a second.
