--- /dev/null
+++ b/deploy/policy.star
@@ -0,0 +1,7 @@
+# The operators' policy of this deployment; `run` in service.toml names it. It is read after
+# the defaults that are built in (internal/policy/default.star) and may set any of their knobs.
+#
+# What is new is switched here, each by itself. Off is how the service was without it.
+
+# Hot teams (docs/hot-teams.md): contended room is divided among teams by fair shares.
+fair_shares = True
--- /dev/null
+++ b/internal/fairshare/arbiter.go
@@ -0,0 +1,241 @@
+package fairshare
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+// Shape is work of a team that waits, of one shape: what each task takes and where it may go.
+type Shape struct {
+	Need  res.Amounts
+	Types []string // allowed machine types; none: any
+	Zone  string   // the only allowed zone; none: any
+	Spot  bool     // may use spot machines
+	Rank  int
+	Owed  bool // within its team's guarantee
+	Tasks int
+}
+
+// Demand is what waits of a team, as the team's placer sees it. It is told again with
+// each poll, also when nothing waits.
+type Demand struct {
+	Team   string
+	Term   uint64 // of the team's claim: a former placer's word does not replace a later one's
+	Shapes []Shape
+}
+
+// Room is free room on one machine.
+type Room struct {
+	Machine string
+	Type    string
+	Zone    string
+	Spot    bool
+	Free    res.Amounts
+}
+
+// takes tells whether a task of the shape could start in the room now.
+func (s *Shape) takes(r *Room) bool {
+	return s.Tasks > 0 && s.Need.Fits(r.Free) && (!r.Spot || s.Spot) && (s.Zone == "" || s.Zone == r.Zone) &&
+		(len(s.Types) == 0 || slices.Contains(s.Types, r.Type))
+}
+
+// Ask is a task for which room is asked.
+type Ask struct {
+	Team string
+	Rank int
+	Need res.Amounts
+	Owed bool // within its team's guarantee
+}
+
+// Use is what a team's tasks take at an owner, and the part that its guarantee covers.
+type Use struct {
+	All  res.Amounts
+	Owed res.Amounts
+}
+
+// Standing is a team's share, its use and its demand at one owner.
+type Standing struct {
+	Team    string
+	Weight  float64
+	Share   float64     // of the owner's capacity, by the team's dominant resource
+	Taken   float64     // the same of what its tasks take
+	Waiting res.Amounts // anywhere, as its placer last told
+}
+
+// Settings of an arbiter.
+type Settings struct {
+	Weights map[string]float64 // by team; 1 where none is given
+	// Fresh is how old a placer's word of its team's demand may be. An older one counts
+	// for nothing, as if nothing of the team waited.
+	Fresh clock.Micros
+	// Withhold is for how long free room on a machine is kept from a team that is above its
+	// share. Who is below it and waits has asked by then, or can't use the room.
+	Withhold clock.Micros
+	// Open is for how long a machine whose room was withheld in vain goes to whoever asks.
+	Open clock.Micros
+}
+
+// told is a team's demand and when it was told.
+type told struct {
+	Demand
+	at clock.Micros
+}
+
+// Arbiter decides, for one owner of machines, who must leave free room to others.
+type Arbiter struct {
+	settings Settings
+	demands  map[string]told
+	capacity res.Amounts
+	used     map[string]Use
+	shares   map[string]float64
+	counted  clock.Micros
+	withheld map[string]clock.Micros // by machine: since when its room is withheld from somebody
+	open     map[string]clock.Micros // by machine: until when it is not
+	yields   uint64
+}
+
+// NewArbiter makes an arbiter that knows of no demand, and so withholds nothing.
+func NewArbiter(s Settings) *Arbiter {
+	return &Arbiter{settings: s, demands: map[string]told{}, used: map[string]Use{}, shares: map[string]float64{},
+		withheld: map[string]clock.Micros{}, open: map[string]clock.Micros{}}
+}
+
+// Hear takes what a placer tells of its teams' demand.
+func (a *Arbiter) Hear(list []Demand, now clock.Micros) {
+	for _, d := range list {
+		if old, ok := a.demands[d.Team]; ok && old.Term > d.Term {
+			continue
+		}
+		a.demands[d.Team] = told{d, now}
+	}
+}
+
+// countEvery is how often what runs is counted anew, and shares are divided. Grants in
+// between are added to the last count.
+const countEvery = clock.Second / 2
+
+// Due tells whether what runs should be counted: some demand is known, and the last count is old.
+func (a *Arbiter) Due(now clock.Micros) bool {
+	return len(a.demands) > 0 && (a.counted == 0 || now >= a.counted+countEvery)
+}
+
+// Count takes what the teams' tasks take of the owner's capacity, drops words that are too
+// old, and divides the capacity.
+func (a *Arbiter) Count(capacity res.Amounts, used map[string]Use, now clock.Micros) {
+	a.capacity, a.used, a.counted = capacity, used, now
+	maps.DeleteFunc(a.demands, func(_ string, d told) bool { return now > d.at+a.settings.Fresh })
+	maps.DeleteFunc(a.open, func(_ string, until clock.Micros) bool { return now >= until })
+	maps.DeleteFunc(a.withheld, func(_ string, since clock.Micros) bool {
+		return now >= since+a.settings.Withhold+a.settings.Open
+	})
+	a.shares = Divide(capacity, a.claimants())
+}
+
+func (a *Arbiter) claimants() map[string]Claimant {
+	out := make(map[string]Claimant, len(a.used)+len(a.demands))
+	for team, u := range a.used {
+		out[team] = Claimant{Weight: a.weight(team), Used: u.All, Owed: u.Owed}
+	}
+	for team, d := range a.demands {
+		c := out[team]
+		c.Weight = a.weight(team)
+		for i := range d.Shapes {
+			s := &d.Shapes[i]
+			need := s.Need.Times(int64(s.Tasks))
+			c.Waiting = c.Waiting.Plus(need)
+			if s.Owed {
+				c.Owed = c.Owed.Plus(need)
+			}
+		}
+		out[team] = c
+	}
+	return out
+}
+
+func (a *Arbiter) weight(team string) float64 {
+	if w, ok := a.settings.Weights[team]; ok {
+		return w
+	}
+	return 1
+}
+
+// Yields tells that an ask must leave the room to somebody else: its team is above its share,
+// and a team below its own has work of the same rank or a higher one that waits and could
+// start right there. Work within a guarantee never yields. Room is withheld for a bounded
+// time: what nobody takes goes to whoever asks.
+func (a *Arbiter) Yields(ask *Ask, room *Room, now clock.Micros) bool {
+	if ask.Owed || a.capacity == (res.Amounts{}) || !a.above(ask) {
+		return false
+	}
+	if now < a.open[room.Machine] || !a.wanted(ask, room, now) {
+		return false
+	}
+	since, ok := a.withheld[room.Machine]
+	if !ok {
+		since = now
+		a.withheld[room.Machine] = now
+	}
+	if now >= since+a.settings.Withhold {
+		delete(a.withheld, room.Machine)
+		a.open[room.Machine] = now + a.settings.Open
+		return false
+	}
+	a.yields++
+	return true
+}
+
+// above tells that with a task more a team takes more than its share.
+func (a *Arbiter) above(ask *Ask) bool {
+	return Dominant(a.used[ask.Team].All.Plus(ask.Need), a.capacity) > a.shares[ask.Team]+tolerance
+}
+
+// wanted tells that another team that is below its share waits for just such room.
+func (a *Arbiter) wanted(ask *Ask, room *Room, now clock.Micros) bool {
+	for team, d := range a.demands {
+		if team == ask.Team || now > d.at+a.settings.Fresh {
+			continue
+		}
+		if Dominant(a.used[team].All, a.capacity) >= a.shares[team]-tolerance {
+			continue
+		}
+		for i := range d.Shapes {
+			if s := &d.Shapes[i]; s.Rank >= ask.Rank && s.takes(room) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Granted takes note of a lease.
+func (a *Arbiter) Granted(ask *Ask, machine string) {
+	u := a.used[ask.Team]
+	u.All = u.All.Plus(ask.Need)
+	if ask.Owed {
+		u.Owed = u.Owed.Plus(ask.Need)
+	}
+	a.used[ask.Team] = u
+	delete(a.withheld, machine)
+}
+
+// Yielded is how many asks had to leave room to others so far.
+func (a *Arbiter) Yielded() uint64 { return a.yields }
+
+// Capacity is what the standings are fractions of.
+func (a *Arbiter) Capacity() res.Amounts { return a.capacity }
+
+// Standings lists the teams that use room here or wait for it, in order of their names.
+func (a *Arbiter) Standings(now clock.Micros) (out []Standing) {
+	claims := a.claimants()
+	for _, team := range slices.Sorted(maps.Keys(claims)) {
+		s := Standing{Team: team, Weight: a.weight(team), Share: a.shares[team], Taken: Dominant(a.used[team].All, a.capacity)}
+		if d, ok := a.demands[team]; ok && now <= d.at+a.settings.Fresh {
+			s.Waiting = claims[team].Waiting
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fairshare/arbiter_test.go
@@ -0,0 +1,96 @@
+package fairshare
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+const sec = clock.Second
+
+var room = &Room{Machine: "m-1", Type: "big", Zone: "a", Free: res.Have(4, 0, 8)}
+
+func ask(team string, rank int) *Ask { return &Ask{Team: team, Rank: rank, Need: res.Need(2, 0, 1)} }
+
+func shape(tasks int) Shape { return Shape{Need: res.Need(2, 0, 1), Rank: 1, Spot: true, Tasks: tasks} }
+
+// crowded is an arbiter of 100 CPUs that the hot team has nearly all of, while another waits.
+func crowded(waits Shape) *Arbiter {
+	a := NewArbiter(Settings{Fresh: 3 * sec, Withhold: sec, Open: 5 * sec})
+	a.Hear([]Demand{{Team: "hot", Term: 1, Shapes: []Shape{shape(500)}}, {Team: "other", Term: 1, Shapes: []Shape{waits}}}, 10*sec)
+	a.Count(res.Have(100, 0, 200), map[string]Use{"hot": {All: res.Have(96, 0, 50)}}, 10*sec)
+	return a
+}
+
+func TestWhoYields(t *testing.T) {
+	zoned, large, low := shape(5), shape(5), shape(5)
+	zoned.Zone, large.Need, low.Rank = "b", res.Need(8, 0, 1), 0
+	owed := ask("hot", 1)
+	owed.Owed = true
+	for _, x := range []struct {
+		name  string
+		waits Shape
+		ask   *Ask
+		want  bool
+	}{
+		{"a team above its share leaves room to one below", shape(5), ask("hot", 1), true},
+		{"who is below its share does not yield", shape(5), ask("other", 1), false},
+		{"a higher rank goes first whatever the shares", shape(5), ask("hot", 2), false},
+		{"work within a guarantee does not yield", shape(5), owed, false},
+		{"nobody else waits: all may be had", shape(0), ask("hot", 1), false},
+		{"what waits may not go to this zone", zoned, ask("hot", 1), false},
+		{"what waits doesn't fit there now", large, ask("hot", 1), false},
+		{"what waits is of lower rank", low, ask("hot", 1), false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			require.Equal(t, x.want, crowded(x.waits).Yields(x.ask, room, 10*sec+1))
+		})
+	}
+}
+
+// Room is withheld for a bounded time: who waits may not want it after all.
+func TestWithheldRoomIsOpenedAgain(t *testing.T) {
+	a := crowded(shape(5))
+	require.True(t, a.Yields(ask("hot", 1), room, 10*sec))
+	require.True(t, a.Yields(ask("hot", 1), room, 10*sec+900*clock.Millisecond))
+	require.False(t, a.Yields(ask("hot", 1), room, 11*sec), "nobody took it")
+	require.False(t, a.Yields(ask("hot", 1), room, 12*sec), "it stays open for a while")
+	other := *room
+	other.Machine = "m-2"
+	require.True(t, a.Yields(ask("hot", 1), &other, 12*sec), "other machines' room is withheld still")
+}
+
+// A grant to the team that waited ends the withholding and counts at once, before anything
+// is counted anew.
+func TestGrantsCountAtOnce(t *testing.T) {
+	a := crowded(shape(1))
+	a.Count(res.Have(100, 0, 200), map[string]Use{"hot": {All: res.Have(98, 0, 50)}}, 10*sec)
+	require.True(t, a.Yields(ask("hot", 1), room, 10*sec))
+	a.Granted(ask("other", 1), room.Machine)
+	require.False(t, a.Yields(ask("hot", 1), room, 10*sec+1), "the other team has its share")
+}
+
+// An owner that hears nothing of a team's demand any more, since its placer is cut off or
+// ended, or since it is of a version that tells nothing, withholds nothing for it.
+func TestStaleDemandCountsForNothing(t *testing.T) {
+	a := crowded(shape(5))
+	require.True(t, a.Yields(ask("hot", 1), room, 13*sec))
+	require.False(t, a.Yields(ask("hot", 1), room, 13*sec+1))
+	fresh := crowded(shape(5))
+	fresh.Hear([]Demand{{Team: "other", Term: 1}}, 11*sec)
+	require.False(t, fresh.Yields(ask("hot", 1), room, 11*sec), "nothing waits any more")
+	none := NewArbiter(Settings{Fresh: 3 * sec, Withhold: sec})
+	require.False(t, none.Due(sec), "without demand nothing is counted")
+	require.False(t, none.Yields(ask("hot", 1), room, sec))
+}
+
+// A former placer's word, that arrives late, does not replace the present one's.
+func TestAFormerPlacersDemandCountsForNothing(t *testing.T) {
+	a := crowded(shape(5))
+	a.Hear([]Demand{{Team: "other", Term: 2, Shapes: []Shape{shape(5)}}}, 10*sec)
+	a.Hear([]Demand{{Team: "other", Term: 1}}, 10*sec)
+	require.True(t, a.Yields(ask("hot", 1), room, 10*sec))
+}
--- /dev/null
+++ b/internal/fairshare/shares.go
@@ -0,0 +1,156 @@
+// Package fairshare divides contended room among teams.
+//
+// Divide computes weighted max-min shares of the dominant resource. Arbiter applies them
+// where leases on room are granted: at each owner of machines, from what runs there and
+// from what the placers last told of their teams' demand. Both are plain code that takes
+// the time.
+package fairshare
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+// Claimant is a team that uses room or waits for it.
+type Claimant struct {
+	Weight  float64     // its part of what is divided, relative to the others'
+	Used    res.Amounts // by its tasks
+	Waiting res.Amounts // what its tasks that wait would use
+	Owed    res.Amounts // the part of both that its guarantee covers
+}
+
+// resources is how many kinds of resources there are.
+const resources = 3
+
+// fractions gives amounts as fractions of a capacity. What there is none of counts for
+// nothing: work that takes it can't be placed here.
+func fractions(a, capacity res.Amounts) (out [resources]float64) {
+	for i, pair := range [resources][2]int64{{a.CPU, capacity.CPU}, {a.GPU, capacity.GPU}, {a.Mem, capacity.Mem}} {
+		if pair[1] > 0 {
+			out[i] = float64(pair[0]) / float64(pair[1])
+		}
+	}
+	return out
+}
+
+// Dominant is the largest fraction of a capacity's resources that amounts take.
+func Dominant(a, capacity res.Amounts) float64 {
+	f := fractions(a, capacity)
+	return max(f[0], f[1], f[2])
+}
+
+// claim is a claimant in fractions of the capacity.
+type claim struct {
+	weight float64
+	demand [resources]float64 // used and waiting
+	most   float64            // its dominant fraction if all of its demand were met
+	floor  float64            // its dominant fraction by its guarantee
+	share  float64
+	fixed  bool
+}
+
+// at is a claim's dominant fraction at a level of the filling.
+func (c *claim) at(level float64) float64 {
+	return min(c.most, max(c.floor, level*c.weight))
+}
+
+// tolerance is how far a resource may seem overfull for the rounding of the sums.
+const tolerance = 1e-9
+
+// Divide gives each team's share of a capacity as a fraction of its dominant resource:
+// weighted max-min, no more than the team demands and no less than its guarantee covers of
+// that. The filling stops for a team once a resource that it demands is used up.
+func Divide(capacity res.Amounts, teams map[string]Claimant) map[string]float64 {
+	claims := make(map[string]*claim, len(teams))
+	for name, t := range teams {
+		c := &claim{weight: t.Weight, demand: fractions(t.Used.Plus(t.Waiting), capacity)}
+		if c.weight <= 0 {
+			c.weight = 1
+		}
+		c.most = max(c.demand[0], c.demand[1], c.demand[2])
+		c.floor = min(c.most, Dominant(t.Owed, capacity))
+		c.fixed = c.most == 0
+		claims[name] = c
+	}
+	order := slices.Sorted(maps.Keys(claims))
+	list := make([]*claim, 0, len(order))
+	for _, name := range order {
+		list = append(list, claims[name])
+	}
+	for range resources {
+		level, full := fill(list)
+		for _, c := range list {
+			if c.fixed {
+				continue
+			}
+			c.share = c.at(level)
+			c.fixed = demandsAny(c, full)
+		}
+	}
+	out := make(map[string]float64, len(claims))
+	for name, c := range claims {
+		out[name] = c.share
+	}
+	return out
+}
+
+// demandsAny tells whether a claim demands one of the resources.
+func demandsAny(c *claim, full [resources]bool) bool {
+	for r := range resources {
+		if full[r] && c.demand[r] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fill raises the level until a resource is used up or all demand is met, and tells which
+// resources are used up.
+func fill(list []*claim) (level float64, full [resources]bool) {
+	high := 0.0
+	for _, c := range list {
+		if !c.fixed {
+			high = max(high, c.most/c.weight)
+		}
+	}
+	if fits(use(list, high)) {
+		return high, full
+	}
+	low := 0.0
+	for range 60 { // as exact as the numbers are
+		mid := (low + high) / 2
+		if fits(use(list, mid)) {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	over := use(list, high)
+	for r := range resources {
+		full[r] = over[r] > 1+tolerance
+	}
+	return low, full
+}
+
+// use sums what the claims take of each resource at a level.
+func use(list []*claim, level float64) (sum [resources]float64) {
+	for _, c := range list {
+		if c.most == 0 {
+			continue
+		}
+		share := c.share
+		if !c.fixed {
+			share = c.at(level)
+		}
+		for r := range resources {
+			sum[r] += share / c.most * c.demand[r]
+		}
+	}
+	return sum
+}
+
+func fits(sum [resources]float64) bool {
+	return max(sum[0], sum[1], sum[2]) <= 1+tolerance
+}
--- /dev/null
+++ b/internal/fairshare/shares_test.go
@@ -0,0 +1,103 @@
+package fairshare
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+func cpus(n float64) res.Amounts { return res.Have(n, 0, 0) }
+
+func TestShares(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		capacity res.Amounts
+		teams    map[string]Claimant
+		want     map[string]float64
+	}{
+		{"alone it may have all", cpus(100),
+			map[string]Claimant{"a": {Waiting: cpus(500)}}, map[string]float64{"a": 1}},
+		{"no more than is demanded, the rest goes on", cpus(100),
+			map[string]Claimant{"a": {Waiting: cpus(500)}, "b": {Used: cpus(5), Waiting: cpus(5)}, "c": {}},
+			map[string]float64{"a": 0.9, "b": 0.1, "c": 0}},
+		{"by weight", cpus(100),
+			map[string]Claimant{"a": {Weight: 3, Waiting: cpus(500)}, "b": {Weight: 1, Waiting: cpus(500)}},
+			map[string]float64{"a": 0.75, "b": 0.25}},
+		{"a guarantee comes first", cpus(100),
+			map[string]Claimant{"a": {Waiting: cpus(500)}, "b": {Waiting: cpus(500), Owed: cpus(80)}},
+			map[string]float64{"a": 0.2, "b": 0.8}},
+		{"a guarantee is no more than the demand", cpus(100),
+			map[string]Claimant{"a": {Waiting: cpus(500)}, "b": {Waiting: cpus(10), Owed: cpus(80)}},
+			map[string]float64{"a": 0.9, "b": 0.1}},
+		{"by the dominant resource", res.Have(90, 0, 180),
+			map[string]Claimant{"a": {Waiting: res.Have(100, 0, 400)}, "b": {Waiting: res.Have(300, 0, 100)}},
+			map[string]float64{"a": 2.0 / 3, "b": 2.0 / 3}},
+		{"one resource is used up, who needs another goes on", res.Have(100, 10, 0),
+			map[string]Claimant{"a": {Waiting: res.Have(500, 0, 0)}, "b": {Waiting: res.Have(500, 0, 0)}, "g": {Waiting: res.Have(0, 50, 0)}},
+			map[string]float64{"a": 0.5, "b": 0.5, "g": 1}},
+		{"without capacity there are no shares", res.Amounts{},
+			map[string]Claimant{"a": {Waiting: cpus(5)}}, map[string]float64{"a": 0}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			got := Divide(x.capacity, x.teams)
+			require.Len(t, got, len(x.want))
+			for team, want := range x.want {
+				require.InDelta(t, want, got[team], 1e-6, team)
+			}
+		})
+	}
+}
+
+// Whatever the demand: nothing is overfull unless guarantees are, nobody has more than it
+// demands or less than its guarantee, no room is left while a demand for it isn't met, and of
+// two teams that both want more the one with the smaller share by weight has a guarantee or
+// lacks a resource that the other doesn't need.
+func TestSharesWhateverTheDemand(t *testing.T) {
+	rng := fakes.Rand(7)
+	for range 2000 {
+		capacity := res.Have(float64(50+rng.IntN(200)), 0, float64(50+rng.IntN(400)))
+		teams := map[string]Claimant{}
+		for i := range 1 + rng.IntN(6) {
+			cpu, mem := float64(rng.IntN(200)), float64(rng.IntN(300))
+			if rng.IntN(4) == 0 {
+				mem = 0
+			}
+			c := Claimant{Weight: float64(1 + rng.IntN(3)), Used: res.Have(cpu/4, 0, mem/4), Waiting: res.Have(cpu, 0, mem)}
+			if rng.IntN(4) == 0 {
+				c.Owed = res.Have(float64(rng.IntN(10)), 0, 0)
+			}
+			teams[fmt.Sprint(i)] = c
+		}
+		shares := Divide(capacity, teams)
+		var used [resources]float64
+		for name, c := range teams {
+			demand := fractions(c.Used.Plus(c.Waiting), capacity)
+			most := max(demand[0], demand[1], demand[2])
+			require.LessOrEqual(t, shares[name], most+1e-6)
+			require.GreaterOrEqual(t, shares[name], min(most, Dominant(c.Owed, capacity))-1e-6)
+			if most > 0 {
+				for r := range resources {
+					used[r] += shares[name] / most * demand[r]
+				}
+			}
+		}
+		for r := range resources {
+			require.LessOrEqual(t, used[r], 1+1e-6)
+		}
+		for name, c := range teams {
+			demand := fractions(c.Used.Plus(c.Waiting), capacity)
+			if shares[name] >= max(demand[0], demand[1], demand[2])-1e-6 {
+				continue
+			}
+			full := false
+			for r := range resources {
+				full = full || demand[r] > 0 && used[r] > 1-1e-6
+			}
+			require.True(t, full, "room is left, and %s wants more", name)
+		}
+	}
+}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -12,6 +12,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/fleet"
 	"github.com/merlinlatch/merlinlatch/internal/front"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
@@ -90,11 +91,14 @@
 		Host: set.Host, Instance: instance, Split: owner.NewSplit(l.partZones), TxnOps: p.State.TxnOps, ValueMost: valueMost,
 		Lines: lines, Timing: ownerTiming(set, knobs),
 	}, n.book, n.keeper, n.store, steady, wall, log)
+	if knobs.FairShares {
+		n.owner.SetArbiter(fairshare.NewArbiter(shareSettings(knobs)))
+	}
 	scheduler := placer.NewScheduler(schedulerTiming(set, knobs), instance, l.teams, l.hosts, rand.Uint64(),
 		func() int64 { return wall().UnixMilli() })
 	n.placer = placer.New(scheduler, placer.Options{
 		Teams: l.teams, PartDuties: l.partDuties, Owners: n.owners(), TxnOps: p.State.TxnOps,
-		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery,
+		ValueMost: valueMost, ProgressEvery: knobs.ProgressEvery, FairShares: knobs.FairShares,
 	}, n.keeper, n.store, urgent, n.book, steady, log)
 	n.front = front.New(users, n, n, n.book, l.limits, spans(p.Objectives, "wait"), int(p.State.ValueKB*1024), wall, log)
 	cloud := fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS, answerMost(p.Limits.MemoryMB))
@@ -122,6 +126,15 @@
 	return owner.Timing{Lease: set.Lease(), Quiet: quiet, LeaseTTL: knobs.LeaseTTL, SickErrors: knobs.SickErrors}
 }
 
+// openTimes is for how many times as long as free room is withheld a machine goes to whoever
+// asks, when it was withheld in vain.
+const openTimes = 5
+
+func shareSettings(knobs *policy.Knobs) fairshare.Settings {
+	return fairshare.Settings{Weights: knobs.TeamWeights, Fresh: knobs.ShareFresh,
+		Withhold: knobs.ShareWithhold, Open: openTimes * knobs.ShareWithhold}
+}
+
 func schedulerTiming(set *config.Settings, knobs *policy.Knobs) placer.Timing {
 	objectives := set.Params.Objectives
 	return placer.Timing{
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -45,6 +45,8 @@
 	reportS float64
 	txnOps  int
 	valueKB float64
+	teams   []config.Team // red, with a limit, and blue where none are given
+	script  string        // the operators' policy
 
 	mu          sync.Mutex
 	up          map[string]*process
@@ -143,7 +145,7 @@
 }
 
 func newClusterWith(t *testing.T, workers int, given *cluster) *cluster {
-	c := &cluster{t: t, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, unreachable: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}, cancelled: map[string]cancelled{}, hung: map[string]bool{}, noted: map[string]int{}, behind: map[string]time.Duration{}, blue: map[string]bool{}, unheard: map[string]bool{}, only: map[string]string{}, accepted: map[string]bool{}, told: map[string]string{}}
+	c := &cluster{t: t, teams: given.teams, script: given.script, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, unreachable: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}, cancelled: map[string]cancelled{}, hung: map[string]bool{}, noted: map[string]int{}, behind: map[string]time.Duration{}, blue: map[string]bool{}, unheard: map[string]bool{}, only: map[string]string{}, accepted: map[string]bool{}, told: map[string]string{}}
 	_, err := c.direct().Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
@@ -168,7 +170,10 @@
 func (c *cluster) start(host string) {
 	set := &config.Settings{Host: host}
 	set.Params.Count = 3
-	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 12}, {Name: "blue"}}
+	set.Params.Teams = c.teams
+	if c.teams == nil {
+		set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 12}, {Name: "blue"}}
+	}
 	set.Params.Workers.LeaseS = 16
 	set.Params.Workers.ReportS = c.reportS
 	set.Params.State.TxnOps = c.txnOps
@@ -181,7 +186,7 @@
 			peers[h] = line{c, h, host}
 		}
 	}
-	knobs, err := policy.Parse("", set)
+	knobs, err := policy.Parse(c.script, set)
 	require.NoError(c.t, err)
 	ctx, kill := context.WithCancel(c.t.Context())
 	p := &process{view: &fakes.View{State: c.st}, kill: kill}
@@ -342,7 +347,10 @@
 
 // runFleet lets time pass for a large fleet: workers report every five seconds
 // and when something has changed. It holds the rules against what runs.
-func (c *cluster) runFleet(d, lasts time.Duration) {
+func (c *cluster) runFleet(d, lasts time.Duration) { c.runFleetAnd(d, lasts, func() {}) }
+
+// runFleetAnd is runFleet with something done after every half second.
+func (c *cluster) runFleetAnd(d, lasts time.Duration, then func()) {
 	const step = 500 * time.Millisecond
 	again := map[string]bool{} // reports that nobody has answered: to the next controller a moment later
 	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
@@ -369,5 +377,6 @@
 			}
 		}
 		time.Sleep(step)
+		then()
 	}
 }
--- /dev/null
+++ b/internal/node/hotteam_test.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Twenty workers of 8 CPUs run 80 tasks of 2 CPUs at a time, twenty a second. Five teams
+// submit a job of six tasks every four seconds or so, nearly two fifths of that; the hot one ten times
+// as many for a minute, which is half as much again as the fleet can do together with the others.
+const (
+	hotWorkers  = 20
+	hotTeam     = "team-0"
+	hotTeams    = 5
+	hotTasks    = 6
+	hotTimes    = 10
+	hotRunFor   = 4 * time.Second
+	hotOnTime   = 15 * clock.Second // from submission to the end of the job's last task
+	hotBurst    = time.Minute
+	hotDrain    = 90 * time.Second
+	hotTeamRate = 0.25 // jobs a second
+	// hotLoss is by how much the burst may lower another team's on-time share.
+	hotLoss = 0.05
+)
+
+// hotRun is one run of the fleet under the teams' load.
+type hotRun struct {
+	seed    uint64
+	shares  bool // fair shares are on
+	burst   bool
+	failure func(c *cluster) // in the middle of the burst
+}
+
+// jobProgress is a job's way to its end.
+type jobProgress struct {
+	team      string
+	submitted clock.Micros
+	done      map[string]bool
+	ended     clock.Micros
+}
+
+// arrivals draws when a team submits: the same for both runs of a pair.
+func arrivals(seed uint64, team int, rate float64) (out []time.Duration) {
+	rng := fakes.Rand(seed*100 + uint64(team))
+	for at := time.Duration(0); ; {
+		at += time.Duration((0.5 + rng.Float64()) / rate * float64(time.Second))
+		if at >= hotBurst {
+			return out
+		}
+		out = append(out, at)
+	}
+}
+
+// play gives each team's share of jobs that were on time.
+func (r hotRun) play(t *testing.T) map[string]float64 {
+	given := &cluster{reportS: 0.5, txnOps: 12, valueKB: 8}
+	if r.shares {
+		given.script = "fair_shares = True"
+	}
+	pending := map[string][]time.Duration{}
+	for i := range hotTeams {
+		team := fmt.Sprintf("team-%d", i)
+		given.teams = append(given.teams, config.Team{Name: team})
+		rate := hotTeamRate
+		if r.burst && team == hotTeam {
+			rate *= hotTimes
+		}
+		pending[team] = arrivals(r.seed, i, rate)
+	}
+	c := newClusterWith(t, hotWorkers, given)
+	c.runFleet(8*time.Second, 0)
+	jobs := map[string]*jobProgress{}
+	began := map[string]clock.Micros{}
+	rng := fakes.Rand(r.seed)
+	failed := false
+	for start := time.Now(); time.Since(start) < hotBurst+hotDrain; time.Sleep(500 * time.Millisecond) {
+		at := time.Since(start)
+		for i := range hotTeams {
+			team := fmt.Sprintf("team-%d", i)
+			for len(pending[team]) > 0 && pending[team][0] <= at {
+				id := fmt.Sprintf("job-%d%05d", i, len(pending[team]))
+				if c.submitTo(rng, id, team) {
+					jobs[id] = &jobProgress{team: team, submitted: c.clock.Now(), done: map[string]bool{}}
+					pending[team] = pending[team][1:]
+				} else {
+					break // again in a moment
+				}
+			}
+		}
+		if r.failure != nil && !failed && at > hotBurst/2 {
+			failed = true
+			r.failure(c)
+		}
+		c.workFleet(jobs, began)
+	}
+	require.Equal(t, r.failure != nil, failed)
+	onTime, all := map[string]float64{}, map[string]float64{}
+	for id, j := range jobs {
+		require.Len(t, j.done, hotTasks, "%s is not done", id)
+		all[j.team]++
+		if j.ended <= j.submitted+hotOnTime {
+			onTime[j.team]++
+		}
+	}
+	for team, n := range all {
+		onTime[team] /= n
+	}
+	require.Len(t, all, hotTeams)
+	return onTime
+}
+
+// submitTo submits a job at one of the controllers that are up.
+func (c *cluster) submitTo(rng *rand.Rand, id, team string) (accepted bool) {
+	body := fmt.Sprintf(`{"id":%q,"jobclass":"x","owner":%q,"shape":"array","rank":"normal","shards":%d,"cpus":2,"accelerators":0,
+	"mem_gb":1,"bundle":"img","size_gb":1,"loaners":true,"guess_s":4,"snap_every_s":0,"snap_s":0}`, id, team, hotTasks)
+	status := c.do(hosts[rng.IntN(len(hosts))], "POST", wire.PathJobs, body).Status
+	return status == 200 || status == 201
+}
+
+// workFleet has all workers run their tasks for a step and report. It holds the rules against what runs.
+func (c *cluster) workFleet(jobs map[string]*jobProgress, began map[string]clock.Micros) {
+	now := c.clock.Now()
+	on := map[string]string{}
+	for _, w := range c.workers {
+		for _, k := range w.InOrder() {
+			attempt := fmt.Sprint(w.ID, k.Task, k.Attempt)
+			if began[attempt] == 0 {
+				began[attempt] = now
+			}
+			if k.Phase != wire.TaskExited && now >= began[attempt]+clock.FromDuration(hotRunFor) {
+				k.Phase, k.Cause = wire.TaskExited, wire.CauseDone
+				id, _, _ := wire.SplitTask(k.Task)
+				j := jobs[id]
+				if j.done[k.Task] = true; len(j.done) == hotTasks && j.ended == 0 {
+					j.ended = now
+				}
+			}
+		}
+		c.report(w)
+		for _, k := range w.InOrder() {
+			if k.Phase != wire.TaskExited {
+				require.Empty(c.t, on[k.Task], "%s runs on two machines", k.Task)
+				on[k.Task] = w.ID
+			}
+		}
+	}
+}
+
+// holderOf is the controller that places a team's jobs.
+func (c *cluster) holderOf(t *testing.T, team string) string {
+	for _, h := range hosts {
+		if _, mine := c.up[h].keeper.Mine("team-" + team); mine {
+			return h
+		}
+	}
+	require.Fail(t, "nobody places", team)
+	return ""
+}
+
+// worstLoss is by how much the burst lowered the on-time share of the team that it hit
+// hardest, the hot one left out.
+func worstLoss(calm, burst map[string]float64) (worst float64) {
+	for team, share := range calm {
+		if team != hotTeam {
+			worst = max(worst, share-burst[team])
+		}
+	}
+	return worst
+}
+
+// One team's burst does not crowd out the others where fair shares are on; with them off
+// it does, so the load is a burst indeed.
+func TestOneTeamsBurstDoesNotCrowdOutOthers(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			losses := map[bool]float64{}
+			for _, on := range []bool{false, true} {
+				shares := map[bool]map[string]float64{}
+				for _, burst := range []bool{false, true} {
+					synctest.Test(t, func(t *testing.T) {
+						shares[burst] = hotRun{seed: seed, shares: on, burst: burst}.play(t)
+					})
+				}
+				losses[on] = worstLoss(shares[false], shares[true])
+				text, err := json.Marshal(shares[true])
+				require.NoError(t, err)
+				t.Logf("fair shares %v: worst loss %.3f; on time in the burst %s", on, losses[on], text)
+			}
+			require.LessOrEqual(t, losses[true], hotLoss)
+			require.Greater(t, losses[false], 4*hotLoss, "with fair shares off the burst does harm")
+		})
+	}
+}
+
+// The same pairs of runs, with a failure in the middle of both: the hot team's placer ends and
+// is back three seconds later, or a controller that owns machines is cut off from its peers
+// for ten seconds. What a failure costs by itself it costs in both runs.
+func TestOneTeamsBurstDoesNotCrowdOutOthersThroughFailures(t *testing.T) {
+	for name, failure := range map[string]func(t *testing.T, c *cluster){
+		"the hot team's placer ends": func(t *testing.T, c *cluster) {
+			holder := c.holderOf(t, hotTeam)
+			c.crash(holder)
+			time.Sleep(3 * time.Second)
+			c.start(holder)
+		},
+		"an owner is cut off": func(_ *testing.T, c *cluster) {
+			c.setCut("b", true)
+			time.AfterFunc(10*time.Second, func() { c.setCut("b", false) })
+		},
+	} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				shares := map[bool]map[string]float64{}
+				for _, burst := range []bool{false, true} {
+					synctest.Test(t, func(t *testing.T) {
+						shares[burst] = hotRun{seed: seed, shares: true, burst: burst,
+							failure: func(c *cluster) { failure(t, c) }}.play(t)
+					})
+				}
+				t.Logf("calm %v, burst %v", shares[false], shares[true])
+				require.LessOrEqual(t, worstLoss(shares[false], shares[true]), hotLoss)
+			})
+		}
+	}
+}
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -59,9 +59,17 @@
 			t.touch(m)
 		}
 	}
-	for i, a := range in.Asks {
-		ans.Refused[i] = !t.lease(a, in.Terms[a.Team], now)
+	for i := range in.Asks {
+		a := &in.Asks[i]
+		decision := t.lease(a, in.Terms[a.Team], now)
+		ans.Refused[i] = decision != granted
 		ans.Versions[i] = t.version
+		if decision == yielded && ans.Yielded == nil {
+			ans.Yielded = make([]bool, len(in.Asks))
+		}
+		if decision == yielded {
+			ans.Yielded[i] = true
+		}
 	}
 	t.rounds[in.From] = lastRound{in.Seq, ans, now}
 	return ans
@@ -74,33 +82,27 @@
 	}
 }
 
+// decision is what becomes of an ask.
+type decision int
+
+const (
+	refused decision = iota
+	yielded          // refused since other teams have a better right to the room
+	granted
+)
+
 // lease grants room for one task, or refuses. A second start of a task that is
 // on the machine already is refused.
-func (t *Table) lease(a peer.Ask, term uint64, now clock.Micros) bool {
+func (t *Table) lease(a *peer.Ask, term uint64, now clock.Micros) decision {
 	m := t.machines[a.Machine]
-	if m == nil || term == 0 || term < t.teamTerms[a.Team] || a.ID.Attempt>>32 != term ||
-		t.parts[m.part] != a.Term || !m.usable(now) {
-		return false
-	}
-	if t.jobs.Over(a.ID.Job, a.Made) {
-		return false // by a former placer, or by a copy of an old round
-	}
-	if c, ok := t.cancelled[a.ID.Job]; ok {
-		if term <= c.term {
-			return false
-		}
-		// Under a later term: its placer knows all ends that were written under the
-		// earlier ones, and this job's is not among them. Whoever began to cancel it
-		// ended before it was told.
-		delete(t.cancelled, a.ID.Job)
-	}
-	for id, k := range m.tasks {
-		if id.Job == a.ID.Job && id.N == a.ID.N && !k.exited() {
-			return false
-		}
+	if !t.mayLease(m, a, term, now) {
+		return refused
 	}
 	_, all := m.inUse()
 	free := m.cap.Minus(all)
+	if a.Need.Fits(free) && t.yields(m, a, free, now) {
+		return yielded
+	}
 	var victims []*task
 	for _, v := range a.Victims {
 		k := m.tasks[v]
@@ -114,7 +116,7 @@
 		free = free.Plus(k.need)
 	}
 	if !a.Need.Fits(free) {
-		return false
+		return refused
 	}
 	for _, v := range victims {
 		t.end(m, v, t.graceOf(v))
@@ -124,6 +126,37 @@
 	t.note(m, a.Image, a.ImageGB)
 	m.idleSince = now
 	t.show(m, k)
+	if t.arbiter != nil {
+		t.arbiter.Granted(shareAsk(a), m.id)
+	}
+	return granted
+}
+
+// mayLease tells whether a task may be given room on a machine at all: who asks places its
+// team, the job is not over, the machine is ours and may be used, and no attempt of the
+// task is there.
+func (t *Table) mayLease(m *machine, a *peer.Ask, term uint64, now clock.Micros) bool {
+	if m == nil || term == 0 || term < t.teamTerms[a.Team] || a.ID.Attempt>>32 != term ||
+		t.parts[m.part] != a.Term || !m.usable(now) {
+		return false
+	}
+	if t.jobs.Over(a.ID.Job, a.Made) {
+		return false // by a former placer, or by a copy of an old round
+	}
+	if c, ok := t.cancelled[a.ID.Job]; ok {
+		if term <= c.term {
+			return false
+		}
+		// Under a later term: its placer knows all ends that were written under the
+		// earlier ones, and this job's is not among them. Whoever began to cancel it
+		// ended before it was told.
+		delete(t.cancelled, a.ID.Job)
+	}
+	for id, k := range m.tasks {
+		if id.Job == a.ID.Job && id.N == a.ID.N && !k.exited() {
+			return false
+		}
+	}
 	return true
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
@@ -81,6 +82,13 @@
 	return o
 }
 
+// SetArbiter has contended room divided among teams by fair shares. It is called before Run.
+func (o *Owner) SetArbiter(a *fairshare.Arbiter) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.SetArbiter(a)
+}
+
 // Measure has the owner count its rounds and its traffic. It is called before Run.
 func (o *Owner) Measure(r *telemetry.Reporter) {
 	o.reports, o.polls, o.ticks = r.Duty("owner_report"), r.Duty("owner_poll"), r.Duty("owner_tick")
--- /dev/null
+++ b/internal/owner/shares.go
@@ -0,0 +1,76 @@
+package owner
+
+import (
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+// SetArbiter has contended room divided among teams by fair shares.
+func (t *Table) SetArbiter(a *fairshare.Arbiter) { t.arbiter = a }
+
+// hearDemands takes what placers tell of their teams' demand. A former placer's word counts
+// for nothing.
+func (t *Table) hearDemands(list []fairshare.Demand, now clock.Micros) {
+	if t.arbiter == nil {
+		return
+	}
+	for i := range list {
+		if list[i].Term >= t.teamTerms[list[i].Team] {
+			t.arbiter.Hear(list[i:i+1], now)
+		}
+	}
+	t.countShares(now)
+}
+
+// countShares has the arbiter count anew what runs, where that is due.
+func (t *Table) countShares(now clock.Micros) {
+	if !t.arbiter.Due(now) {
+		return
+	}
+	var capacity res.Amounts
+	used := map[string]fairshare.Use{}
+	for _, m := range t.machines {
+		if m.silent || m.gone {
+			continue
+		}
+		if m.usable(now) {
+			capacity = capacity.Plus(m.cap)
+		}
+		for _, k := range m.tasks {
+			if k.exited() || k.team == "" {
+				continue
+			}
+			u := used[k.team]
+			u.All = u.All.Plus(k.need)
+			if k.covered {
+				u.Owed = u.Owed.Plus(k.need)
+			}
+			used[k.team] = u
+		}
+	}
+	t.arbiter.Count(capacity, used, now)
+}
+
+// yields tells that an ask must leave a machine's free room to another team.
+func (t *Table) yields(m *machine, a *peer.Ask, free res.Amounts, now clock.Micros) bool {
+	if t.arbiter == nil {
+		return false
+	}
+	t.countShares(now)
+	room := fairshare.Room{Machine: m.id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: free}
+	return t.arbiter.Yields(shareAsk(a), &room, now)
+}
+
+func shareAsk(a *peer.Ask) *fairshare.Ask {
+	return &fairshare.Ask{Team: a.Team, Rank: a.Rank, Need: a.Need, Owed: a.Covered}
+}
+
+// Standings gives the teams' shares of the machines held, and the capacity that they are of.
+func (t *Table) Standings(now clock.Micros) (capacity res.Amounts, list []fairshare.Standing) {
+	if t.arbiter == nil {
+		return res.Amounts{}, nil
+	}
+	return t.arbiter.Capacity(), t.arbiter.Standings(now)
+}
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
@@ -122,6 +123,7 @@
 	rounds    map[string]lastRound
 	cancelled map[string]cancel
 	failing   map[string]map[string]bool // job: machines on which it failed
+	arbiter   *fairshare.Arbiter         // divides contended room among teams; nil: whoever asks first has it
 }
 
 // cancel is a job of which nothing may run any more, by the word of a placer.
--- a/internal/owner/views.go
+++ b/internal/owner/views.go
@@ -85,6 +85,7 @@
 // Poll gives what changed after a cursor.
 func (t *Table) Poll(in peer.Poll, incarnation string, now clock.Micros) peer.PollAnswer {
 	t.fence(in.Terms)
+	t.hearDemands(in.Demands, now)
 	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: t.Parts()}
 	after := in.Cursor
 	if in.Incarnation != incarnation {
@@ -107,6 +108,9 @@
 	for _, m := range changed {
 		out.Machines = append(out.Machines, t.view(m, after, now))
 	}
+	if t.arbiter != nil {
+		out.Capacity, out.Standings = t.Standings(now)
+	}
 	return out
 }
 
--- a/internal/peer/names_test.go
+++ b/internal/peer/names_test.go
@@ -15,10 +15,10 @@
 		fields  []string
 	}{
 		{Hello{}, []string{"Contact", "Resigned", "From", "Strays", "Machines", "Unheard"}},
-		{Poll{}, []string{"Incarnation", "Cursor", "Terms", "Wait", "Gen", "Most", "AfterID"}},
-		{PollAnswer{}, []string{"Incarnation", "Cursor", "Full", "Parts", "Machines", "More"}},
+		{Poll{}, []string{"Incarnation", "Cursor", "Terms", "Wait", "Gen", "Most", "AfterID", "Demands"}},
+		{PollAnswer{}, []string{"Incarnation", "Cursor", "Full", "Parts", "Machines", "More", "Capacity", "Standings"}},
 		{Round{}, []string{"From", "Seq", "Terms", "Asks", "Stops", "Settles", "Cancels", "Slow"}},
-		{RoundAnswer{}, []string{"Incarnation", "Refused", "Versions"}},
+		{RoundAnswer{}, []string{"Incarnation", "Refused", "Versions", "Yielded"}},
 		{JobQuery{}, []string{"Team", "ID"}},
 		{JobAnswer{}, []string{"Known", "Found", "Retry", "State"}},
 	} {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -121,6 +122,7 @@
 	Incarnation string
 	Refused     []bool   // one for each ask
 	Versions    []uint64 // of the machine's view that first shows the lease, one for each ask
+	Yielded     []bool   // refused since other teams have a better right to the room; none where no ask was
 }
 
 // Poll asks for the machines that changed after a cursor, waiting for a change.
@@ -132,6 +134,8 @@
 	Gen         uint64 // for the asker's own use
 	Most        int    // machines that an answer may list; 0: any number
 	AfterID     string // lists only machines whose names follow, as the next page of an answer
+	// Demands is what waits of the asker's teams, where fair shares are on.
+	Demands []fairshare.Demand
 }
 
 // PollAnswer answers a poll.
@@ -142,6 +146,9 @@
 	Parts       map[int]uint64 // partitions held, with terms
 	Machines    []MachineView  // in order of their names
 	More        bool           // there are more machines than the asker wanted at a time
+	// Capacity and Standings are the teams' shares of the owner's machines, where fair shares are on.
+	Capacity  res.Amounts
+	Standings []fairshare.Standing
 }
 
 // Hello is what controllers tell each other once a second.
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -46,6 +46,7 @@
 // Place decides on asks for one round of decisions. What it decides waits in
 // the owners' next rounds. The batch widens with what waits.
 func (d *Scheduler) Place(now clock.Micros) (placed int) {
+	d.weighShares(now)
 	list := d.order(now)
 	// After a restart no machine was seen yet: the largest is looked for once a round at
 	// most, and not for each machine anew.
@@ -158,6 +159,11 @@
 	return true
 }
 
+// mayAsk tells whether a machine may be asked for room for a task of a job now.
+func (j *job) mayAsk(m *mirror, now clock.Micros) bool {
+	return now >= j.failedOn[m.ID] && j.allowed(m) && !j.yields(m.host, now)
+}
+
 // choose draws a small sample of the machines that showed room and takes the
 // best fit: of those that have the image, if any, one where a small task takes no
 // place from a large one, if any, and of these the one that is better.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -57,9 +57,11 @@
 	valueMost int
 	urgent    Store // for what starts wait for
 	progress  clock.Micros
-	log       *slog.Logger
-	rounds    *telemetry.Duty // rounds of decisions
-	views     *telemetry.Duty // answers of owners taken
+	// fairShares has owners told what waits of each team.
+	fairShares bool
+	log        *slog.Logger
+	rounds     *telemetry.Duty // rounds of decisions
+	views      *telemetry.Duty // answers of owners taken
 
 	mu        sync.Mutex
 	scheduler *Scheduler
@@ -79,12 +81,13 @@
 	TxnOps        int
 	ValueMost     int // bytes of a record
 	ProgressEvery clock.Micros
+	FairShares    bool // owners are told what waits of each team
 }
 
 // New makes a placer around a scheduler.
 func New(scheduler *Scheduler, o Options, claims Claims, store, urgent Store, book *jobs.Book, c clock.Clock, log *slog.Logger) *Placer {
 	p := &Placer{teams: o.Teams, parts: o.PartDuties, owners: o.Owners, claims: claims, store: store, book: book, clock: c,
-		txnOps: o.TxnOps, valueMost: o.ValueMost, urgent: urgent, progress: o.ProgressEvery, log: log, scheduler: scheduler, records: machines.NewBook(), wake: make(chan struct{}, 1),
+		txnOps: o.TxnOps, valueMost: o.ValueMost, urgent: urgent, progress: o.ProgressEvery, fairShares: o.FairShares, log: log, scheduler: scheduler, records: machines.NewBook(), wake: make(chan struct{}, 1),
 		senders: map[string]chan struct{}{}, writes: make(chan struct{}, 1), news: make(chan struct{}), running: context.Background()}
 	scheduler.chunk = chunkTasks(o.ValueMost)
 	for h := range o.Owners {
@@ -240,6 +243,9 @@
 	p.mu.Lock()
 	in := p.scheduler.Cursor(host)
 	in.Wait = wait
+	if p.fairShares {
+		in.Demands = p.scheduler.TeamDemands(p.clock.Now())
+	}
 	p.mu.Unlock()
 	ans, err := p.owners[host].Poll(in)
 	if err != nil {
@@ -302,7 +308,7 @@
 		c, waiting, bound, withdrawn := p.scheduler.Summary()
 		p.mu.Unlock()
 		if c != last {
-			p.log.Info("placing", "waiting", waiting, "bound", bound, "withdrawn", withdrawn, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused,
+			p.log.Info("placing", "waiting", waiting, "bound", bound, "withdrawn", withdrawn, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused, "yielded", c.Yielded-last.Yielded,
 				"preempted", c.Preempted-last.Preempted, "done", c.Done-last.Done, "stopped", c.Stopped-last.Stopped,
 				"failed", c.Failed-last.Failed, "lost", c.Lost-last.Lost, "fetch_cpu_s", int((c.FetchCPUs - last.FetchCPUs).Seconds()))
 		}
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -225,7 +225,7 @@
 }
 
 func (f *full) note(j *job) {
-	if j.anywhere() {
+	if j.anywhere() && len(j.team.yielding) == 0 {
 		f.needs = append(f.needs, j.Need)
 	}
 	if f.jobs == nil {
@@ -249,8 +249,7 @@
 	}
 	in.walk(levelOf(j.Need.CPU), d.rng.Uint64(), func(m *mirror) bool {
 		d.counts.Looked++
-		if j.Need.Fits(m.free) && m.free.Mem > 0 && now >= j.failedOn[m.ID] && j.allowed(m) &&
-			!(m.refused && now < m.refusedAt+refusedFor) {
+		if j.Need.Fits(m.free) && m.free.Mem > 0 && j.mayAsk(m, now) && !(m.refused && now < m.refusedAt+refusedFor) {
 			out = append(out, m)
 		}
 		return len(out) >= most
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
@@ -46,6 +47,9 @@
 	unknown int             // how many they are, as of this round
 	held    res.Amounts     // and what they could hold
 	ending  int             // transactions under way that write ends of its jobs
+
+	yielding map[string]yielding // owners that keep room for other teams
+	above    bool                // it takes more than its share of the fleet
 }
 
 type binding struct {
@@ -112,6 +116,7 @@
 	up       bool
 	swept    clock.Micros
 	resync   bool // a view did not fit what was known: ask for everything
+	shares   ownerShares
 }
 
 // SetFetch tells how fast machine types fetch images, in GB a second.
@@ -120,6 +125,7 @@
 // Counts is what happened since the start, for the logs.
 type Counts struct {
 	Placed, Refused, Preempted, Done, Stopped, Failed, Lost int
+	Yielded                                                 int          // refused since other teams have a better right
 	Looked                                                  int          // machines looked at in search of room
 	FetchCPUs                                               clock.Micros // CPU time from placing tasks until they ran
 }
@@ -149,6 +155,8 @@
 	sizes      map[int64]int      // and by the CPUs they take
 	full       full               // what found no room in this round
 	counts     Counts
+	demands    []fairshare.Demand // what waits, as last counted for the owners
+	demandsAt  clock.Micros
 }
 
 // NewScheduler makes an empty scheduler.
@@ -169,7 +177,7 @@
 func (d *Scheduler) Gain(name string, term, stamp uint64, active []*jobs.Job, now clock.Micros) {
 	d.Lose(name)
 	tm := &team{Team: d.known[name], salt: hashOf(name), term: term, stamp: stamp, jobs: map[string]*job{}, cleared: map[string]bool{},
-		strange: maps.Clone(d.registry)}
+		strange: maps.Clone(d.registry), yielding: map[string]yielding{}}
 	d.teams[name] = tm
 	for _, j := range active {
 		d.addJob(tm, j, now)
--- /dev/null
+++ b/internal/placer/shares.go
@@ -0,0 +1,133 @@
+package placer
+
+import (
+	"maps"
+	"strings"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+)
+
+// yielding is an owner that keeps room for other teams than the one that was refused.
+type yielding struct {
+	until clock.Micros
+	pause clock.Micros // how long the last one was
+	rank  int          // highest that was refused
+}
+
+// How long a team keeps off an owner that keeps its room for others. It grows with every
+// refusal in a row, so that a team above its share does not ask over and over.
+const (
+	yieldLeast = 100 * clock.Millisecond
+	yieldMost  = 800 * clock.Millisecond
+)
+
+// yield takes note that an owner keeps its room from the team's work of a rank.
+func (tm *team) yield(host string, rank int, now clock.Micros) {
+	y := tm.yielding[host]
+	if now < y.until {
+		y.rank = max(y.rank, rank) // of the same round
+		tm.yielding[host] = y
+		return
+	}
+	y.pause = min(max(2*y.pause, yieldLeast), yieldMost)
+	y.until, y.rank = now+y.pause, rank
+	tm.yielding[host] = y
+}
+
+// yields tells that a job should not ask an owner now: it keeps its room for other teams.
+// Work within a guarantee asks all the same, and so does work of higher rank.
+func (j *job) yields(host string, now clock.Micros) bool {
+	y, ok := j.team.yielding[host]
+	return ok && now < y.until && j.Level <= y.rank && !j.covered
+}
+
+// ownerShares is what an owner last told of the teams' shares of its machines.
+type ownerShares struct {
+	capacity  res.Amounts
+	standings []fairshare.Standing
+	at        clock.Micros
+}
+
+// sharesFresh is how old an owner's word of the shares may be.
+const sharesFresh = 3 * clock.Second
+
+// weighShares finds out which teams take more than their shares of the fleet. Those that
+// are not told of by any owner are not above.
+func (d *Scheduler) weighShares(now clock.Micros) {
+	if len(d.teams) == 0 {
+		return
+	}
+	taken, share := map[string]float64{}, map[string]float64{}
+	for _, o := range d.owners {
+		if !o.up || now > o.shares.at+sharesFresh {
+			continue
+		}
+		for i := range o.shares.standings {
+			s := &o.shares.standings[i]
+			taken[s.Team] += s.Taken * o.shares.capacity.CPUs()
+			share[s.Team] += s.Share * o.shares.capacity.CPUs()
+		}
+	}
+	for name, tm := range d.teams {
+		tm.above = taken[name] > share[name]
+		maps.DeleteFunc(tm.yielding, func(_ string, y yielding) bool { return now > y.until+yieldMost })
+	}
+}
+
+// mostShapes bounds how many shapes of work are told of for a team: those whose turn it is
+// first. The others are told of once those are placed.
+const mostShapes = 24
+
+// demandGap is how often what waits is counted anew for the owners.
+const demandGap = 250 * clock.Millisecond
+
+// TeamDemands tells what waits of each team that is held, also where nothing does. Tasks
+// that a former placer may have started, and that wait for machines to be accounted for, are
+// not told of: no room could be used for them now.
+func (d *Scheduler) TeamDemands(now clock.Micros) []fairshare.Demand {
+	if d.demandsAt != 0 && now < d.demandsAt+demandGap {
+		return d.demands
+	}
+	d.demandsAt = now
+	shapes := map[string][]fairshare.Shape{}
+	places := map[shapeKey]int{}
+	d.eachWaiting(now, func(j *job, tasks int) {
+		if j.parked {
+			return
+		}
+		team := j.team.Name
+		key := keyOf(j)
+		if at, ok := places[key]; ok {
+			shapes[team][at].Tasks += tasks
+			return
+		}
+		if len(shapes[team]) == mostShapes {
+			return
+		}
+		places[key] = len(shapes[team])
+		shapes[team] = append(shapes[team], fairshare.Shape{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot,
+			Rank: j.Level, Owed: j.covered, Tasks: tasks})
+	})
+	d.demands = make([]fairshare.Demand, 0, len(d.teams))
+	for name, tm := range d.teams {
+		d.demands = append(d.demands, fairshare.Demand{Team: name, Term: tm.term, Shapes: shapes[name]})
+	}
+	return d.demands
+}
+
+// shapeKey is what makes work of a team alike for the owners.
+type shapeKey struct {
+	team    string
+	need    res.Amounts
+	types   string
+	zone    string
+	spot    bool
+	rank    int
+	covered bool
+}
+
+func keyOf(j *job) shapeKey {
+	return shapeKey{j.team.Name, j.Need, strings.Join(j.Types, " "), j.Zone, j.Spot, j.Level, j.covered}
+}
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -92,6 +92,13 @@
 		if b == nil {
 			continue
 		}
+		if i < len(ans.Yielded) && ans.Yielded[i] {
+			d.counts.Yielded++
+			d.release(b)
+			d.refree(m)
+			b.job.team.yield(host, b.job.Level, now)
+			continue
+		}
 		if i >= len(ans.Refused) || i >= len(ans.Versions) || ans.Refused[i] {
 			d.counts.Refused++
 			d.release(b)
@@ -101,6 +108,7 @@
 			continue
 		}
 		b.asked, b.instance, b.version = false, ans.Incarnation, ans.Versions[i]
+		delete(b.job.team.yielding, host)
 		if m.Accounted && m.instance == ans.Incarnation {
 			// A poll may have shown the machine already as it was after the
 			// grant, with the task gone again: nothing newer would come to release it.
@@ -157,8 +165,9 @@
 	return out
 }
 
-// Demands lists what waits, for the fleet.
-func (d *Scheduler) Demands(now clock.Micros) (out []peer.Demand) {
+// eachWaiting visits the jobs that have tasks to place, those whose turn it is first, each
+// with how many tasks its team's limit leaves room for.
+func (d *Scheduler) eachWaiting(now clock.Micros, visit func(j *job, tasks int)) {
 	list := d.order(now)
 	for _, tm := range d.teams {
 		room := res.Amounts{CPU: math.MaxInt64 / 4, GPU: math.MaxInt64 / 4}
@@ -183,16 +192,23 @@
 				continue
 			}
 			room = room.Minus(j.Need.Times(int64(n)))
-			dm := peer.Demand{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot, Rank: j.Level, Waiting: n,
-				RunFor: clock.FromSeconds(j.EstimateS)}
-			if start := d.finish(j); j.DueS != nil && !j.late(now) {
-				dm.Slack = max(clock.Second, j.due()-now-dm.RunFor)
-			} else if j.DueS == nil && start != math.MaxInt64 && now < start {
-				dm.Slack = start - now // to be finished within a time is as good as a deadline
-			}
-			out = append(out, dm)
+			visit(j, n)
 		}
 	}
+}
+
+// Demands lists what waits, for the fleet.
+func (d *Scheduler) Demands(now clock.Micros) (out []peer.Demand) {
+	d.eachWaiting(now, func(j *job, tasks int) {
+		dm := peer.Demand{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot, Rank: j.Level, Waiting: tasks,
+			RunFor: clock.FromSeconds(j.EstimateS)}
+		if start := d.finish(j); j.DueS != nil && !j.late(now) {
+			dm.Slack = max(clock.Second, j.due()-now-dm.RunFor)
+		} else if j.DueS == nil && start != math.MaxInt64 && now < start {
+			dm.Slack = start - now // to be finished within a time is as good as a deadline
+		}
+		out = append(out, dm)
+	})
 	return out
 }
 
--- a/internal/placer/turns.go
+++ b/internal/placer/turns.go
@@ -62,6 +62,9 @@
 		if x.covered != y.covered {
 			return x.covered
 		}
+		if !x.covered && x.team.above != y.team.above {
+			return y.team.above
+		}
 		// Of work with deadlines the smallest rests go first, so that most jobs are in
 		// time: what waits longer than by plan waits for machines that can't be had.
 		if u, v := x.remaining(), y.remaining(); x.DueS != nil && y.DueS != nil && u != v {
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -20,3 +20,9 @@
 boot_patience = 3.0    # a machine not up after so many times its boot time is given back
 rental_backoff_s = 5   # a kind of machine that was refused is not asked for so long
 sick_errors = 2        # jobs that fail in a row on a machine before it is set aside
+
+# Hot teams: contended room is divided among teams by weighted max-min shares.
+fair_shares = False
+team_weights = {}      # by team; 1 where none is given
+share_fresh_s = 3      # a word of what waits of a team counts for so long
+share_withhold_s = 1   # free room is kept so long from a team above its share
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "embed"
+	"errors"
 	"fmt"
 	"os"
 	"sort"
@@ -28,6 +29,10 @@
 	SpareShare, BootPatience                   float64
 	SickErrors                                 int
 	Economy                                    bool
+	// FairShares has owners divide contended room among teams.
+	FairShares                bool
+	ShareFresh, ShareWithhold clock.Micros
+	TeamWeights               map[string]float64
 	// Renamed are the knobs that the script set by a former name.
 	Renamed []Rename
 }
@@ -102,7 +107,44 @@
 			vals[n] = own[n]
 		}
 	}
-	return k, k.read(vals)
+	if err := k.read(vals); err != nil {
+		return nil, err
+	}
+	if k.TeamWeights, err = weights(vals["team_weights"], s); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Bounds of a team's weight.
+const (
+	leastWeight = 0.01
+	mostWeight  = 1000
+)
+
+// weights reads the teams' weights.
+func weights(v starlark.Value, s *config.Settings) (map[string]float64, error) {
+	dict, ok := v.(*starlark.Dict)
+	if !ok {
+		return nil, errors.New("policy: knob team_weights must be a dict from teams to numbers")
+	}
+	teams := map[string]bool{}
+	for _, t := range s.Params.Teams {
+		teams[t.Name] = true
+	}
+	out := map[string]float64{}
+	for _, item := range dict.Items() {
+		name, _ := starlark.AsString(item[0])
+		if !teams[name] {
+			return nil, fmt.Errorf("policy: knob team_weights: there is no team %s", item[0])
+		}
+		weight, ok := starlark.AsFloat(item[1])
+		if !ok || !(weight >= leastWeight && weight <= mostWeight) {
+			return nil, fmt.Errorf("policy: knob team_weights: the weight of %s must be a number from %g to %g", name, leastWeight, float64(mostWeight))
+		}
+		out[name] = weight
+	}
+	return out, nil
 }
 
 // rename gives the knobs that a script set by a former name their present one, unless
@@ -121,16 +163,33 @@
 	}
 }
 
+// maxSteps bounds what a script or a hook may compute, so that it can't hang the service.
+const maxSteps = 1_000_000
+
 func run(name, text string, given starlark.StringDict) (starlark.StringDict, error) {
 	thread := &starlark.Thread{Name: name}
-	thread.SetMaxExecutionSteps(1_000_000) // a script can't hang the start
+	thread.SetMaxExecutionSteps(maxSteps)
 	vals, err := starlark.ExecFileOptions(&syntax.FileOptions{TopLevelControl: true, GlobalReassign: true}, thread, name, text, given)
 	if err != nil {
-		return nil, fmt.Errorf("policy: %w", err)
+		return nil, fmt.Errorf("policy: %w", located(err))
 	}
 	return vals, nil
 }
 
+// located names the line at which a script failed.
+func located(err error) error {
+	var failed *starlark.EvalError
+	if !errors.As(err, &failed) {
+		return err // errors of syntax name it themselves
+	}
+	for i := range len(failed.CallStack) {
+		if at := failed.CallStack.At(i).Pos; at.Line > 0 {
+			return fmt.Errorf("%s: %w", at, err)
+		}
+	}
+	return err
+}
+
 func (k *Knobs) read(vals starlark.StringDict) error {
 	num := func(name string, lo, hi float64) (float64, error) {
 		v, ok := starlark.AsFloat(vals[name])
@@ -160,6 +219,8 @@
 		{"catchup_s", 1, 3600, func(v float64) { k.Catchup = clock.FromSeconds(v) }},
 		{"catchup_ordinary_s", 1, 3600, func(v float64) { k.CatchupOrdinary = clock.FromSeconds(v) }},
 		{"rental_backoff_s", 0, 3600, func(v float64) { k.RentalBackoff = clock.FromSeconds(v) }},
+		{"share_fresh_s", 1.5, 60, func(v float64) { k.ShareFresh = clock.FromSeconds(v) }},
+		{"share_withhold_s", 0, 30, func(v float64) { k.ShareWithhold = clock.FromSeconds(v) }},
 		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
 	} {
 		v, err := num(f.name, f.lo, f.hi)
@@ -168,6 +229,11 @@
 		}
 		f.set(v)
 	}
+	flag, ok := vals["fair_shares"].(starlark.Bool)
+	if !ok {
+		return fmt.Errorf("policy: knob fair_shares must be True or False")
+	}
+	k.FairShares = bool(flag)
 	if k.HoldRenew*3 > k.HoldTTL {
 		return fmt.Errorf("policy: knob hold_renew_s must be at most a third of hold_ttl_s")
 	}
