merlinlatch teams: shares, use, waits and lateness as distributions, over the cluster port

Need: operators want to see how the teams stand, and waits as p50/p95/p99 instead of means. Change: package console and the command teams; telemetry.Distribution on HdrHistogram counts each team's waits and lateness at its placer; the RPC Teams. No controller reachable, an unknown team or a bad flag gets one line and an exit code.

--- a/cmd/merlinlatch/main.go
+++ b/cmd/merlinlatch/main.go
@@ -70,16 +70,14 @@
 			return nil
 		},
 	})
+	cmd.AddCommand(operators(&settings)...)
 	return cmd
 }
 
 func load(settings, script string) (*config.Settings, *policy.Knobs, error) {
-	if settings == "" {
-		return nil, nil, fmt.Errorf("%w--config FILE is needed; see --help", errUsage)
-	}
-	set, err := config.Load(settings)
+	set, err := readSettings(settings)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w%w", errUsage, err)
+		return nil, nil, err
 	}
 	knobs, err := policy.Load(script, set)
 	if err != nil {
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -76,6 +76,12 @@
 	return nil
 }
 
+func (s *service) Teams(_ peer.TeamsQuery, out *peer.TeamsAnswer) error {
+	out.Host, out.Teams = s.n.set.Host, s.n.placer.TeamStatuses()
+	out.Capacity, out.Standings, out.Yielded = s.n.owner.Standings()
+	return nil
+}
+
 func (s *service) Gone(in peer.GoneNote, _ *peer.DrainAnswer) error {
 	s.n.owner.Gone(in.Machines)
 	return nil
--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -67,6 +67,18 @@
 	return &fairshare.Ask{Team: a.Team, Rank: a.Rank, Need: a.Need, Owed: a.Covered}
 }
 
+// Standings gives the teams' shares of the machines held, the capacity that they are of, and
+// how many asks had to leave room to other teams.
+func (o *Owner) Standings() (capacity res.Amounts, list []fairshare.Standing, yielded uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.table.arbiter == nil {
+		return res.Amounts{}, nil, 0
+	}
+	capacity, list = o.table.Standings(o.clock.Now())
+	return capacity, list, o.table.arbiter.Yielded()
+}
+
 // Standings gives the teams' shares of the machines held, and the capacity that they are of.
 func (t *Table) Standings(now clock.Micros) (capacity res.Amounts, list []fairshare.Standing) {
 	if t.arbiter == nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -209,6 +209,33 @@
 // GoneNote tells an owner of machines that are gone for certain.
 type GoneNote struct{ Machines []Machine }
 
+// TeamStatus is how a team stands, as its placer sees it.
+type TeamStatus struct {
+	Team      string
+	Term      uint64
+	Guarantee res.Amounts
+	Limit     res.Amounts // an amount of 0 means none
+	Used      res.Amounts // by all that is or may be on a machine
+	Jobs      int         // that are not over
+	Waiting   int         // tasks
+	Running   int         // tasks that are on a machine, or on their way there
+	Waits     telemetry.Quantiles
+	Lateness  telemetry.Quantiles
+}
+
+// TeamsQuery asks a controller how the teams stand.
+type TeamsQuery struct{}
+
+// TeamsAnswer is what one controller knows of the teams: of those that it places, and of all
+// teams' shares of the machines that it owns.
+type TeamsAnswer struct {
+	Host      string
+	Teams     []TeamStatus
+	Capacity  res.Amounts
+	Standings []fairshare.Standing // none where fair shares are off
+	Yielded   uint64               // asks that had to leave room to other teams
+}
+
 // Service is what every controller offers to its peers.
 type Service interface {
 	Round(in Round, out *RoundAnswer) error
@@ -220,6 +247,7 @@
 	Submit(in SubmitQuery, out *SubmitAnswer) error
 	Drain(in DrainQuery, out *DrainAnswer) error
 	Gone(in GoneNote, out *DrainAnswer) error
+	Teams(in TeamsQuery, out *TeamsAnswer) error
 }
 
 const serviceName = "Merlinlatch"
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -30,3 +30,10 @@
 	defer p.mu.Unlock()
 	return p.scheduler.Views(to, p.clock.Now())
 }
+
+// TeamStatuses tells how each team that is held stands.
+func (p *Placer) TeamStatuses() []peer.TeamStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.TeamStatuses()
+}
--- /dev/null
+++ b/internal/placer/distributions.go
@@ -0,0 +1,54 @@
+package placer
+
+import (
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
+)
+
+// distributions is what a controller has seen of a team since it started.
+type distributions struct {
+	waits    *telemetry.Distribution // from a job's submission until a task of it runs
+	lateness *telemetry.Distribution // by how much jobs with a deadline ended after it; 0 for those in time
+}
+
+func (d *Scheduler) distributionsOf(team string) distributions {
+	out, ok := d.distributions[team]
+	if !ok {
+		out = distributions{telemetry.NewDistribution(), telemetry.NewDistribution()}
+		d.distributions[team] = out
+	}
+	return out
+}
+
+// began takes note of the wait of a task that is seen running. The tasks of a job that had
+// to place some once more are left out: their waits began later than the job's.
+func (d *Scheduler) began(j *job, now clock.Micros) {
+	if j.again == 0 {
+		d.distributionsOf(j.team.Name).waits.Record(now - j.since)
+	}
+}
+
+// ended takes note of how late a job's last task was done.
+func (d *Scheduler) ended(j *job, now clock.Micros) {
+	if j.DueS != nil {
+		d.distributionsOf(j.team.Name).lateness.Record(now - j.due())
+	}
+}
+
+// TeamStatuses tells how each team that is held stands.
+func (d *Scheduler) TeamStatuses() []peer.TeamStatus {
+	out := make([]peer.TeamStatus, 0, len(d.teams))
+	for name, tm := range d.teams {
+		s := peer.TeamStatus{Team: name, Term: tm.term, Guarantee: tm.Guarantee, Limit: tm.Limit, Used: tm.used, Jobs: len(tm.jobs)}
+		for _, j := range tm.jobs {
+			s.Waiting += j.waiting()
+			s.Running += len(j.bound)
+		}
+		if seen, ok := d.distributions[name]; ok {
+			s.Waits, s.Lateness = seen.waits.Quantiles(), seen.lateness.Quantiles()
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -157,11 +157,13 @@
 	counts     Counts
 	demands    []fairshare.Demand // what waits, as last counted for the owners
 	demandsAt  clock.Micros
+
+	distributions map[string]distributions // by team
 }
 
 // NewScheduler makes an empty scheduler.
 func NewScheduler(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Scheduler {
-	d := &Scheduler{watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
+	d := &Scheduler{distributions: map[string]distributions{}, watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID]progress{}, chunk: ChunkTasks,
 		rng: rand.New(rand.NewPCG(seed, 1)), wall: wall}
 	for _, tm := range teams {
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -124,6 +124,9 @@
 	}
 	if b != nil {
 		if tv.Phase == wire.TaskRunning && b.phase != wire.TaskRunning {
+			if b.running == 0 {
+				d.began(b.job, now)
+			}
 			b.job.lastStart, b.running = now, now
 			// Its job may be over already: cancelled while the start was on its way.
 			d.counts.FetchCPUs += (now - b.since) * clock.Micros(b.job.Need.CPU/1e6)
@@ -148,7 +151,9 @@
 				j.runs = append(j.runs, runTime{m.ID, now - b.running})
 			}
 		}
-		j.markDone(n)
+		if j.markDone(n); j.doneCount == j.Tasks && b != nil {
+			d.ended(j, now)
+		}
 		j.errors = 0
 		if j.acked[tv.ID] != m.Term {
 			j.unsettled[tv.ID] = m.ID
--- /dev/null
+++ b/internal/telemetry/distribution_test.go
@@ -0,0 +1,28 @@
+package telemetry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+)
+
+func TestDistribution(t *testing.T) {
+	var none *Distribution
+	none.Record(clock.Second)
+	require.Zero(t, none.Quantiles())
+	d := NewDistribution()
+	require.Zero(t, d.Quantiles())
+	for i := range 1000 {
+		d.Record(clock.Micros(i+1) * 10 * clock.Millisecond)
+	}
+	q := d.Quantiles()
+	require.EqualValues(t, 1000, q.Count)
+	require.InEpsilon(t, float64(5*clock.Second), float64(q.P50), 0.01)
+	require.InEpsilon(t, 9.5*float64(clock.Second), float64(q.P95), 0.01)
+	require.InEpsilon(t, 9.9*float64(clock.Second), float64(q.P99), 0.01)
+	d.Record(-clock.Second)
+	d.Record(1000 * 3600 * clock.Second)
+	require.InEpsilon(t, float64(distributionMost), float64(d.Quantiles().Max), 0.01, "what is out of bounds is counted at them")
+}
