--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -5,3 +5,6 @@
 
 # Hot teams (docs/hot-teams.md): contended room is divided among teams by fair shares.
 fair_shares = True
+
+# Machines are weighed for a task by estimated seconds instead of in fixed steps.
+placement_costs = False
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -17,6 +17,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/front"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/owner"
+	"github.com/merlinlatch/merlinlatch/internal/placement"
 	"github.com/merlinlatch/merlinlatch/internal/placer"
 	"github.com/merlinlatch/merlinlatch/internal/policy"
 	"github.com/merlinlatch/merlinlatch/internal/res"
@@ -137,7 +138,13 @@
 
 func schedulerTiming(set *config.Settings, knobs *policy.Knobs) placer.Timing {
 	objectives := set.Params.Objectives
+	var costs *placer.Costs
+	if knobs.PlacementCosts {
+		costs = &placer.Costs{ImageWait: knobs.ImageWait,
+			Weights: placement.Weights{Data: knobs.DataWeight, Even: knobs.EvenWeight, Price: knobs.PriceWeight}}
+	}
 	return placer.Timing{
+		Costs: costs,
 		Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy,
 		Waits: spans(objectives, "wait"), Finishes: spans(objectives, "finished"), Times: times(objectives),
 		Guarantee: spans(objectives, "guarantee")[""],
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,6 +173,7 @@
 	}
 	n.owner.SetTypes(types, caches)
 	n.placer.SetFetch(fetch)
+	n.placer.SetPrices(c.Types)
 	n.front.SetTypes(c.Types)
 }
 
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -170,6 +170,11 @@
 func (d *Scheduler) choose(j *job, now clock.Micros) (*mirror, []peer.TaskID, bool) {
 	var list []*mirror
 	searched := !d.full.knows(j)
+	if searched && d.timing.Costs != nil {
+		if m, decided := d.weigh(j, now); decided {
+			return m, nil, false
+		}
+	}
 	if searched {
 		list = d.find(j, d.imaged[j.Image], now)
 	}
--- /dev/null
+++ b/internal/placer/costs.go
@@ -0,0 +1,150 @@
+package placer
+
+import (
+	"slices"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/placement"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Costs has machines weighed for a task by estimated seconds.
+type Costs struct {
+	placement.Weights
+	ImageWait clock.Micros // the longest that room is left for a machine that has the image
+}
+
+// kindOf is what decides a machine's price.
+type kindOf struct {
+	machineType string
+	spot        bool
+}
+
+// SetPrices tells what machines cost, by the cloud's catalog.
+func (d *Scheduler) SetPrices(types []wire.MachineType) {
+	d.prices = map[kindOf]float64{}
+	dearest := 0.0
+	for _, t := range types {
+		each := max(t.CPUs, 1)
+		d.prices[kindOf{t.Name, false}] = t.Price / each
+		d.prices[kindOf{t.Name, true}] = t.SpotPrice / each
+		dearest = max(dearest, t.Price/each, t.SpotPrice/each)
+	}
+	for kind := range d.prices {
+		if dearest > 0 {
+			d.prices[kind] /= dearest
+		}
+	}
+}
+
+// facts is what is known of a machine for a task of a job.
+func (d *Scheduler) facts(j *job, m *mirror, now clock.Micros) placement.Machine {
+	f := placement.Machine{HasImage: slices.Contains(m.Images, j.Image), Fetching: m.fetching[j.ID] > 0, Others: len(m.fetching),
+		PricePart: d.prices[kindOf{m.Type, m.Spot}]}
+	if f.Fetching {
+		f.Others--
+	}
+	if now < m.fetchUntil && m.fetchImage != j.Image && f.Others == 0 {
+		f.Others = 1 // that our own ask makes it fetch is not in its view yet
+	}
+	if m.paced >= slowTasks {
+		f.Pace = m.pace / float64(m.paced)
+	}
+	if m.Cap.CPU > 0 {
+		f.InUse = 1 - float64(m.free.Minus(j.Need).CPU)/float64(m.Cap.CPU)
+	}
+	// An image that is listed since a task was sent for it may still be on its way.
+	f.HasImage = f.HasImage && !f.Fetching
+	return f
+}
+
+// weigh takes the machine that costs a task least, of those that showed room. decided is
+// false where too little is known to weigh them, or none has room: then who places goes on as
+// without costs. No machine although decided means that the room is left for a moment: one that
+// has the image may have some.
+func (d *Scheduler) weigh(j *job, now clock.Micros) (best *mirror, decided bool) {
+	fetch, _ := d.fetchTimeAnywhere(j)
+	task := placement.Task{Estimate: clock.FromSeconds(j.EstimateS), Fetch: fetch}
+	if !task.Known() {
+		return nil, false
+	}
+	list := d.find(j, d.imaged[j.Image], now)
+	for _, m := range d.find(j, &d.rooms, now) {
+		if !slices.Contains(list, m) {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return nil, false
+	}
+	cheapest := d.cheapest(j, &task, list, now)
+	if slices.Contains(cheapest[0].Images, j.Image) {
+		j.bareSince = 0
+	} else if d.hurried(j, cheapest[0], now) {
+		return nil, false // room that others hold may be worth taking
+	} else if d.leaves(j, &task, now) {
+		return nil, true
+	}
+	if some := d.harmless(j, cheapest); len(some) > 0 {
+		cheapest = some
+	}
+	if !d.small(j) {
+		cheapest = d.draw(cheapest, d.timing.Sample)
+	}
+	for _, m := range cheapest {
+		if best == nil || d.better(j, m, best) {
+			best = m
+		}
+	}
+	return best, true
+}
+
+// cheapest picks the machines that cost a task least, within a tie of each other.
+func (d *Scheduler) cheapest(j *job, task *placement.Task, list []*mirror, now clock.Micros) (out []*mirror) {
+	least := 0.0
+	costs := make([]float64, len(list))
+	for i, m := range list {
+		f := d.facts(j, m, now)
+		costs[i] = placement.Cost(task, &f, &d.timing.Costs.Weights)
+		if i == 0 || costs[i] < least {
+			least = costs[i]
+		}
+	}
+	for i, m := range list {
+		if costs[i] <= least+placement.Tie {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// leaves tells that a job leaves room to others for a moment: its image is on machines that are
+// in use now, and none of its tasks would start too late for it.
+func (d *Scheduler) leaves(j *job, task *placement.Task, now clock.Micros) bool {
+	wait := placement.WaitFor(task, &d.timing.Costs.Weights, d.timing.Costs.ImageWait)
+	if wait == 0 || !d.imaged[j.Image].any() {
+		return false
+	}
+	if within, ok := d.timing.Waits[j.Class]; ok && now+task.Fetch > j.since+within-task.Fetch/2 {
+		return false
+	}
+	if j.bareSince == 0 {
+		j.bareSince = now
+	}
+	return now < j.bareSince+wait
+}
+
+// fetchTimeAnywhere is how long the image of a job is fetched by the slowest machine type
+// that it may go to; ok is false while that is not known.
+func (d *Scheduler) fetchTimeAnywhere(j *job) (fetch clock.Micros, ok bool) {
+	for name, rate := range d.fetch {
+		if len(j.Types) > 0 && !slices.Contains(j.Types, name) {
+			continue
+		}
+		if rate <= 0 {
+			return 0, false
+		}
+		fetch, ok = max(fetch, clock.FromSeconds(j.ImageGB/rate)), true
+	}
+	return fetch, ok
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -121,6 +121,13 @@
 	p.scheduler.SetFetch(rates)
 }
 
+// SetPrices tells what machines cost.
+func (p *Placer) SetPrices(types []wire.MachineType) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.SetPrices(types)
+}
+
 // Apply takes events of the replica: jobs, progress and machines' records.
 func (p *Placer) Apply(evs []state.Event) {
 	p.mu.Lock()
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -25,6 +25,7 @@
 	Guarantee     clock.Micros            // guaranteed work should start within so long; 0: nothing is said
 	Finishes      map[string]clock.Micros // classes whose jobs should be finished within so long
 	Times         map[string]float64      // classes, and the largest multiple of their deadlines that is asked for
+	Costs         *Costs                  // nil: machines are not weighed by costs
 }
 
 // Team is a team's guarantee and limit.
@@ -146,6 +147,7 @@
 	rng        *rand.Rand
 	wall       func() int64       // time of day in ms, good to the settings' bound
 	fetch      map[string]float64 // GB a second by machine type
+	prices     map[kindOf]float64 // of a CPU, against the dearest
 	big        int64              // CPUs of the largest task about
 	rooms      rooms              // machines that may get tasks
 	imaged     map[string]*rooms  // and those of them that have an image
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -26,3 +26,10 @@
 team_weights = {}      # by team; 1 where none is given
 share_fresh_s = 3      # a word of what waits of a team counts for so long
 share_withhold_s = 1   # free room is kept so long from a team above its share
+
+# Placement by costs: where a task starts and ends soonest, in estimated seconds.
+placement_costs = False
+data_weight = 1        # of seconds spent on images against all else
+even_weight_s = 0      # seconds that a full machine costs more than an empty one
+price_weight_s = 0     # seconds that the dearest machine costs more than one for nothing
+image_wait_s = 8 if economy else 0   # room is left so long for a machine that has the image
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -33,6 +33,10 @@
 	FairShares                bool
 	ShareFresh, ShareWithhold clock.Micros
 	TeamWeights               map[string]float64
+	// PlacementCosts has machines weighed for a task by estimated seconds.
+	PlacementCosts                      bool
+	DataWeight, EvenWeight, PriceWeight float64
+	ImageWait                           clock.Micros
 	// Renamed are the knobs that the script set by a former name.
 	Renamed []Rename
 }
@@ -221,6 +225,10 @@
 		{"rental_backoff_s", 0, 3600, func(v float64) { k.RentalBackoff = clock.FromSeconds(v) }},
 		{"share_fresh_s", 1.5, 60, func(v float64) { k.ShareFresh = clock.FromSeconds(v) }},
 		{"share_withhold_s", 0, 30, func(v float64) { k.ShareWithhold = clock.FromSeconds(v) }},
+		{"data_weight", 0, 100, func(v float64) { k.DataWeight = v }},
+		{"even_weight_s", 0, 3600, func(v float64) { k.EvenWeight = v }},
+		{"price_weight_s", 0, 3600, func(v float64) { k.PriceWeight = v }},
+		{"image_wait_s", 0, 60, func(v float64) { k.ImageWait = clock.FromSeconds(v) }},
 		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
 	} {
 		v, err := num(f.name, f.lo, f.hi)
@@ -229,11 +237,13 @@
 		}
 		f.set(v)
 	}
-	flag, ok := vals["fair_shares"].(starlark.Bool)
-	if !ok {
-		return fmt.Errorf("policy: knob fair_shares must be True or False")
+	for name, flag := range map[string]*bool{"fair_shares": &k.FairShares, "placement_costs": &k.PlacementCosts} {
+		v, ok := vals[name].(starlark.Bool)
+		if !ok {
+			return fmt.Errorf("policy: knob %s must be True or False", name)
+		}
+		*flag = bool(v)
 	}
-	k.FairShares = bool(flag)
 	if k.HoldRenew*3 > k.HoldTTL {
 		return fmt.Errorf("policy: knob hold_renew_s must be at most a third of hold_ttl_s")
 	}
