--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -8,3 +8,6 @@
 
 # Machines are weighed for a task by estimated seconds instead of in fixed steps.
 placement_costs = False
+
+# Running tasks are moved off machines that the cloud takes back or that are set aside as slow.
+moves = True
--- a/internal/console/teams.go
+++ b/internal/console/teams.go
@@ -45,6 +45,9 @@
 	}
 	slices.SortFunc(list, func(a, b *teamRow) int { return cmp.Compare(a.status.Team, b.status.Team) })
 	writeTeams(out, list, shared)
+	if team != "" {
+		writeMoves(out, &list[0].status)
+	}
 	if shared {
 		fmt.Fprintf(out, "shares are of %.0f CPUs; %d asks were refused in favour of other teams\n", capacity, yielded)
 	} else {
@@ -104,6 +107,20 @@
 	w.Flush()
 }
 
+// writeMoves writes a team's latest moves, and why others were not made.
+func writeMoves(out io.Writer, s *peer.TeamStatus) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for i := range s.Moves {
+		m := &s.Moves[i]
+		fmt.Fprintf(w, "move\t%s\t%s -> %s\t%s\tgain %.1f s, cost %.1f s\t%.0f s ago\t%s\n", m.Task, m.From, m.To, m.Reason,
+			m.Gain.Seconds(), m.Cost.Seconds(), m.Ago.Seconds(), m.Outcome)
+	}
+	for _, u := range s.Unmoved {
+		fmt.Fprintf(w, "not moved\t%d times\t%s\n", u.Count, u.Why)
+	}
+	w.Flush()
+}
+
 // amount writes an amount of CPUs of which 0 means none.
 func amount(a res.Amounts) string {
 	if a.CPU == 0 {
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -20,6 +20,7 @@
 	Token   uint64
 	Tasks   map[string]*wire.TaskReport // by name and attempt
 	Starts  map[string]int              // how often each task has started
+	NoticeS *float64                    // what its reports say of when the cloud takes it
 	renewed clock.Micros
 }
 
@@ -46,7 +47,7 @@
 	w.Check(now)
 	w.Tick++
 	r := wire.Report{Machine: w.ID, Addr: "10.0.0.9:9000", Type: w.Type, Zone: w.Zone, Spot: w.Spot,
-		Session: w.Session, Tick: w.Tick, Token: w.Token}
+		Session: w.Session, Tick: w.Tick, Token: w.Token, NoticeS: w.NoticeS}
 	for _, t := range w.InOrder() {
 		r.Tasks = append(r.Tasks, *t)
 	}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -20,6 +20,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/placement"
 	"github.com/merlinlatch/merlinlatch/internal/placer"
 	"github.com/merlinlatch/merlinlatch/internal/policy"
+	"github.com/merlinlatch/merlinlatch/internal/rebalance"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 )
 
@@ -95,7 +96,7 @@
 	if knobs.FairShares {
 		n.owner.SetArbiter(fairshare.NewArbiter(shareSettings(knobs)))
 	}
-	scheduler := placer.NewScheduler(schedulerTiming(set, knobs), instance, l.teams, l.hosts, rand.Uint64(),
+	scheduler := placer.NewScheduler(schedulerTiming(set, knobs, log), instance, l.teams, l.hosts, rand.Uint64(),
 		func() int64 { return wall().UnixMilli() })
 	n.placer = placer.New(scheduler, placer.Options{
 		Teams: l.teams, PartDuties: l.partDuties, Owners: n.owners(), TxnOps: p.State.TxnOps,
@@ -136,7 +137,16 @@
 		Withhold: knobs.ShareWithhold, Open: openTimes * knobs.ShareWithhold}
 }
 
-func schedulerTiming(set *config.Settings, knobs *policy.Knobs) placer.Timing {
+// moveSettings gives the limits of moves; nil where they are off.
+func moveSettings(set *config.Settings, knobs *policy.Knobs, log *slog.Logger) *placer.Moves {
+	if !knobs.Moves {
+		return nil
+	}
+	return &placer.Moves{Veto: knobs.Veto(log), Limits: rebalance.Limits{Margin: knobs.MoveMargin, CoolDown: knobs.MoveCoolDown,
+		PerTeam: knobs.TeamMoves, PerMachine: knobs.MachineMoves, Detect: set.Lease()}}
+}
+
+func schedulerTiming(set *config.Settings, knobs *policy.Knobs, log *slog.Logger) placer.Timing {
 	objectives := set.Params.Objectives
 	var costs *placer.Costs
 	if knobs.PlacementCosts {
@@ -144,7 +154,7 @@
 			Weights: placement.Weights{Data: knobs.DataWeight, Even: knobs.EvenWeight, Price: knobs.PriceWeight}}
 	}
 	return placer.Timing{
-		Costs: costs,
+		Costs: costs, Moves: moveSettings(set, knobs, log),
 		Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy,
 		Waits: spans(objectives, "wait"), Finishes: spans(objectives, "finished"), Times: times(objectives),
 		Guarantee: spans(objectives, "guarantee")[""],
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -46,6 +46,9 @@
 			}
 		}
 	}
+	for i := range in.Starts {
+		t.startHeld(&in.Starts[i], in.Terms[in.Starts[i].Team], now)
+	}
 	for _, s := range in.Settles {
 		if m := t.machines[s.Machine]; m != nil {
 			if k := m.tasks[s.ID]; k != nil && k.exited() {
@@ -98,6 +101,9 @@
 	if !t.mayLease(m, a, term, now) {
 		return refused
 	}
+	if a.Hold > 0 && m.holdsRoom() {
+		return refused
+	}
 	_, all := m.inUse()
 	free := m.cap.Minus(all)
 	if a.Need.Fits(free) && t.yields(m, a, free, now) {
@@ -121,7 +127,8 @@
 	for _, v := range victims {
 		t.end(m, v, t.graceOf(v))
 	}
-	k := &task{id: a.ID, made: a.Made, team: a.Team, rank: a.Rank, need: a.Need, covered: a.Covered, since: now}
+	k := &task{id: a.ID, made: a.Made, team: a.Team, rank: a.Rank, need: a.Need, covered: a.Covered, since: now,
+		held: a.Hold > 0, hold: min(a.Hold, longestHold)}
 	m.tasks[a.ID] = k
 	t.note(m, a.Image, a.ImageGB)
 	m.idleSince = now
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -86,7 +86,7 @@
 		if len(out) >= maxOrders {
 			return out
 		}
-		if k.seen || k.stop || k.exited() {
+		if k.seen || k.stop || k.held || k.exited() {
 			continue
 		}
 		if !k.sent {
@@ -235,7 +235,7 @@
 		return true
 	}
 	for _, k := range m.tasks {
-		if !k.seen || k.stop && !k.exited() && k.phase != wire.TaskSaving {
+		if !k.seen && !k.held || k.stop && !k.held && !k.exited() && k.phase != wire.TaskSaving {
 			return true
 		}
 	}
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -88,6 +88,9 @@
 	if n := r.NoticeS != nil; n != m.noticed {
 		m.noticed, changed = n, true
 	}
+	if r.NoticeS != nil {
+		m.takenAt = now + clock.FromSeconds(*r.NoticeS)
+	}
 	listed := make(map[peer.TaskID]bool, len(r.Tasks))
 	for _, tr := range r.Tasks {
 		job, n, ok := wire.SplitTask(tr.Task)
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -53,7 +53,9 @@
 	stop     bool
 	grace    float64
 	settled  bool
-	covered  bool   // its job is within its team's guarantee
+	covered  bool // its job is within its team's guarantee
+	held     bool // it runs elsewhere: nothing is sent before its placer's word
+	hold     clock.Micros
 	version  uint64 // of the view that first shows it as it is
 }
 
@@ -77,9 +79,10 @@
 	gone       bool
 	draining   bool
 	noticed    bool
-	quiet      bool      // its reports have stopped: perhaps it is gone
-	doubt      bool      // an /orders had no answer, and no report has shown the raised token since
-	reported   [2]uint64 // session and tick of the last report
+	takenAt    clock.Micros // by its notice
+	quiet      bool         // its reports have stopped: perhaps it is gone
+	doubt      bool         // an /orders had no answer, and no report has shown the raised token since
+	reported   [2]uint64    // session and tick of the last report
 	sick       bool
 	probedAt   clock.Micros
 	quietUntil clock.Micros // no /orders until then: one had no answer
@@ -268,7 +271,7 @@
 			t.touch(m)
 		}
 		for _, k := range m.tasks {
-			if !k.sent && now > k.since+t.timing.LeaseTTL {
+			if !k.sent && now > t.lapses(k) {
 				t.remove(m, k)
 			}
 		}
--- a/internal/owner/views.go
+++ b/internal/owner/views.go
@@ -60,6 +60,9 @@
 		Spot: m.Spot, Cap: m.cap, Free: m.cap.Minus(all), Accounted: m.accounted || m.silent || m.gone, Usable: m.usable(now),
 		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick,
 		Count: len(m.tasks), Whole: after < m.floor}
+	if m.noticed {
+		v.NoticeLeft = max(0, m.takenAt-now)
+	}
 	if len(m.tasks) == 0 {
 		v.Idle = now - m.idleSince
 	}
@@ -72,7 +75,8 @@
 	}
 	for _, k := range m.inOrder(shown) {
 		v.Tasks = append(v.Tasks, peer.TaskView{ID: k.id, Team: k.team, Rank: k.rank, Need: k.need, Phase: k.phase,
-			Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since})
+			Cause: k.cause, Stopping: k.stop, Covered: k.covered, Since: now - k.since,
+			Held: k.held})
 	}
 	for _, d := range m.left {
 		if !v.Whole && d.version > after {
@@ -86,7 +90,7 @@
 func (t *Table) Poll(in peer.Poll, incarnation string, now clock.Micros) peer.PollAnswer {
 	t.fence(in.Terms)
 	t.hearDemands(in.Demands, now)
-	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: t.Parts()}
+	out := peer.PollAnswer{Incarnation: incarnation, Cursor: t.version, Parts: t.Parts(), Holds: true}
 	after := in.Cursor
 	if in.Incarnation != incarnation {
 		after, out.Full = 0, true
--- a/internal/peer/names_test.go
+++ b/internal/peer/names_test.go
@@ -16,8 +16,8 @@
 	}{
 		{Hello{}, []string{"Contact", "Resigned", "From", "Strays", "Machines", "Unheard"}},
 		{Poll{}, []string{"Incarnation", "Cursor", "Terms", "Wait", "Gen", "Most", "AfterID", "Demands"}},
-		{PollAnswer{}, []string{"Incarnation", "Cursor", "Full", "Parts", "Machines", "More", "Capacity", "Standings"}},
-		{Round{}, []string{"From", "Seq", "Terms", "Asks", "Stops", "Settles", "Cancels", "Slow"}},
+		{PollAnswer{}, []string{"Incarnation", "Cursor", "Full", "Parts", "Machines", "More", "Capacity", "Standings", "Holds"}},
+		{Round{}, []string{"From", "Seq", "Terms", "Asks", "Stops", "Settles", "Cancels", "Starts", "Slow"}},
 		{RoundAnswer{}, []string{"Incarnation", "Refused", "Versions", "Yielded"}},
 		{JobQuery{}, []string{"Team", "ID"}},
 		{JobAnswer{}, []string{"Known", "Found", "Retry", "State"}},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,7 @@
 	Stopping bool
 	Covered  bool         // its job is within its team's guarantee
 	Since    clock.Micros // age of the lease when the view was made
+	Held     bool         // room is held for it, and it starts by its placer's word only
 }
 
 // MachineView is a machine as its owner sees it. Of its tasks it lists those
@@ -58,13 +59,15 @@
 	Draining  bool
 	Silent    bool // no report for the whole lease: all its tasks are gone
 	Noticed   bool // spot notice
-	Sick      bool
-	Images    []string     // in its cache; none when that has not changed since the asker's cursor
-	Idle      clock.Micros // how long without tasks
-	Count     int          // how many tasks there are
-	Whole     bool         // Tasks lists all of them
-	Tasks     []TaskView
-	Left      []TaskID // tasks that are there no more, since the asker's cursor
+	// NoticeLeft is how long the machine had, by its notice, when the view was made.
+	NoticeLeft clock.Micros
+	Sick       bool
+	Images     []string     // in its cache; none when that has not changed since the asker's cursor
+	Idle       clock.Micros // how long without tasks
+	Count      int          // how many tasks there are
+	Whole      bool         // Tasks lists all of them
+	Tasks      []TaskView
+	Left       []TaskID // tasks that are there no more, since the asker's cursor
 }
 
 // Ask asks for a lease on a machine's room for one task, and hands the task over.
@@ -81,6 +84,16 @@
 	Victims []TaskID // tasks of others to stop for it
 	Over    bool     // victims may have the same or a higher rank: their team is beyond its guarantee
 	Covered bool     // the task's job is within its team's guarantee
+	// Hold asks for room that is held for at most so long, for a task that runs elsewhere and
+	// is to move here: nothing is started before a Start. 0: the task starts at once.
+	Hold clock.Micros
+}
+
+// Start tells that a task is gone from where it ran, and starts on the room held for it.
+type Start struct {
+	ID      TaskID
+	Machine string
+	Team    string
 }
 
 // Stop asks for the end of a task.
@@ -109,12 +122,13 @@
 	Stops   []Stop
 	Settles []Settle
 	Cancels []Cancel
+	Starts  []Start  // of tasks whose room is held
 	Slow    []string // machines on which tasks take much longer than elsewhere
 }
 
 // Empty tells that a round carries nothing.
 func (r *Round) Empty() bool {
-	return len(r.Asks)+len(r.Stops)+len(r.Settles)+len(r.Cancels)+len(r.Slow) == 0
+	return len(r.Asks)+len(r.Stops)+len(r.Settles)+len(r.Cancels)+len(r.Starts)+len(r.Slow) == 0
 }
 
 // RoundAnswer answers a round.
@@ -149,6 +163,7 @@
 	// Capacity and Standings are the teams' shares of the owner's machines, where fair shares are on.
 	Capacity  res.Amounts
 	Standings []fairshare.Standing
+	Holds     bool // the owner holds room for tasks that are to move
 }
 
 // Hello is what controllers tell each other once a second.
@@ -221,6 +236,20 @@
 	Running   int         // tasks that are on a machine, or on their way there
 	Waits     telemetry.Quantiles
 	Lateness  telemetry.Quantiles
+	Moves     []MoveNote // the latest, the last one first
+	Unmoved   []Unmoved  // why tasks on machines that are to be drained were not moved
+}
+
+// MoveNote tells of a move of a running task.
+type MoveNote struct {
+	Task, From, To, Reason, Outcome string
+	Gain, Cost, Ago                 clock.Micros
+}
+
+// Unmoved tells how often tasks were not moved for a reason.
+type Unmoved struct {
+	Why   string
+	Count int
 }
 
 // TeamsQuery asks a controller how the teams stand.
--- a/internal/placer/answers.go
+++ b/internal/placer/answers.go
@@ -35,5 +35,5 @@
 func (p *Placer) TeamStatuses() []peer.TeamStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.TeamStatuses()
+	return p.scheduler.TeamStatuses(p.clock.Now())
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -47,6 +47,7 @@
 // the owners' next rounds. The batch widens with what waits.
 func (d *Scheduler) Place(now clock.Micros) (placed int) {
 	d.weighShares(now)
+	d.moveTasks(now)
 	list := d.order(now)
 	// After a restart no machine was seen yet: the largest is looked for once a round at
 	// most, and not for each machine anew.
--- a/internal/placer/costs.go
+++ b/internal/placer/costs.go
@@ -47,9 +47,7 @@
 	if now < m.fetchUntil && m.fetchImage != j.Image && f.Others == 0 {
 		f.Others = 1 // that our own ask makes it fetch is not in its view yet
 	}
-	if m.paced >= slowTasks {
-		f.Pace = m.pace / float64(m.paced)
-	}
+	f.Pace = m.knownPace()
 	if m.Cap.CPU > 0 {
 		f.InUse = 1 - float64(m.free.Minus(j.Need).CPU)/float64(m.Cap.CPU)
 	}
--- a/internal/placer/distributions.go
+++ b/internal/placer/distributions.go
@@ -1,9 +1,13 @@
 package placer
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/telemetry"
+	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 // distributions is what a controller has seen of a team since it started.
@@ -37,7 +41,7 @@
 }
 
 // TeamStatuses tells how each team that is held stands.
-func (d *Scheduler) TeamStatuses() []peer.TeamStatus {
+func (d *Scheduler) TeamStatuses(now clock.Micros) []peer.TeamStatus {
 	out := make([]peer.TeamStatus, 0, len(d.teams))
 	for name, tm := range d.teams {
 		s := peer.TeamStatus{Team: name, Term: tm.term, Guarantee: tm.Guarantee, Limit: tm.Limit, Used: tm.used, Jobs: len(tm.jobs)}
@@ -48,7 +52,22 @@
 		if seen, ok := d.distributions[name]; ok {
 			s.Waits, s.Lateness = seen.waits.Quantiles(), seen.lateness.Quantiles()
 		}
+		if d.moves.book != nil {
+			d.tellMoves(&s, now)
+		}
 		out = append(out, s)
 	}
 	return out
 }
+
+// tellMoves adds a team's moves to what is told of it.
+func (d *Scheduler) tellMoves(s *peer.TeamStatus, now clock.Micros) {
+	for _, r := range d.moves.book.Recent(s.Team) {
+		s.Moves = append(s.Moves, peer.MoveNote{Task: wire.TaskName(r.Key.Job, r.Key.N), From: r.From, To: r.To,
+			Reason: string(r.Reason), Outcome: string(r.Outcome), Gain: r.Gain, Cost: r.Cost, Ago: now - r.Began})
+	}
+	declined := d.moves.book.DeclinedOf(s.Team)
+	for _, why := range slices.Sorted(maps.Keys(declined)) {
+		s.Unmoved = append(s.Unmoved, peer.Unmoved{Why: string(why), Count: declined[why]})
+	}
+}
--- /dev/null
+++ b/internal/placer/moves.go
@@ -0,0 +1,288 @@
+package placer
+
+import (
+	"slices"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/rebalance"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Moves has running tasks moved off machines that are to be drained.
+type Moves struct {
+	rebalance.Limits
+	// Veto tells that the operators' script does not want a move. nil: nobody objects.
+	Veto func(rebalance.Record) bool
+}
+
+// move is a move under way: the task's binding at the source, and the lease at the destination.
+type move struct {
+	*rebalance.Move
+	source, destination *binding
+}
+
+// movesGap is how often moves are looked for.
+const movesGap = clock.Second
+
+// moveTasks gives up moves that take too long and begins new ones, at times.
+func (d *Scheduler) moveTasks(now clock.Micros) {
+	if d.timing.Moves == nil || now < d.movesAt+movesGap {
+		return
+	}
+	d.movesAt = now
+	for _, mv := range d.moves.underWay() {
+		d.act(mv, mv.Expire(now))
+	}
+	d.moves.book.Forget(now)
+	for _, m := range d.machines {
+		if reason, ok := d.drains(m); ok {
+			d.moveOff(m, reason, now)
+		}
+	}
+}
+
+// drains tells that a machine is to be drained, and why.
+func (d *Scheduler) drains(m *mirror) (rebalance.Reason, bool) {
+	o := d.owners[m.host]
+	switch {
+	case !m.Accounted || m.Silent || !o.up || o.instance != m.instance || o.parts[m.Part] != m.Term:
+		return "", false // what is known of it may be old
+	case m.Noticed:
+		return rebalance.SpotNotice, true
+	case m.Sick && m.slow:
+		return rebalance.SlowMachine, true
+	}
+	return "", false
+}
+
+// moveOff begins moves of a machine's tasks.
+func (d *Scheduler) moveOff(m *mirror, reason rebalance.Reason, now clock.Micros) {
+	for _, b := range m.inOrder() {
+		j := b.job
+		if b.orphan || b.held || b.stopping || b.asked || b.phase != wire.TaskRunning || j.cancelling || j.finishing ||
+			j.bound[b.id.N] != b || j.team.jobs[j.ID] != j || d.moves.ofSource[b] != nil {
+			continue
+		}
+		c := d.candidate(b, m, reason, now)
+		if why := d.tryMove(b, c, now); why != rebalance.NotDeclined {
+			d.moves.book.Decline(j.team.Name, why)
+		}
+	}
+}
+
+// candidate is what is known of a task that is to be moved.
+func (d *Scheduler) candidate(b *binding, m *mirror, reason rebalance.Reason, now clock.Micros) *rebalance.Candidate {
+	j, age := b.job, now-m.seenAt
+	c := &rebalance.Candidate{Key: rebalance.Key{Job: j.ID, N: b.id.N}, Team: j.team.Name, Machine: m.ID, Reason: reason,
+		CanSave: j.SaveEveryS > 0, SaveFor: clock.FromSeconds(j.SaveS), NoticeLeft: max(0, m.NoticeLeft-age), Pace: m.knownPace(), ViewAge: d.viewAge(m, now)}
+	if b.running != 0 {
+		c.Ran = now - b.running
+	}
+	c.Left = max(0, clock.Micros(float64(clock.FromSeconds(j.EstimateS))*max(c.Pace, 1))-c.Ran)
+	c.Unsaved = min(clock.FromSeconds(j.SaveEveryS), c.Ran) / 2
+	c.Heat = m.heat(m.free.CPU)
+	return c
+}
+
+// viewAge is how old what is known of a machine may be. A machine of which there is no news
+// is as it was for as long as its owner answers polls, which it does at least once a second.
+func (d *Scheduler) viewAge(m *mirror, now clock.Micros) clock.Micros {
+	return now - max(m.seenAt, d.owners[m.host].heardAt)
+}
+
+// knownPace is how long tasks take on a machine against elsewhere, 0 while too few have ended there.
+func (m *mirror) knownPace() float64 {
+	if m.paced < slowTasks {
+		return 0
+	}
+	return m.pace / float64(m.paced)
+}
+
+// heat is the share of a machine that is in use when so much is free, times its pace. One
+// that is to be taken away is hotter than any other.
+func (m *mirror) heat(free int64) float64 {
+	const takenAway = 1000
+	if m.Cap.CPU == 0 || m.Noticed {
+		return takenAway
+	}
+	heat := 1 - float64(free)/float64(m.Cap.CPU)
+	if pace := m.knownPace(); pace > 0 {
+		heat *= pace
+	}
+	return heat
+}
+
+// tryMove begins a move of a task, or tells why it is not moved.
+func (d *Scheduler) tryMove(b *binding, c *rebalance.Candidate, now clock.Micros) rebalance.Declined {
+	book, j := d.moves.book, b.job
+	if why := book.Consider(c, now); why != rebalance.NotDeclined {
+		return why
+	}
+	// The task counts twice until it is gone from the source.
+	if !within(j.team.used.Plus(j.team.held).Plus(j.Need), j.team.Limit) {
+		return rebalance.TeamAtLimit
+	}
+	why := rebalance.NoRoom
+	for _, to := range d.destinations(j, b.machine, now) {
+		dest := d.destination(j, to, now)
+		gain, cost, declined := book.Weigh(c, dest, now)
+		if why = declined; declined != rebalance.NotDeclined {
+			continue
+		}
+		proposal := rebalance.Record{Team: c.Team, From: c.Machine, To: to.ID, Key: c.Key, Reason: c.Reason, Gain: gain, Cost: cost, Began: now}
+		if veto := d.timing.Moves.Veto; veto != nil && veto(proposal) {
+			return rebalance.Vetoed
+		}
+		d.begin(b, to, book.Begin(c, dest, gain, cost, now), now)
+		return rebalance.NotDeclined
+	}
+	return why
+}
+
+// destinations lists machines with room for a task of a job, those with its image first.
+func (d *Scheduler) destinations(j *job, from string, now clock.Micros) (out []*mirror) {
+	list := d.find(j, d.imaged[j.Image], now)
+	for _, m := range d.find(j, &d.rooms, now) {
+		if !slices.Contains(list, m) {
+			list = append(list, m)
+		}
+	}
+	for _, m := range list {
+		// An owner of an earlier version would start the task at once.
+		if m.ID != from && d.owners[m.host].holds && !d.moves.to(m.ID) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (d *Scheduler) destination(j *job, m *mirror, now clock.Micros) *rebalance.Destination {
+	to := &rebalance.Destination{Machine: m.ID, Pace: m.knownPace(), Heat: m.heat(m.free.Minus(j.Need).CPU), ViewAge: d.viewAge(m, now)}
+	if !slices.Contains(m.Images, j.Image) {
+		to.Fetch, _ = d.fetchTime(j, m)
+	}
+	return to
+}
+
+// begin asks for a lease at the destination, which holds room and starts nothing.
+func (d *Scheduler) begin(source *binding, to *mirror, m *rebalance.Move, now clock.Micros) {
+	j := source.job
+	j.team.counter++
+	b := &binding{id: peer.TaskID{Job: j.ID, N: source.id.N, Attempt: j.team.term<<32 | j.team.counter}, job: j, machine: to.ID,
+		zone: to.Zone, term: to.Term, asked: true, held: true, instance: to.instance, since: now}
+	d.bind(b, to)
+	to.free = to.free.Minus(j.Need)
+	d.index(to)
+	mv := &move{m, source, b}
+	d.moves.ofSource[source], d.moves.ofDestination[b] = mv, mv
+	d.counts.Moves++
+	o := d.owners[to.host]
+	o.next.Asks = append(o.next.Asks, peer.Ask{ID: b.id, Made: j.Stamp, Team: j.team.Name, Rank: j.Level, Need: j.Need, Image: j.Image,
+		ImageGB: j.ImageGB, Machine: to.ID, Term: to.Term, Covered: j.covered, Hold: rebalance.HoldFor})
+}
+
+// act carries out what a move asks for.
+func (d *Scheduler) act(mv *move, a rebalance.Action) {
+	if mv.Ended() {
+		delete(d.moves.ofSource, mv.source)
+		delete(d.moves.ofDestination, mv.destination)
+	}
+	switch a {
+	case rebalance.StopSource:
+		d.stop(mv.source, mv.source.job.Grace())
+	case rebalance.StartDestination:
+		b := mv.destination
+		b.held = false
+		b.job.bound[b.id.N] = b
+		if m := d.machines[b.machine]; m != nil {
+			o := d.owners[m.host]
+			o.next.Starts = append(o.next.Starts, peer.Start{ID: b.id, Machine: b.machine, Team: b.job.team.Name})
+		}
+		d.counts.Moved++
+	case rebalance.ReleaseDestination:
+		mv.destination.orphan = true
+		if !d.unask(mv.destination) {
+			d.stop(mv.destination, 0)
+		}
+	}
+}
+
+// unask takes back an ask that was not sent yet.
+func (d *Scheduler) unask(b *binding) (done bool) {
+	m := d.machines[b.machine]
+	if m == nil || !b.asked {
+		return false
+	}
+	o := d.owners[m.host]
+	before := len(o.next.Asks)
+	o.next.Asks = slices.DeleteFunc(o.next.Asks, func(a peer.Ask) bool { return a.ID == b.id })
+	if len(o.next.Asks) == before {
+		return false
+	}
+	d.release(b)
+	d.refree(m)
+	return true
+}
+
+// moveStep tells a move, if there is one, that a binding is gone. started tells that the task
+// goes on at the destination and need not be placed. It can only if the binding was the task's
+// current one.
+func (d *Scheduler) moveStep(b *binding, current bool) (started bool) {
+	if mv := d.moves.ofDestination[b]; mv != nil {
+		d.act(mv, mv.DestinationLost())
+		return false
+	}
+	mv := d.moves.ofSource[b]
+	if mv == nil {
+		return false
+	}
+	j := b.job
+	a := mv.SourceGone(current && !j.isDone(b.id.N) && !j.cancelling && !j.finishing && j.team.jobs[j.ID] == j && d.teams[j.team.Name] == j.team)
+	d.act(mv, a)
+	return a == rebalance.StartDestination
+}
+
+// abandonMoves gives up the moves of a job, or of a whole team where no job is named.
+func (d *Scheduler) abandonMoves(tm *team, job string) {
+	for _, mv := range d.moves.underWay() {
+		if j := mv.source.job; j.team == tm && (job == "" || j.ID == job) {
+			d.act(mv, mv.Abandon())
+		}
+	}
+}
+
+// moves are those under way, by both of their bindings.
+type moves struct {
+	book          *rebalance.Book
+	ofSource      map[*binding]*move
+	ofDestination map[*binding]*move
+}
+
+func newMoves(m *Moves) moves {
+	out := moves{ofSource: map[*binding]*move{}, ofDestination: map[*binding]*move{}}
+	if m != nil {
+		out.book = rebalance.NewBook(m.Limits)
+	}
+	return out
+}
+
+// underWay lists the moves in the order in which they began.
+func (m *moves) underWay() []*move {
+	out := make([]*move, 0, len(m.ofSource))
+	for _, mv := range m.ofSource {
+		out = append(out, mv)
+	}
+	slices.SortFunc(out, func(a, b *move) int { return int(a.destination.id.Attempt) - int(b.destination.id.Attempt) })
+	return out
+}
+
+// to tells that a move to a machine is under way.
+func (m *moves) to(machine string) bool {
+	for b := range m.ofDestination {
+		if b.machine == machine {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placer/moves_test.go
@@ -0,0 +1,358 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/rebalance"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+var testMoves = &Moves{Limits: rebalance.Limits{Margin: 1.5, CoolDown: 60 * sec, PerTeam: 20, PerMachine: 20, Detect: lease}}
+
+// longJob has tasks that save and run for 200 s.
+func longJob(j *wire.Job) { j.SaveEveryS, j.SaveS, j.EstimateS = 10, 1, 200 }
+
+// noticed is a world whose only task has run for a while on a machine that then gets a notice.
+func noticed(t *testing.T) (w *world, from string) {
+	w = newWorldOf(t, 1, 4, limitCPU)
+	w.moves = testMoves
+	w.newScheduler()
+	w.settle(8)
+	w.addJob("job-1", 1, longJob)
+	w.settle(160)
+	from, _ = w.home("job-1/0")
+	w.notice(from)
+	return w, from
+}
+
+// notice has a machine say from now on that it is taken away in a minute.
+func (w *world) notice(id string) {
+	left := 60.0
+	w.workers[id].NoticeS = &left
+}
+
+// step runs the cluster until a move is at a point, and no further.
+func (w *world) until(what string, reached func() bool) {
+	for range 200 {
+		if reached() {
+			return
+		}
+		w.now += 50 * clock.Millisecond
+		for _, id := range w.names {
+			w.report(id, true)
+			if reached() {
+				return
+			}
+		}
+		for _, h := range w.hosts {
+			w.poll(h, false)
+			if reached() {
+				return
+			}
+			w.place()
+			if reached() {
+				return
+			}
+			w.send(h, true, true)
+			if reached() {
+				return
+			}
+		}
+		w.check(what)
+	}
+	require.Fail(w.t, "never came", what)
+}
+
+func (w *world) outcome() rebalance.Outcome {
+	recent := w.scheduler.moves.book.Recent(red)
+	if len(recent) == 0 {
+		return ""
+	}
+	return recent[0].Outcome
+}
+
+func (w *world) underWay() int { return len(w.scheduler.moves.ofSource) }
+
+// A task leaves a machine that is taken away: its room elsewhere is held first.
+func TestATaskMovesOffAMachineWithANotice(t *testing.T) {
+	w, from := noticed(t)
+	w.settle(12)
+	at, _ := w.home("job-1/0")
+	require.NotEqual(t, from, at)
+	require.Equal(t, rebalance.Moved, w.outcome())
+	require.Equal(t, 1, w.scheduler.counts.Moved)
+	require.Zero(t, w.underWay())
+	require.Empty(t, w.scheduler.moves.ofDestination)
+	require.Equal(t, 1, w.workers[at].Starts["job-1/0"])
+	require.EqualValues(t, 2_000_000, w.scheduler.teams[red].used.CPU, "nothing is left behind")
+}
+
+// Whatever ends at whatever step of a move, the task runs on one machine at a time, and goes on
+// in the end. Each step is the moment just before what it names is known.
+func TestAMoveMeetsTroubleAtEachStep(t *testing.T) {
+	steps := map[string]func(w *world) bool{
+		"asked":   func(w *world) bool { return w.underWay() == 1 },
+		"granted": func(w *world) bool { return w.underWay() == 1 && !w.anyMove().destination.asked },
+		"source gone": func(w *world) bool {
+			return w.underWay() == 0 && w.outcome() == rebalance.Moved
+		},
+	}
+	troubles := map[string]func(w *world, from, to string){
+		"the destination's owner ends": func(w *world, _, to string) {
+			h := w.hosts[w.partHost[w.part(to)]]
+			w.boot(h)
+			for p, at := range w.partHost {
+				if w.hosts[at] == h {
+					w.gain(p, at)
+				}
+			}
+		},
+		"the source's owner ends": func(w *world, from, _ string) {
+			h := w.hosts[w.partHost[w.part(from)]]
+			w.boot(h)
+			for p, at := range w.partHost {
+				if w.hosts[at] == h {
+					w.gain(p, at)
+				}
+			}
+		},
+		"both partitions change hands": func(w *world, from, to string) {
+			w.gain(w.part(from), 1-w.partHost[w.part(from)])
+			w.gain(w.part(to), 1-w.partHost[w.part(to)])
+		},
+		"the placer ends": func(w *world, _, _ string) { w.newScheduler() },
+		"the placer ends, a late round of it arrives": func(w *world, _, to string) {
+			for _, h := range w.hosts {
+				w.send(h, false, false)
+			}
+			w.newScheduler()
+			w.settle(2)
+			for _, r := range w.rounds {
+				r.table.Round(r.round, r.h.instance, w.now)
+			}
+		},
+		"the source goes on silently beyond its lease": func(w *world, from, _ string) {
+			for range 60 {
+				w.now += 250 * clock.Millisecond
+				for _, id := range w.names {
+					if id != from {
+						w.report(id, true)
+					}
+				}
+				w.tick()
+				for _, h := range w.hosts {
+					w.poll(h, false)
+					w.place()
+					w.send(h, true, true)
+				}
+				w.check("the source is silent")
+			}
+		},
+		"the source hears nothing for a while, its reports arrive": func(w *world, from, _ string) {
+			for range 20 {
+				w.now += 250 * clock.Millisecond
+				for _, id := range w.names {
+					w.report(id, id != from)
+				}
+				w.tick()
+				for _, h := range w.hosts {
+					w.poll(h, false)
+					w.place()
+					w.send(h, true, true)
+				}
+				w.check("the source hears nothing")
+			}
+		},
+		"the destination is gone": func(w *world, _, to string) {
+			w.names = without(w.names, to)
+			w.now += lease + sec
+			w.workers[to].Check(w.now)
+		},
+		"answers to rounds are lost": func(w *world, _, _ string) {
+			for range 8 {
+				for _, h := range w.hosts {
+					w.place()
+					w.send(h, true, false)
+				}
+			}
+		},
+		"the task is done": func(w *world, _, _ string) { w.exitAll(wire.CauseDone) },
+		"the task fails":   func(w *world, _, _ string) { w.exitAll(wire.CauseError) },
+		"the job is withdrawn": func(w *world, _, _ string) {
+			w.scheduler.Cancel(red, "job-1")
+		},
+		"the destination gets a notice": func(w *world, _, to string) { w.notice(to) },
+	}
+	for step, reached := range steps {
+		for name, trouble := range troubles {
+			t.Run(step+", "+name, func(t *testing.T) {
+				w, from := noticed(t)
+				w.until(step, func() bool { return reached(w) })
+				to := w.scheduler.moves.book.Recent(red)[0].To
+				trouble(w, from, to)
+				w.settle(160)
+				require.Zero(t, w.underWay(), "no move is left")
+				over := w.active["job-1"] == nil
+				if name == "the task is done" && step != "source gone" {
+					require.True(t, over)
+				}
+				if name == "the job is withdrawn" {
+					require.True(t, over, "withdrawn in the end")
+					require.Zero(t, w.running())
+				}
+				if !over {
+					require.Equal(t, 1, w.running(), "it goes on")
+				}
+				require.EqualValues(t, int64(w.running())*2_000_000, w.scheduler.teams[red].used.CPU, "nothing is left behind")
+			})
+		}
+	}
+}
+
+// anyMove is the only move under way.
+func (w *world) anyMove() *move { return w.scheduler.moves.underWay()[0] }
+
+func without(names []string, name string) (out []string) {
+	for _, n := range names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Tasks stay where they are: each reason counts.
+func TestTasksThatAreNotMoved(t *testing.T) {
+	for name, x := range map[string]struct {
+		change func(w *world, from string)
+		why    rebalance.Declined
+	}{
+		"the team is at its limit": {func(w *world, _ string) {
+			w.addJob("job-2", 5, longJob)
+			w.settle(8)
+		}, rebalance.TeamAtLimit},
+		"no machine has room": {func(w *world, from string) {
+			w.names = []string{from}
+			w.settle(60)
+		}, rebalance.NoRoom},
+		"the script vetoes it": {func(w *world, _ string) {
+			moves := *testMoves
+			moves.Veto = func(rebalance.Record) bool { return true }
+			w.scheduler.timing.Moves = &moves
+		}, rebalance.Vetoed},
+		"owners of an earlier version hold no room": {func(w *world, _ string) {
+			w.oldOwners = true
+		}, rebalance.NoRoom},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorldOf(t, 1, 4, limitCPU)
+			w.moves = testMoves
+			w.newScheduler()
+			w.settle(8)
+			w.addJob("job-1", 1, longJob)
+			w.settle(160)
+			from, _ := w.home("job-1/0")
+			x.change(w, from)
+			w.notice(from)
+			w.settle(12)
+			require.True(t, w.workers[from].Running("job-1/0"))
+			require.Positive(t, w.scheduler.moves.book.DeclinedOf(red)[x.why], "%v", w.scheduler.moves.book.DeclinedOf(red))
+			require.Zero(t, w.scheduler.counts.Moves)
+		})
+	}
+}
+
+// Whatever fails while tasks are moved off machines that get notices and lose them again: no
+// task on two machines, no team over its limit, no move left behind, and every job done.
+func TestMovesWhateverFails(t *testing.T) {
+	seeds := uint64(500)
+	if testing.Short() {
+		seeds = 10
+	}
+	begun, carriedOut := 0, 0
+	for seed := uint64(1); seed <= seeds; seed++ {
+		w := newWorldOf(t, seed, 5, []float64{0, limitCPU}[seed%2])
+		w.moves = testMoves
+		w.newScheduler()
+		w.settle(8)
+		for i := range 3 {
+			w.addJob([]string{"job-1", "job-2", "job-3"}[i], 1+w.rng.IntN(2), longJob)
+		}
+		w.settle(140)
+		for step := range 250 {
+			w.now += clock.Micros(w.rng.IntN(200)) * clock.Millisecond
+			h, id := w.hosts[w.rng.IntN(2)], w.names[w.rng.IntN(len(w.names))]
+			switch w.rng.IntN(12) {
+			case 0, 1:
+				w.poll(h, w.rng.IntN(5) == 0)
+			case 2, 3:
+				w.place()
+			case 4, 5:
+				w.send(h, w.rng.IntN(6) > 0, w.rng.IntN(5) > 0)
+			case 6, 7:
+				w.report(id, w.rng.IntN(5) > 0)
+			case 8:
+				w.deliver(id, w.rng.IntN(3) == 0, w.rng.IntN(3) > 0)
+			case 9:
+				if w.notice(id); w.rng.IntN(3) > 0 {
+					w.workers[id].NoticeS = nil
+				}
+			case 10:
+				w.tick()
+				for _, r := range w.rounds { // late ones reach the process they were sent to, if that lives
+					if r.h.table == r.table && w.rng.IntN(4) == 0 {
+						r.table.Round(r.round, r.h.instance, w.now)
+					}
+				}
+			case 11:
+				switch w.rng.IntN(16) {
+				case 0:
+					w.boot(h)
+					for p, at := range w.partHost {
+						if w.hosts[at] == h {
+							w.gain(p, at)
+						}
+					}
+				case 1:
+					w.gain(w.rng.IntN(2), w.rng.IntN(2))
+				case 2:
+					begun, carriedOut = begun+w.scheduler.counts.Moves, carriedOut+w.scheduler.counts.Moved
+					w.newScheduler()
+				case 3:
+					w.scheduler.Cancel(red, "job-3")
+				}
+			}
+			w.check(fmt.Sprintf("seed %d step %d", seed, step))
+		}
+		begun, carriedOut = begun+w.scheduler.counts.Moves, carriedOut+w.scheduler.counts.Moved
+		for _, id := range w.names {
+			w.workers[id].NoticeS = nil
+		}
+		for range 60 {
+			w.settle(4)
+			w.exitAll(wire.CauseDone)
+		}
+		require.Empty(t, w.active, "seed %d: some job never ended", seed)
+		require.Zero(t, w.underWay(), "seed %d", seed)
+		require.Zero(t, w.scheduler.teams[red].used.CPU, "seed %d: something is left behind", seed)
+	}
+	require.Greater(t, begun, 3*int(seeds)/10, "moves begun")
+	require.Greater(t, carriedOut, int(seeds)/20, "moves carried out")
+	t.Logf("%d moves begun, %d carried out", begun, carriedOut)
+}
+
+// With moves off nothing is moved, and nothing is looked at.
+func TestNothingIsMovedWhereMovesAreOff(t *testing.T) {
+	w := newWorldOf(t, 1, 4, limitCPU)
+	w.settle(8)
+	w.addJob("job-1", 1, longJob)
+	w.settle(160)
+	from, _ := w.home("job-1/0")
+	w.notice(from)
+	w.settle(12)
+	require.True(t, w.workers[from].Running("job-1/0"))
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -316,7 +316,7 @@
 		p.mu.Unlock()
 		if c != last {
 			p.log.Info("placing", "waiting", waiting, "bound", bound, "withdrawn", withdrawn, "placed", c.Placed-last.Placed, "refused", c.Refused-last.Refused, "yielded", c.Yielded-last.Yielded,
-				"preempted", c.Preempted-last.Preempted, "done", c.Done-last.Done, "stopped", c.Stopped-last.Stopped,
+				"preempted", c.Preempted-last.Preempted, "moves", c.Moves-last.Moves, "moved", c.Moved-last.Moved, "done", c.Done-last.Done, "stopped", c.Stopped-last.Stopped,
 				"failed", c.Failed-last.Failed, "lost", c.Lost-last.Lost, "fetch_cpu_s", int((c.FetchCPUs - last.FetchCPUs).Seconds()))
 		}
 		last = c
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -26,6 +26,7 @@
 	Finishes      map[string]clock.Micros // classes whose jobs should be finished within so long
 	Times         map[string]float64      // classes, and the largest multiple of their deadlines that is asked for
 	Costs         *Costs                  // nil: machines are not weighed by costs
+	Moves         *Moves                  // nil: running tasks are not moved
 }
 
 // Team is a team's guarantee and limit.
@@ -63,6 +64,7 @@
 	version  uint64 // of the machine's view when granted
 	instance string
 	phase    string
+	held     bool // room for a task that is to move here and runs elsewhere
 	orphan   bool // ran although not wanted here: only counted, and stopped
 	stopping bool
 	since    clock.Micros
@@ -116,6 +118,8 @@
 	settling clock.Micros // since when settlements wait to be sent
 	up       bool
 	swept    clock.Micros
+	heardAt  clock.Micros
+	holds    bool // it holds room for tasks that are to move
 	resync   bool // a view did not fit what was known: ask for everything
 	shares   ownerShares
 }
@@ -127,6 +131,7 @@
 type Counts struct {
 	Placed, Refused, Preempted, Done, Stopped, Failed, Lost int
 	Yielded                                                 int          // refused since other teams have a better right
+	Moves, Moved                                            int          // begun, and carried out
 	Looked                                                  int          // machines looked at in search of room
 	FetchCPUs                                               clock.Micros // CPU time from placing tasks until they ran
 }
@@ -161,6 +166,8 @@
 	demandsAt  clock.Micros
 
 	distributions map[string]distributions // by team
+	moves         moves
+	movesAt       clock.Micros
 }
 
 // NewScheduler makes an empty scheduler.
@@ -168,6 +175,7 @@
 	d := &Scheduler{distributions: map[string]distributions{}, watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID]progress{}, chunk: ChunkTasks,
 		rng: rand.New(rand.NewPCG(seed, 1)), wall: wall}
+	d.moves = newMoves(t.Moves)
 	for _, tm := range teams {
 		d.known[tm.Name] = tm
 	}
@@ -198,6 +206,7 @@
 		return
 	}
 	delete(d.teams, name)
+	d.abandonMoves(tm, "")
 	for _, m := range d.machines {
 		for id, b := range m.bound {
 			if b.job.team == tm {
@@ -278,6 +287,7 @@
 	for _, tm := range d.teams {
 		if j := tm.jobs[id]; j != nil {
 			delete(tm.jobs, id)
+			d.abandonMoves(tm, id)
 			d.judge(j)
 			for _, b := range j.bound {
 				b.orphan = true
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -60,7 +60,7 @@
 	m.bound[b.id] = b
 	b.job.team.used = b.job.team.used.Plus(b.job.Need)
 	b.job.zones[b.zone]++
-	if !b.orphan {
+	if !b.orphan && !b.held {
 		b.job.bound[b.id.N] = b
 	}
 }
@@ -76,8 +76,11 @@
 	j := b.job
 	j.team.used = j.team.used.Minus(j.Need)
 	j.zones[b.zone]--
-	if j.bound[b.id.N] == b {
+	current := j.bound[b.id.N] == b
+	if current {
 		delete(j.bound, b.id.N)
+	}
+	if started := d.moveStep(b, current); current && !started {
 		if !j.isDone(b.id.N) && !(j.parked && b.id.N < j.former) {
 			j.queue = append(j.queue, b.id.N)
 		}
@@ -110,7 +113,7 @@
 				// it is gone it counts against the limit.
 				b.job, b.orphan = &job{Job: &jobs.Job{Need: tv.Need}, team: tm, zones: map[string]int{}}, true
 			} else {
-				b.orphan = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling
+				b.orphan = j.isDone(tv.ID.N) || j.bound[tv.ID.N] != nil || j.cancelling || tv.Held // a former placer's move
 			}
 			d.bind(b, m)
 			if b.orphan {
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -16,6 +16,7 @@
 	r.Asks = slices.DeleteFunc(r.Asks, func(a peer.Ask) bool { return a.Team == tm.Name })
 	r.Stops = slices.DeleteFunc(r.Stops, func(s peer.Stop) bool { return tm.jobs[s.ID.Job] != nil })
 	r.Settles = slices.DeleteFunc(r.Settles, func(s peer.Settle) bool { return tm.jobs[s.ID.Job] != nil })
+	r.Starts = slices.DeleteFunc(r.Starts, func(s peer.Start) bool { return s.Team == tm.Name })
 	r.Cancels = slices.DeleteFunc(r.Cancels, func(c peer.Cancel) bool { return c.Team == tm.Name })
 }
 
@@ -92,6 +93,10 @@
 		if b == nil {
 			continue
 		}
+		no := i >= len(ans.Refused) || i >= len(ans.Versions) || ans.Refused[i]
+		if mv := d.moves.ofDestination[b]; mv != nil && no {
+			d.act(mv, mv.Refused())
+		}
 		if i < len(ans.Yielded) && ans.Yielded[i] {
 			d.counts.Yielded++
 			d.release(b)
@@ -99,7 +104,7 @@
 			b.job.team.yield(host, b.job.Level, now)
 			continue
 		}
-		if i >= len(ans.Refused) || i >= len(ans.Versions) || ans.Refused[i] {
+		if no {
 			d.counts.Refused++
 			d.release(b)
 			// What made the owner refuse is news on its way; until it is here the machine is kept from.
@@ -109,6 +114,9 @@
 		}
 		b.asked, b.instance, b.version = false, ans.Incarnation, ans.Versions[i]
 		delete(b.job.team.yielding, host)
+		if mv := d.moves.ofDestination[b]; mv != nil {
+			d.act(mv, mv.Granted())
+		}
 		if m.Accounted && m.instance == ans.Incarnation {
 			// A poll may have shown the machine already as it was after the
 			// grant, with the task gone again: nothing newer would come to release it.
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -43,6 +43,7 @@
 	}
 	moved := !maps.Equal(o.parts, ans.Parts)
 	o.cursor, o.parts = ans.Cursor, ans.Parts
+	o.heardAt, o.holds = now, ans.Holds
 	o.shares = ownerShares{ans.Capacity, ans.Standings, now}
 	if ans.Full {
 		o.resync = false
@@ -177,8 +178,10 @@
 		return
 	}
 	if m.Term > b.term || !b.asked && (m.instance != b.instance || m.Version >= b.version) {
-		d.counts.Lost++
-		b.job.again++
+		if !b.held {
+			d.counts.Lost++
+			b.job.again++
+		}
 		d.release(b)
 	}
 }
--- a/internal/placer/withdraw.go
+++ b/internal/placer/withdraw.go
@@ -43,7 +43,9 @@
 		return true
 	}
 	j.cancelling, j.taken = true, map[string]bool{}
+	d.abandonMoves(tm, id)
 	for _, o := range d.owners {
+		o.next.Starts = slices.DeleteFunc(o.next.Starts, func(s peer.Start) bool { return s.ID.Job == id })
 		o.next.Asks = slices.DeleteFunc(o.next.Asks, func(a peer.Ask) bool {
 			if a.ID.Job != id {
 				return false
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -66,6 +66,8 @@
 	limit      float64                   // CPUs; 0: none
 	watermarks map[string]WatermarkWrite // on record, with their stamps
 	elder      bool                      // an earlier release has recorded machines
+	moves      *Moves                    // nil: off
+	oldOwners  bool                      // they hold no room for tasks that are to move
 }
 
 func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
@@ -128,7 +130,7 @@
 func (w *world) newScheduler() {
 	w.term++
 	w.stamp++
-	w.scheduler = NewScheduler(Timing{Sample: 3, Batch: 10, PreemptAfter: sec}, fmt.Sprintf("scheduler-%d", w.term),
+	w.scheduler = NewScheduler(Timing{Sample: 3, Batch: 10, PreemptAfter: sec, Moves: w.moves}, fmt.Sprintf("scheduler-%d", w.term),
 		[]Team{{Name: red, Limit: res.Have(w.limit, 0, 0)}}, []string{"h0", "h1"}, w.term, func() int64 { return 0 })
 	w.scheduler.elder = w.elder
 	for id := range w.registry {
@@ -187,6 +189,7 @@
 func (w *world) poll(h *host, lost bool) {
 	in := w.scheduler.Cursor(h.name)
 	ans := h.table.Poll(in, h.instance, w.now)
+	ans.Holds = ans.Holds && !w.oldOwners
 	if lost {
 		w.scheduler.Down(h.name)
 		return
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -33,3 +33,10 @@
 even_weight_s = 0      # seconds that a full machine costs more than an empty one
 price_weight_s = 0     # seconds that the dearest machine costs more than one for nothing
 image_wait_s = 8 if economy else 0   # room is left so long for a machine that has the image
+
+# Moves of running tasks off machines that are taken back or set aside as slow.
+moves = False
+move_margin = 1.5      # the gain must be so many times the cost
+move_cool_down_s = 120 # a task is not moved again so soon
+moves_per_team = 6     # in a minute
+moves_per_machine = 8  # in a minute, from it and to it
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -37,6 +37,12 @@
 	PlacementCosts                      bool
 	DataWeight, EvenWeight, PriceWeight float64
 	ImageWait                           clock.Micros
+	// Moves has running tasks moved off machines that are to be drained.
+	Moves                   bool
+	MoveMargin              float64
+	MoveCoolDown            clock.Micros
+	TeamMoves, MachineMoves int
+	veto                    *starlark.Function
 	// Renamed are the knobs that the script set by a former name.
 	Renamed []Rename
 }
@@ -96,6 +102,9 @@
 			return nil, err
 		}
 		k.rename(own)
+		if k.veto, err = hook(own, vetoHook, 1); err != nil {
+			return nil, err
+		}
 		names := make([]string, 0, len(own))
 		for n := range own {
 			names = append(names, n)
@@ -229,6 +238,10 @@
 		{"even_weight_s", 0, 3600, func(v float64) { k.EvenWeight = v }},
 		{"price_weight_s", 0, 3600, func(v float64) { k.PriceWeight = v }},
 		{"image_wait_s", 0, 60, func(v float64) { k.ImageWait = clock.FromSeconds(v) }},
+		{"move_margin", 1, 100, func(v float64) { k.MoveMargin = v }},
+		{"move_cool_down_s", 0, 86400, func(v float64) { k.MoveCoolDown = clock.FromSeconds(v) }},
+		{"moves_per_team", 0, 10000, func(v float64) { k.TeamMoves = int(v) }},
+		{"moves_per_machine", 0, 10000, func(v float64) { k.MachineMoves = int(v) }},
 		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
 	} {
 		v, err := num(f.name, f.lo, f.hi)
@@ -237,7 +250,7 @@
 		}
 		f.set(v)
 	}
-	for name, flag := range map[string]*bool{"fair_shares": &k.FairShares, "placement_costs": &k.PlacementCosts} {
+	for name, flag := range map[string]*bool{"fair_shares": &k.FairShares, "placement_costs": &k.PlacementCosts, "moves": &k.Moves} {
 		v, ok := vals[name].(starlark.Bool)
 		if !ok {
 			return fmt.Errorf("policy: knob %s must be True or False", name)
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -1,12 +1,15 @@
 package policy
 
 import (
+	"bytes"
+	"log/slog"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/rebalance"
 )
 
 func settings(kinds ...string) *config.Settings {
@@ -74,3 +77,64 @@
 		require.Equal(t, script[0] == 'h', len(k.Renamed) == 1, script)
 	}
 }
+
+var aMove = rebalance.Record{Team: "red", From: "m-1", To: "m-2", Key: rebalance.Key{Job: "job-1", N: 3}, Reason: rebalance.SlowMachine,
+	Gain: 20 * clock.Second, Cost: 8 * clock.Second}
+
+// A script may veto moves. A hook that fails, runs too long or gives no proper answer counts as a
+// veto and is logged with its line.
+func TestTheScriptMayVetoMoves(t *testing.T) {
+	for name, x := range map[string]struct {
+		script string
+		veto   bool
+		logged string
+	}{
+		"allowed":         {"def veto_move(move):\n    return False\n", false, ""},
+		"by what it is":   {"def veto_move(move):\n    return move.team == 'red' and move.gain_s < 3 * move.cost_s and move.task == 3\n", true, ""},
+		"it fails":        {"def veto_move(move):\n    x = 1\n    return x / 0 > move.gain_s\n", true, "policy:3:"},
+		"it runs on":      {"def veto_move(move):\n    for i in range(1000000):\n        i += 1\n    return False\n", true, "too many steps"},
+		"it says nothing": {"def veto_move(move):\n    pass\n", true, "policy:1:"},
+		"no such field":   {"def veto_move(move):\n    return move.teem == 'red'\n", true, "policy:2:"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k, err := Parse(x.script, settings())
+			require.NoError(t, err)
+			var out bytes.Buffer
+			require.Equal(t, x.veto, k.Veto(slog.New(slog.NewTextHandler(&out, nil)))(aMove))
+			if x.logged == "" {
+				require.Empty(t, out.String())
+			} else {
+				require.Contains(t, out.String(), x.logged)
+			}
+		})
+	}
+	k, err := Parse("", settings())
+	require.NoError(t, err)
+	require.Nil(t, k.Veto(nil), "without a hook nobody is asked")
+}
+
+func TestMistakesInHooksAndWeights(t *testing.T) {
+	for script, want := range map[string]string{
+		"veto_move = 1":                       "veto_move must be a function",
+		"def veto_move():\n    return True\n": "must take 1 argument",
+		"x = 1\ny = x / 0\n":                  "policy:2:7",
+		"fair_shares = 1":                     "fair_shares must be True or False",
+		"moves = 'yes'":                       "moves must be True or False",
+		"team_weights = 2":                    "must be a dict",
+		"team_weights = {'green': 2}":         `there is no team "green"`,
+		"team_weights = {'red': 0}":           "the weight of red must be a number",
+		"team_weights = {'red': 'much'}":      "the weight of red must be a number",
+		"share_fresh_s = 1":                   "share_fresh_s must be a number from 1.5",
+	} {
+		s := settings()
+		s.Params.Teams = []config.Team{{Name: "red"}}
+		_, err := Parse(script, s)
+		require.ErrorContains(t, err, want, script)
+	}
+	s := settings()
+	s.Params.Teams = []config.Team{{Name: "red"}}
+	k, err := Parse("team_weights = {'red': 2.5}\nfair_shares = True\nmoves = True\n", s)
+	require.NoError(t, err)
+	require.True(t, k.FairShares && k.Moves && !k.PlacementCosts)
+	require.Equal(t, map[string]float64{"red": 2.5}, k.TeamWeights)
+}
--- /dev/null
+++ b/internal/rebalance/rebalance.go
@@ -0,0 +1,253 @@
+// Package rebalance decides which running tasks are moved to another machine, and what each
+// step of a move is.
+//
+// Book decides on moves, within budgets; Move is the state machine of one of them. Both are
+// plain code that takes the time. A move never starts a task: it only tells when a lease that
+// was granted at the destination may be used, which is once the task is gone from the
+// source for certain.
+package rebalance
+
+import (
+	"slices"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+)
+
+// Reason is why a task is moved. Both are drains of a machine, for which the protocol allows
+// a task to be stopped.
+type Reason string
+
+// Reasons for moves.
+const (
+	SpotNotice  Reason = "spot notice"  // the cloud takes the machine away
+	SlowMachine Reason = "slow machine" // it was set aside for return, since its tasks take much longer
+)
+
+// Declined is why a task was not moved.
+type Declined string
+
+// Why tasks are not moved.
+const (
+	NotDeclined   Declined = ""
+	StaleView     Declined = "the view of a machine is old"
+	CannotSave    Declined = "it can't save its progress"
+	JustStarted   Declined = "it has just started"
+	NearlyDone    Declined = "it is nearly done"
+	MovedLately   Declined = "it was moved lately"
+	TeamAtLimit   Declined = "its team is at its limit"
+	TeamBudget    Declined = "its team's moves of this minute are used up"
+	MachineBudget Declined = "the machine's moves of this minute are used up"
+	NoRoom        Declined = "no machine that fits has room"
+	NoGain        Declined = "the gain does not exceed the cost"
+	NotCooler     Declined = "the destination would be no cooler"
+	Vetoed        Declined = "the policy script vetoed it"
+)
+
+// Key names a task, whatever its attempt.
+type Key struct {
+	Job string
+	N   int
+}
+
+// Candidate is a running task on a machine that is to be drained.
+type Candidate struct {
+	Key        Key
+	Team       string
+	Machine    string
+	Reason     Reason
+	Ran        clock.Micros // so far
+	Left       clock.Micros // of its run there, as far as is known
+	Unsaved    clock.Micros // progress that is lost on average if the machine goes
+	CanSave    bool
+	SaveFor    clock.Micros // how long it takes to save
+	NoticeLeft clock.Micros // until the machine is taken, with a spot notice
+	Pace       float64      // how long tasks take on the machine against elsewhere
+	Heat       float64      // of the machine
+	ViewAge    clock.Micros
+}
+
+// Destination is a machine that has room for a candidate.
+type Destination struct {
+	Machine string
+	Fetch   clock.Micros // of the image, until the task can start
+	Pace    float64
+	Heat    float64 // of the machine with the task on it
+	ViewAge clock.Micros
+}
+
+// Limits of moves.
+type Limits struct {
+	Margin     float64 // the gain must be so many times the cost
+	CoolDown   clock.Micros
+	PerTeam    int          // moves in a minute
+	PerMachine int          // moves from or to it in a minute
+	Detect     clock.Micros // how long it takes to notice that a machine is gone
+}
+
+const (
+	// leastRun is how long a task runs before it is moved.
+	leastRun = 30 * clock.Second
+	// leastLeft is how much of its run must be left.
+	leastLeft = 10 * clock.Second
+	// freshView is how old the view of a machine may be.
+	freshView = 5 * clock.Second
+	// handOver is what a move takes beside saving and fetching: reports and answers.
+	handOver = 2 * clock.Second
+	// noticeShort is the part of a notice that is there for certain.
+	noticeShort = 0.5
+	minute      = 60 * clock.Second
+	// recentMoves is how many moves are remembered for operators.
+	recentMoves = 32
+)
+
+// Record is a move as operators are told of it.
+type Record struct {
+	Team, From, To string
+	Key            Key
+	Reason         Reason
+	Gain, Cost     clock.Micros
+	Began          clock.Micros
+	Outcome        Outcome
+}
+
+// Book decides on moves and keeps their budgets.
+type Book struct {
+	limits   Limits
+	moved    map[Key]clock.Micros
+	team     map[string][]clock.Micros
+	machine  map[string][]clock.Micros
+	declined map[string]map[Declined]int
+	recent   []*Record
+}
+
+// NewBook makes an empty book.
+func NewBook(l Limits) *Book {
+	return &Book{limits: l, moved: map[Key]clock.Micros{}, team: map[string][]clock.Micros{}, machine: map[string][]clock.Micros{},
+		declined: map[string]map[Declined]int{}}
+}
+
+// Consider tells whether a task may be moved at all, before a destination is looked for.
+func (b *Book) Consider(c *Candidate, now clock.Micros) Declined {
+	at, moved := b.moved[c.Key]
+	switch {
+	case c.ViewAge > freshView:
+		return StaleView
+	case !c.CanSave:
+		return CannotSave
+	case c.Ran < leastRun:
+		return JustStarted
+	case c.Left < leastLeft:
+		return NearlyDone
+	case moved && now < at+b.limits.CoolDown:
+		return MovedLately
+	case spent(b.team, c.Team, now) >= b.limits.PerTeam:
+		return TeamBudget
+	case spent(b.machine, c.Machine, now) >= b.limits.PerMachine:
+		return MachineBudget
+	}
+	return NotDeclined
+}
+
+// Weigh tells whether a move to a destination is worth it: its gain exceeds its cost with a
+// margin, and the destination is cooler with the task than the source is now.
+func (b *Book) Weigh(c *Candidate, to *Destination, now clock.Micros) (gain, cost clock.Micros, why Declined) {
+	if to.ViewAge > freshView {
+		return 0, 0, StaleView
+	}
+	if spent(b.machine, to.Machine, now) >= b.limits.PerMachine {
+		return 0, 0, MachineBudget
+	}
+	cost = c.SaveFor + to.Fetch + handOver
+	gain = b.gain(c, to)
+	if gain.Seconds() <= cost.Seconds()*b.limits.Margin {
+		return gain, cost, NoGain
+	}
+	if to.Heat >= c.Heat {
+		return gain, cost, NotCooler
+	}
+	return gain, cost, NotDeclined
+}
+
+// gain is how much earlier a task is done by a move, its cost left out.
+func (b *Book) gain(c *Candidate, to *Destination) clock.Micros {
+	pace := func(p float64) float64 {
+		if p <= 0 {
+			return 1
+		}
+		return p
+	}
+	left := clock.Micros(float64(c.Left) / pace(c.Pace) * pace(to.Pace)) // elsewhere
+	switch c.Reason {
+	case SlowMachine:
+		return c.Left - left
+	case SpotNotice:
+		certain := clock.Micros(float64(c.NoticeLeft) * noticeShort)
+		if c.Left <= certain || c.SaveFor >= certain {
+			return 0 // it is done before, or can't be saved in time
+		}
+		return c.Unsaved + b.limits.Detect + c.Left - left
+	}
+	return 0
+}
+
+// Decline takes note of why a task was not moved.
+func (b *Book) Decline(team string, why Declined) {
+	if b.declined[team] == nil {
+		b.declined[team] = map[Declined]int{}
+	}
+	b.declined[team][why]++
+}
+
+// Begin takes a move on: it counts against the budgets, whatever becomes of it.
+func (b *Book) Begin(c *Candidate, to *Destination, gain, cost, now clock.Micros) *Move {
+	b.moved[c.Key] = now
+	b.team[c.Team] = append(b.team[c.Team], now)
+	for _, m := range []string{c.Machine, to.Machine} {
+		b.machine[m] = append(b.machine[m], now)
+	}
+	r := &Record{Team: c.Team, From: c.Machine, To: to.Machine, Key: c.Key, Reason: c.Reason, Gain: gain, Cost: cost, Began: now, Outcome: UnderWay}
+	b.recent = append(b.recent, r)
+	if len(b.recent) > recentMoves {
+		b.recent = slices.Delete(b.recent, 0, 1)
+	}
+	return &Move{Record: r, stage: reserving, until: now + HoldFor}
+}
+
+// Forget drops what no budget looks at any more.
+func (b *Book) Forget(now clock.Micros) {
+	for key, at := range b.moved {
+		if now >= at+b.limits.CoolDown {
+			delete(b.moved, key)
+		}
+	}
+	for _, spending := range []map[string][]clock.Micros{b.team, b.machine} {
+		for name := range spending {
+			if spent(spending, name, now) == 0 {
+				delete(spending, name)
+			}
+		}
+	}
+}
+
+// spent counts the moves of the last minute.
+func spent(list map[string][]clock.Micros, name string, now clock.Micros) (n int) {
+	for _, at := range list[name] {
+		if now < at+minute {
+			n++
+		}
+	}
+	return n
+}
+
+// Recent gives the latest moves of a team, the last one first.
+func (b *Book) Recent(team string) (out []Record) {
+	for _, r := range slices.Backward(b.recent) {
+		if r.Team == team {
+			out = append(out, *r)
+		}
+	}
+	return out
+}
+
+// DeclinedOf counts why tasks of a team were not moved.
+func (b *Book) DeclinedOf(team string) map[Declined]int { return b.declined[team] }
