--- a/internal/console/teams.go
+++ b/internal/console/teams.go
@@ -135,3 +135,21 @@
 	}
 	return fmt.Sprintf("%.1f/%.1f/%.1f s", q.P50.Seconds(), q.P95.Seconds(), q.P99.Seconds())
 }
+
+// PlacerOf names the controller that places a team under the latest term, empty where none
+// that is reached does.
+func PlacerOf(controllers []Controller, team string) (host string) {
+	answers, _, err := ask[peer.TeamsAnswer](controllers, "Teams", peer.TeamsQuery{})
+	if err != nil {
+		return ""
+	}
+	latest := uint64(0)
+	for i := range answers {
+		for _, s := range answers[i].Teams {
+			if s.Team == team && s.Term >= latest {
+				host, latest = answers[i].Host, s.Term
+			}
+		}
+	}
+	return host
+}
--- /dev/null
+++ b/internal/loopback/cluster.go
@@ -0,0 +1,190 @@
+package loopback
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// Setup of a cluster.
+type Setup struct {
+	Program string // the built program
+	Policy  string // text of the policy script
+	Workers int
+	Teams   []config.Team
+	RunFor  time.Duration // of every task
+	LogDir  string        // logs of the controllers go there
+}
+
+// cluster is three controllers and what they need.
+type cluster struct {
+	Setup
+	*fleet
+	settings map[string]string // files, by host
+	running  map[string]*exec.Cmd
+}
+
+// leaseS is the workers' lease.
+const leaseS = 16
+
+// newCluster starts a cluster, and gives it back once it is ready. Everything ends with ctx.
+func newCluster(ctx context.Context, s Setup, done func(task string)) (*cluster, error) {
+	c := &cluster{Setup: s, settings: map[string]string{}, running: map[string]*exec.Cmd{},
+		fleet: &fleet{clock: clock.NewSteady(), runFor: s.RunFor, controllers: map[string]string{}, hosts: []string{"a", "b", "c"},
+			began: map[string]clock.Micros{}, on: map[string]string{}, done: done}}
+	var machines []wire.Rental
+	var workers []*worker
+	for i := range s.Workers {
+		w, err := newWorker(c.fleet, fmt.Sprintf("m-%06d", i), leaseS*clock.Second, i%len(c.hosts))
+		if err != nil {
+			return nil, err
+		}
+		workers = append(workers, w)
+		machines = append(machines, wire.Rental{ID: w.ID, Addr: w.addr, Type: "big", Zone: "a", Phase: wire.MachineRunning, AgeS: 60})
+	}
+	types := []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, CacheGB: 100, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"a"}}}
+	stateAddr, err := serve(stateService(fakes.NewState()))
+	if err != nil {
+		return nil, err
+	}
+	cloudAddr, err := serve(cloud(machines, types))
+	if err != nil {
+		return nil, err
+	}
+	if err := c.writeSettings(stateAddr, cloudAddr); err != nil {
+		return nil, err
+	}
+	for _, h := range c.hosts {
+		if err := c.start(ctx, h); err != nil {
+			return nil, err
+		}
+	}
+	for _, w := range workers {
+		go w.run(ctx)
+	}
+	return c, c.ready(ctx)
+}
+
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// writeSettings writes the controllers' settings and the policy.
+func (c *cluster) writeSettings(stateAddr, cloudAddr string) error {
+	cluster := map[string]string{}
+	for _, h := range c.hosts {
+		var err error
+		if c.controllers[h], err = freeAddr(); err != nil {
+			return err
+		}
+		if cluster[h], err = freeAddr(); err != nil {
+			return err
+		}
+	}
+	for _, h := range c.hosts {
+		set := config.Settings{Host: h, Zone: "a", Listen: c.controllers[h], PeerListen: cluster[h]}
+		set.Services.State, set.Services.Cloud = stateAddr, cloudAddr
+		for _, other := range c.hosts {
+			if other != h {
+				set.Peers = append(set.Peers, config.Peer{Host: other, Zone: "a", Addr: cluster[other]})
+			}
+		}
+		p := &set.Params
+		p.Count, p.Zones, p.Teams = len(c.hosts), []string{"a"}, c.Teams
+		p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = reportEvery.Seconds(), leaseS, 36
+		p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 300, 120, 8, 12
+		p.Cloud.RPS, p.Cloud.ListLagS = 5, 1
+		p.Limits.CoreShare, p.Limits.MemoryMB, p.Limits.Sockets = 1, 256, 1000
+		p.SkewMS = 100
+		b, err := json.Marshal(set)
+		if err != nil {
+			return err
+		}
+		c.settings[h] = filepath.Join(c.LogDir, h+".json")
+		if err := os.WriteFile(c.settings[h], b, 0o600); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(c.LogDir, "policy.star"), []byte(c.Policy), 0o600)
+}
+
+// start starts a controller; its log is appended to a file of its own.
+func (c *cluster) start(ctx context.Context, host string) error {
+	log, err := os.OpenFile(filepath.Join(c.LogDir, host+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.CommandContext(ctx, c.Program, "--policy", filepath.Join(c.LogDir, "policy.star"), "--config", c.settings[host])
+	cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	c.running[host] = cmd
+	return nil
+}
+
+// kill ends a controller without a warning.
+func (c *cluster) kill(host string) {
+	c.running[host].Process.Kill() //nolint:errcheck // it may have ended
+	c.running[host].Wait()         //nolint:errcheck // killed
+}
+
+// stand has a controller stand still for a while.
+func (c *cluster) stand(host string, d time.Duration) error {
+	p := c.running[host].Process
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.AfterFunc(d, func() { p.Signal(syscall.SIGCONT) }) //nolint:errcheck // it may have ended
+	return nil
+}
+
+// stop ends all controllers.
+func (c *cluster) stop() {
+	for _, h := range c.hosts {
+		c.kill(h)
+	}
+}
+
+// readyWithin bounds how long a cluster may take to be ready.
+const readyWithin = 20 * time.Second
+
+func (c *cluster) ready(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(readyWithin); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
+		up := 0
+		for _, h := range c.hosts {
+			resp, err := client.Get("http://" + c.controllers[h] + wire.PathReady)
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == 200 {
+					up++
+				}
+			}
+		}
+		if up == len(c.hosts) {
+			time.Sleep(5 * time.Second) // duties settle with their preferred controllers
+			return nil
+		}
+	}
+	return fmt.Errorf("the controllers are not ready; see their logs in %s", c.LogDir)
+}
--- /dev/null
+++ b/internal/loopback/hotteams.go
@@ -0,0 +1,313 @@
+package loopback
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/console"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// The load of a run: as in the test of internal/node, twenty workers run 80 tasks at a time.
+const (
+	hotWorkers = 20
+	hotTeams   = 5
+	hotTasks   = 6
+	hotTimes   = 10
+	hotRunFor  = 4 * time.Second
+	hotOnTime  = 15 * time.Second
+	hotBurst   = 40 * time.Second
+	hotDrain   = 75 * time.Second // at most
+	hotRate    = 0.25             // jobs a second and team
+	hotTeam    = "team-0"
+	standFor   = 10 * time.Second
+	backAfter  = 3 * time.Second
+	failAfter  = hotBurst / 2
+)
+
+// Failure is what happens in the middle of a run.
+type Failure string
+
+// Failures.
+const (
+	NoFailure    Failure = "none"
+	PlacerKilled Failure = "placer" // the hot team's placer is killed and started three seconds later
+	OwnerStands  Failure = "owner"  // a controller that owns machines stands still for ten seconds
+)
+
+// ErrFailure means that there is no such failure.
+var ErrFailure = errors.New("the failure must be none, placer or owner")
+
+// HotTeams plays pairs of runs, without and with one team's burst.
+type HotTeams struct {
+	Program string
+	Seeds   int
+	Failure Failure
+}
+
+// Run writes what came of the runs, fair shares off and on. An error tells that a run failed or a rule broke.
+func (h *HotTeams) Run(ctx context.Context, out io.Writer) error {
+	if !slices.Contains([]Failure{NoFailure, PlacerKilled, OwnerStands}, h.Failure) {
+		return ErrFailure
+	}
+	for seed := range uint64(h.Seeds) {
+		for _, shares := range []bool{false, true} {
+			calm, err := h.play(ctx, seed, shares, false)
+			if err != nil {
+				return err
+			}
+			burst, err := h.play(ctx, seed, shares, true)
+			if err != nil {
+				return err
+			}
+			worst := 0.0
+			for team, share := range calm.onTime {
+				if team != hotTeam {
+					worst = max(worst, share-burst.onTime[team])
+				}
+			}
+			fmt.Fprintf(out, "seed %d, fair shares %v, failure %s: worst loss of another team's on-time share %.3f\n", seed, shares, h.Failure, worst)
+			for _, team := range slices.Sorted(keys(calm.onTime)) {
+				fmt.Fprintf(out, "  %s: on time %.3f -> %.3f; from submission to end p50/p95/p99 %s -> %s\n",
+					team, calm.onTime[team], burst.onTime[team], quantiles(calm.took[team]), quantiles(burst.took[team]))
+			}
+			fmt.Fprint(out, burst.table)
+		}
+	}
+	return nil
+}
+
+func keys(m map[string]float64) func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func quantiles(d *telemetry.Distribution) string {
+	q := d.Quantiles()
+	return fmt.Sprintf("%.1f/%.1f/%.1f s", q.P50.Seconds(), q.P95.Seconds(), q.P99.Seconds())
+}
+
+// result of one run.
+type result struct {
+	onTime map[string]float64
+	took   map[string]*telemetry.Distribution
+	table  string // merlinlatch teams at the end of the burst
+}
+
+// progress is a job's way to its end.
+type progress struct {
+	team      string
+	submitted time.Time
+	done      map[string]bool
+	ended     time.Time
+}
+
+// load is the users' side of a run.
+type load struct {
+	mu   sync.Mutex
+	jobs map[string]*progress
+}
+
+func (l *load) taskDone(task string) {
+	id, _, _ := wire.SplitTask(task)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.done[task] = true; len(j.done) == hotTasks && j.ended.IsZero() {
+		j.ended = time.Now()
+	}
+}
+
+// left counts the jobs that are not done.
+func (l *load) left() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.jobs {
+		if j.ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// play runs a cluster under the teams' load.
+func (h *HotTeams) play(ctx context.Context, seed uint64, shares, burst bool) (*result, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin+hotBurst+hotDrain+30*time.Second)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "merlinlatch-loopback-")
+	if err != nil {
+		return nil, err
+	}
+	setup := Setup{Program: h.Program, Workers: hotWorkers, RunFor: hotRunFor, LogDir: dir, Policy: "fair_shares = False\n"}
+	if shares {
+		setup.Policy = "fair_shares = True\n"
+	}
+	for i := range hotTeams {
+		setup.Teams = append(setup.Teams, config.Team{Name: fmt.Sprintf("team-%d", i)})
+	}
+	l := &load{jobs: map[string]*progress{}}
+	c, err := newCluster(ctx, setup, l.taskDone)
+	if err != nil {
+		return nil, err
+	}
+	defer c.stop()
+	var users sync.WaitGroup
+	for i, t := range setup.Teams {
+		rate := hotRate
+		if burst && t.Name == hotTeam {
+			rate *= hotTimes
+		}
+		users.Go(func() { l.submit(ctx, c, seed*100+uint64(i), i, t.Name, rate) })
+	}
+	failed := make(chan error, 1)
+	time.AfterFunc(failAfter, func() { failed <- h.fail(ctx, c) })
+	users.Wait()
+	out := &result{table: c.teams()}
+	if err := <-failed; err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(hotDrain); l.left() > 0 && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(200 * time.Millisecond)
+	}
+	if n := l.left(); n > 0 {
+		return nil, fmt.Errorf("%d jobs are not done; logs are in %s", n, dir)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.twice) > 0 {
+		return nil, fmt.Errorf("tasks ran on two machines: %v; logs are in %s", c.twice, dir)
+	}
+	l.sumUp(out)
+	return out, os.RemoveAll(dir)
+}
+
+func (l *load) sumUp(out *result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out.onTime, out.took = map[string]float64{}, map[string]*telemetry.Distribution{}
+	all := map[string]float64{}
+	for _, j := range l.jobs {
+		if out.took[j.team] == nil {
+			out.took[j.team] = telemetry.NewDistribution()
+		}
+		took := j.ended.Sub(j.submitted)
+		out.took[j.team].Record(clock.FromDuration(took))
+		all[j.team]++
+		if took <= hotOnTime {
+			out.onTime[j.team]++
+		}
+	}
+	for team, n := range all {
+		out.onTime[team] /= n
+	}
+}
+
+// fail brings the failure about.
+func (h *HotTeams) fail(ctx context.Context, c *cluster) error {
+	switch h.Failure {
+	case PlacerKilled:
+		host := c.placerOf(hotTeam)
+		if host == "" {
+			return errors.New("nobody places the hot team")
+		}
+		c.kill(host)
+		time.Sleep(backAfter)
+		return c.start(ctx, host)
+	case OwnerStands:
+		return c.stand("b", standFor)
+	}
+	return nil
+}
+
+// submit submits jobs of one team until the burst is over.
+func (l *load) submit(ctx context.Context, c *cluster, seed uint64, team int, name string, rate float64) {
+	client := &http.Client{Timeout: 5 * time.Second}
+	rng := fakes.Rand(seed)
+	start := time.Now()
+	at := time.Duration(0)
+	for n := 0; ctx.Err() == nil; n++ {
+		if at += time.Duration((0.5 + rng.Float64()) / rate * float64(time.Second)); at >= hotBurst {
+			return
+		}
+		time.Sleep(time.Until(start.Add(at)))
+		id := fmt.Sprintf("job-%d%05d", team, n)
+		l.mu.Lock()
+		l.jobs[id] = &progress{team: name, submitted: time.Now(), done: map[string]bool{}}
+		l.mu.Unlock()
+		for !c.submit(ctx, client, rng, id, name) && ctx.Err() == nil {
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+// submit sends a submission to one of the controllers.
+func (c *cluster) submit(ctx context.Context, client *http.Client, rng *rand.Rand, id, team string) (accepted bool) {
+	body, err := json.Marshal(map[string]any{"id": id, "jobclass": "x", "owner": team, "shape": "array", "rank": "normal", "shards": hotTasks,
+		"cpus": 2, "accelerators": 0, "mem_gb": 1, "bundle": "img", "size_gb": 1, "one_zone": false, "spread": false, "loaners": true,
+		"guess_s": 4, "snap_every_s": 0, "snap_s": 0})
+	if err != nil {
+		return false
+	}
+	host := c.hosts[rng.IntN(len(c.hosts))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.controllers[host]+wire.PathJobs, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body) //nolint:errcheck // only the status matters
+	return resp.StatusCode == 200 || resp.StatusCode == 201
+}
+
+// controllerSettings reads a host's settings as the program does.
+func (c *cluster) controllerSettings() (*config.Settings, error) {
+	return config.Load(filepath.Join(c.LogDir, c.hosts[0]+".json"))
+}
+
+// teams is what merlinlatch teams writes.
+func (c *cluster) teams() string {
+	set, err := c.controllerSettings()
+	if err != nil {
+		return err.Error()
+	}
+	var out bytes.Buffer
+	if err := console.Teams(&out, set, console.Controllers(set), ""); err != nil {
+		return err.Error() + "\n"
+	}
+	return out.String()
+}
+
+// placerOf is the controller that places a team, empty where none says so.
+func (c *cluster) placerOf(team string) string {
+	set, err := c.controllerSettings()
+	if err != nil {
+		return ""
+	}
+	return console.PlacerOf(console.Controllers(set), team)
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -45,8 +45,9 @@
 	reportS float64
 	txnOps  int
 	valueKB float64
-	teams   []config.Team // red, with a limit, and blue where none are given
-	script  string        // the operators' policy
+	teams   []config.Team     // red, with a limit, and blue where none are given
+	script  string            // the operators' policy
+	scripts map[string]string // of single hosts
 
 	mu          sync.Mutex
 	up          map[string]*process
@@ -145,7 +146,7 @@
 }
 
 func newClusterWith(t *testing.T, workers int, given *cluster) *cluster {
-	c := &cluster{t: t, teams: given.teams, script: given.script, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, unreachable: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}, cancelled: map[string]cancelled{}, hung: map[string]bool{}, noted: map[string]int{}, behind: map[string]time.Duration{}, blue: map[string]bool{}, unheard: map[string]bool{}, only: map[string]string{}, accepted: map[string]bool{}, told: map[string]string{}}
+	c := &cluster{t: t, teams: given.teams, script: given.script, scripts: given.scripts, reportS: given.reportS, txnOps: given.txnOps, valueKB: given.valueKB, st: fakes.NewState(), clock: clock.NewSteady(), up: map[string]*process{}, cut: map[string]bool{}, still: map[string]chan struct{}{}, unreachable: map[string]bool{}, at: map[string]string{}, began: map[string]clock.Micros{}, cancelled: map[string]cancelled{}, hung: map[string]bool{}, noted: map[string]int{}, behind: map[string]time.Duration{}, blue: map[string]bool{}, unheard: map[string]bool{}, only: map[string]string{}, accepted: map[string]bool{}, told: map[string]string{}}
 	_, err := c.direct().Commit(t.Context(), wire.Multi{Then: []wire.Op{{Put: state.Catalog, Value: wire.Catalog{
 		Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}}}})
 	require.NoError(t, err)
@@ -186,7 +187,11 @@
 			peers[h] = line{c, h, host}
 		}
 	}
-	knobs, err := policy.Parse(c.script, set)
+	script, own := c.scripts[host]
+	if !own {
+		script = c.script
+	}
+	knobs, err := policy.Parse(script, set)
 	require.NoError(c.t, err)
 	ctx, kill := context.WithCancel(c.t.Context())
 	p := &process{view: &fakes.View{State: c.st}, kill: kill}
--- a/internal/node/hotteam_test.go
+++ b/internal/node/hotteam_test.go
@@ -40,6 +40,7 @@
 	shares  bool // fair shares are on
 	burst   bool
 	failure func(c *cluster) // in the middle of the burst
+	without []string         // hosts with fair shares off all the same
 }
 
 // jobProgress is a job's way to its end.
@@ -68,6 +69,10 @@
 	if r.shares {
 		given.script = "fair_shares = True"
 	}
+	given.scripts = map[string]string{}
+	for _, host := range r.without {
+		given.scripts[host] = "fair_shares = False"
+	}
 	pending := map[string][]time.Duration{}
 	for i := range hotTeams {
 		team := fmt.Sprintf("team-%d", i)
@@ -234,3 +239,17 @@
 		}
 	}
 }
+
+// Controllers that are switched one after the other work together: the rules hold and every
+// job is done. What is without shares meanwhile is as it was.
+func TestControllersWithAndWithoutFairSharesWorkTogether(t *testing.T) {
+	for _, without := range [][]string{{"a"}, {"a", "b"}, {"c"}} {
+		synctest.Test(t, func(t *testing.T) {
+			shares := hotRun{seed: 1, shares: true, burst: true, without: without}.play(t)
+			t.Logf("without %v: %v", without, shares)
+			for i := range hotTeams {
+				require.Positive(t, shares[fmt.Sprintf("team-%d", i)])
+			}
+		})
+	}
+}
--- a/internal/owner/views.go
+++ b/internal/owner/views.go
@@ -112,7 +112,7 @@
 	for _, m := range changed {
 		out.Machines = append(out.Machines, t.view(m, after, now))
 	}
-	if t.arbiter != nil {
+	if t.arbiter != nil && len(in.Demands) > 0 {
 		out.Capacity, out.Standings = t.Standings(now)
 	}
 	return out
--- a/internal/peer/pages.go
+++ b/internal/peer/pages.go
@@ -11,7 +11,7 @@
 const PageMachines = 250
 
 // ErrPagesDiffer means that the owner's process or its partitions changed between two
-// pages of an answer.
+// pages of an answer, or that a page does not follow the one before.
 var ErrPagesDiffer = errors.New("the pages of an answer do not belong together")
 
 // CollectPages polls an owner page by page and joins the pages into one answer.
@@ -36,8 +36,11 @@
 		if page.Incarnation != all.Incarnation || page.Full != all.Full || !maps.Equal(page.Parts, all.Parts) {
 			return PollAnswer{}, ErrPagesDiffer
 		}
+		if len(page.Machines) == 0 || page.Machines[0].ID <= in.AfterID {
+			return PollAnswer{}, ErrPagesDiffer // it would be asked for again for ever
+		}
 		all.Machines = append(all.Machines, page.Machines...)
-		more = page.More && len(page.Machines) > 0
+		more = page.More
 	}
 	all.More = false
 	return all, nil
--- a/internal/peer/pages_test.go
+++ b/internal/peer/pages_test.go
@@ -15,6 +15,7 @@
 	machines int
 	calls    []Poll
 	between  func(call int)
+	stuck    bool // it answers with the first page always
 }
 
 func (o *pagedOwner) poll(in Poll) (PollAnswer, error) {
@@ -25,7 +26,7 @@
 	out := PollAnswer{Incarnation: o.instance, Cursor: o.version, Full: true, Parts: o.parts}
 	for i := range o.machines {
 		id := fmt.Sprintf("m-%06d", i)
-		if id <= in.AfterID {
+		if id <= in.AfterID && !o.stuck {
 			continue
 		}
 		if len(out.Machines) == in.Most {
@@ -60,8 +61,9 @@
 // a change of the owner's process or of the partitions that it holds.
 func TestPagesOfDifferentOwnersAreNotJoined(t *testing.T) {
 	for name, change := range map[string]func(*pagedOwner){
-		"another process":      func(o *pagedOwner) { o.instance = "two" },
-		"a partition was lost": func(o *pagedOwner) { o.parts = map[int]uint64{} },
+		"another process":                func(o *pagedOwner) { o.instance = "two" },
+		"a partition was lost":           func(o *pagedOwner) { o.parts = map[int]uint64{} },
+		"pages don't follow one another": func(o *pagedOwner) { o.stuck = true },
 		"a partition has another term": func(o *pagedOwner) {
 			o.parts = map[int]uint64{0: 8}
 		},
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -251,7 +251,7 @@
 	in := p.scheduler.Cursor(host)
 	in.Wait = wait
 	if p.fairShares {
-		in.Demands = p.scheduler.TeamDemands(p.clock.Now())
+		in.Demands = p.scheduler.TellDemands(host, p.clock.Now())
 	}
 	p.mu.Unlock()
 	ans, err := p.owners[host].Poll(in)
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -122,6 +122,7 @@
 	holds    bool // it holds room for tasks that are to move
 	resync   bool // a view did not fit what was known: ask for everything
 	shares   ownerShares
+	toldAt   clock.Micros // when it was last told what waits
 }
 
 // SetFetch tells how fast machine types fetch images, in GB a second.
--- a/internal/placer/shares.go
+++ b/internal/placer/shares.go
@@ -80,17 +80,27 @@
 // first. The others are told of once those are placed.
 const mostShapes = 24
 
-// demandGap is how often what waits is counted anew for the owners.
+// demandGap is how often what waits is told to an owner, and counted anew for that. Polls follow
+// one another much faster under load, and most of a small controller's time goes into them.
 const demandGap = 250 * clock.Millisecond
 
-// TeamDemands tells what waits of each team that is held, also where nothing does. Tasks
-// that a former placer may have started, and that wait for machines to be accounted for, are
-// not told of: no room could be used for them now.
-func (d *Scheduler) TeamDemands(now clock.Micros) []fairshare.Demand {
-	if d.demandsAt != 0 && now < d.demandsAt+demandGap {
-		return d.demands
+// TellDemands gives what to tell an owner with a poll, nothing where it was told a moment ago.
+func (d *Scheduler) TellDemands(host string, now clock.Micros) []fairshare.Demand {
+	o := d.owners[host]
+	if o.toldAt != 0 && now < o.toldAt+demandGap {
+		return nil
+	}
+	o.toldAt = now
+	if d.demandsAt == 0 || now >= d.demandsAt+demandGap/2 {
+		d.demandsAt, d.demands = now, d.teamDemands(now)
 	}
-	d.demandsAt = now
+	return d.demands
+}
+
+// teamDemands counts what waits of each team that is held, also where nothing does. Tasks
+// that a former placer may have started, and that wait for machines to be accounted for, are
+// left out: no room could be used for them now.
+func (d *Scheduler) teamDemands(now clock.Micros) []fairshare.Demand {
 	shapes := map[string][]fairshare.Shape{}
 	places := map[shapeKey]int{}
 	d.eachWaiting(now, func(j *job, tasks int) {
@@ -110,11 +120,11 @@
 		shapes[team] = append(shapes[team], fairshare.Shape{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot,
 			Rank: j.Level, Owed: j.covered, Tasks: tasks})
 	})
-	d.demands = make([]fairshare.Demand, 0, len(d.teams))
+	out := make([]fairshare.Demand, 0, len(d.teams))
 	for name, tm := range d.teams {
-		d.demands = append(d.demands, fairshare.Demand{Team: name, Term: tm.term, Shapes: shapes[name]})
+		out = append(out, fairshare.Demand{Team: name, Term: tm.term, Shapes: shapes[name]})
 	}
-	return d.demands
+	return out
 }
 
 // shapeKey is what makes work of a team alike for the owners.
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -44,7 +44,9 @@
 	moved := !maps.Equal(o.parts, ans.Parts)
 	o.cursor, o.parts = ans.Cursor, ans.Parts
 	o.heardAt, o.holds = now, ans.Holds
-	o.shares = ownerShares{ans.Capacity, ans.Standings, now}
+	if len(ans.Standings) > 0 {
+		o.shares = ownerShares{ans.Capacity, ans.Standings, now}
+	}
 	if ans.Full {
 		o.resync = false
 		for t, term := range in.Terms {
