--- a/internal/rebalance/move.go
+++ b/internal/rebalance/move.go
@@ -45,6 +45,7 @@
 // latter case, and only while the lease there is held.
 type Move struct {
 	*Record
+	book  *Book
 	stage stage
 	until clock.Micros
 }
@@ -66,10 +67,12 @@
 	return StopSource
 }
 
-// Refused takes the destination's refusal.
+// Refused takes the destination's refusal. The task has not been touched: only the budgets keep
+// it from being tried again at once.
 func (m *Move) Refused() Action {
 	if m.stage != ended {
 		m.end(NoLease)
+		delete(m.book.moved, m.Key)
 	}
 	return Nothing
 }
--- a/internal/rebalance/rebalance.go
+++ b/internal/rebalance/rebalance.go
@@ -210,7 +210,7 @@
 	if len(b.recent) > recentMoves {
 		b.recent = slices.Delete(b.recent, 0, 1)
 	}
-	return &Move{Record: r, stage: reserving, until: now + HoldFor}
+	return &Move{Record: r, book: b, stage: reserving, until: now + HoldFor}
 }
 
 // Forget drops what no budget looks at any more.
