--- a/cmd/loopback/main.go
+++ b/cmd/loopback/main.go
@@ -36,7 +36,7 @@
 		},
 	}
 	hot.Flags().StringVar(&h.Program, "program", "target/merlinlatch", "the built program")
-	hot.Flags().IntVar(&h.Seeds, "seeds", 1, "how many seeds; each takes some seven minutes")
+	hot.Flags().IntVar(&h.Seeds, "seeds", 1, "how many seeds; each takes some two minutes")
 	hot.Flags().StringVar(&failure, "failure", string(loopback.NoFailure), "in the middle: none, placer or owner")
 	cmd.AddCommand(hot)
 	return cmd
--- a/internal/loopback/hotteams.go
+++ b/internal/loopback/hotteams.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -15,6 +16,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/config"
 	"github.com/merlinlatch/merlinlatch/internal/console"
@@ -60,46 +63,60 @@
 	Failure Failure
 }
 
-// Run writes what came of the runs, fair shares off and on. An error tells that a run failed or a rule broke.
+// runKey names one of the four runs of a seed.
+type runKey struct{ shares, burst bool }
+
+// Run writes what came of the runs, fair shares off and on, with all seeds pooled. An error tells that
+// a run failed or a rule broke.
 func (h *HotTeams) Run(ctx context.Context, out io.Writer) error {
 	if !slices.Contains([]Failure{NoFailure, PlacerKilled, OwnerStands}, h.Failure) {
 		return ErrFailure
 	}
+	pooled := map[runKey]*result{}
 	for seed := range uint64(h.Seeds) {
-		for _, shares := range []bool{false, true} {
-			calm, err := h.play(ctx, seed, shares, false)
-			if err != nil {
-				return err
-			}
-			burst, err := h.play(ctx, seed, shares, true)
-			if err != nil {
-				return err
-			}
-			worst := 0.0
-			for team, share := range calm.onTime {
-				if team != hotTeam {
-					worst = max(worst, share-burst.onTime[team])
+		// The four runs of a seed go side by side: their clusters share nothing but this machine.
+		var mu sync.Mutex
+		g, ctx := errgroup.WithContext(ctx)
+		for _, key := range []runKey{{false, false}, {false, true}, {true, false}, {true, true}} {
+			g.Go(func() error {
+				r, err := h.play(ctx, seed, key)
+				if err != nil {
+					return err
 				}
-			}
-			fmt.Fprintf(out, "seed %d, fair shares %v, failure %s: worst loss of another team's on-time share %.3f\n", seed, shares, h.Failure, worst)
-			for _, team := range slices.Sorted(keys(calm.onTime)) {
-				fmt.Fprintf(out, "  %s: on time %.3f -> %.3f; from submission to end p50/p95/p99 %s -> %s\n",
-					team, calm.onTime[team], burst.onTime[team], quantiles(calm.took[team]), quantiles(burst.took[team]))
-			}
-			fmt.Fprint(out, burst.table)
+				mu.Lock()
+				defer mu.Unlock()
+				if pooled[key] == nil {
+					pooled[key] = newResult()
+				}
+				pooled[key].add(r)
+				return nil
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return err
 		}
+		fmt.Fprintf(out, "%d of %d seeds played\n", seed+1, h.Seeds)
+	}
+	for _, shares := range []bool{false, true} {
+		h.tell(out, shares, pooled[runKey{shares, false}], pooled[runKey{shares, true}])
 	}
 	return nil
 }
 
-func keys(m map[string]float64) func(yield func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
+// tell writes what the burst did.
+func (h *HotTeams) tell(out io.Writer, shares bool, calm, burst *result) {
+	worst := 0.0
+	for team := range calm.all {
+		if team != hotTeam {
+			worst = max(worst, calm.share(team)-burst.share(team))
 		}
 	}
+	fmt.Fprintf(out, "fair shares %v, failure %s, %d seeds: worst loss of another team's on-time share %.3f\n", shares, h.Failure, h.Seeds, worst)
+	for _, team := range slices.Sorted(maps.Keys(calm.all)) {
+		fmt.Fprintf(out, "  %s: on time %.3f of %d -> %.3f of %d; from submission to end p50/p95/p99 %s -> %s\n", team, calm.share(team),
+			calm.all[team], burst.share(team), burst.all[team], quantiles(calm.took[team]), quantiles(burst.took[team]))
+	}
+	fmt.Fprint(out, burst.table)
 }
 
 func quantiles(d *telemetry.Distribution) string {
@@ -107,11 +124,32 @@
 	return fmt.Sprintf("%.1f/%.1f/%.1f s", q.P50.Seconds(), q.P95.Seconds(), q.P99.Seconds())
 }
 
-// result of one run.
+// result of one run, or of several that are pooled.
 type result struct {
-	onTime map[string]float64
-	took   map[string]*telemetry.Distribution
-	table  string // merlinlatch teams at the end of the burst
+	onTime, all map[string]int // jobs, by team
+	took        map[string]*telemetry.Distribution
+	table       string // merlinlatch teams at the end of the burst
+}
+
+func newResult() *result {
+	return &result{onTime: map[string]int{}, all: map[string]int{}, took: map[string]*telemetry.Distribution{}}
+}
+
+func (r *result) share(team string) float64 {
+	return float64(r.onTime[team]) / float64(max(r.all[team], 1))
+}
+
+// add pools another run.
+func (r *result) add(other *result) {
+	for team, n := range other.all {
+		r.all[team] += n
+		r.onTime[team] += other.onTime[team]
+		if r.took[team] == nil {
+			r.took[team] = telemetry.NewDistribution()
+		}
+		r.took[team].Add(other.took[team])
+	}
+	r.table = other.table
 }
 
 // progress is a job's way to its end.
@@ -154,7 +192,7 @@
 }
 
 // play runs a cluster under the teams' load.
-func (h *HotTeams) play(ctx context.Context, seed uint64, shares, burst bool) (*result, error) {
+func (h *HotTeams) play(ctx context.Context, seed uint64, key runKey) (*result, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin+hotBurst+hotDrain+30*time.Second)
 	defer cancel()
 	dir, err := os.MkdirTemp("", "merlinlatch-loopback-")
@@ -162,7 +200,7 @@
 		return nil, err
 	}
 	setup := Setup{Program: h.Program, Workers: hotWorkers, RunFor: hotRunFor, LogDir: dir, Policy: "fair_shares = False\n"}
-	if shares {
+	if key.shares {
 		setup.Policy = "fair_shares = True\n"
 	}
 	for i := range hotTeams {
@@ -177,7 +215,7 @@
 	var users sync.WaitGroup
 	for i, t := range setup.Teams {
 		rate := hotRate
-		if burst && t.Name == hotTeam {
+		if key.burst && t.Name == hotTeam {
 			rate *= hotTimes
 		}
 		users.Go(func() { l.submit(ctx, c, seed*100+uint64(i), i, t.Name, rate) })
@@ -185,7 +223,8 @@
 	failed := make(chan error, 1)
 	time.AfterFunc(failAfter, func() { failed <- h.fail(ctx, c) })
 	users.Wait()
-	out := &result{table: c.teams()}
+	out := newResult()
+	out.table = c.teams()
 	if err := <-failed; err != nil {
 		return nil, err
 	}
@@ -207,22 +246,17 @@
 func (l *load) sumUp(out *result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out.onTime, out.took = map[string]float64{}, map[string]*telemetry.Distribution{}
-	all := map[string]float64{}
 	for _, j := range l.jobs {
 		if out.took[j.team] == nil {
 			out.took[j.team] = telemetry.NewDistribution()
 		}
 		took := j.ended.Sub(j.submitted)
 		out.took[j.team].Record(clock.FromDuration(took))
-		all[j.team]++
+		out.all[j.team]++
 		if took <= hotOnTime {
 			out.onTime[j.team]++
 		}
 	}
-	for team, n := range all {
-		out.onTime[team] /= n
-	}
 }
 
 // fail brings the failure about.
--- a/internal/telemetry/distribution.go
+++ b/internal/telemetry/distribution.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// Add counts all that another distribution has counted.
+func (d *Distribution) Add(other *Distribution) {
+	if d != nil && other != nil {
+		d.histogram.Merge(other.histogram)
+	}
+}
+
 // Quantiles sums a distribution up.
 type Quantiles struct {
 	Count              int64
