Read: a report is absorbed in steps, messages and machines have files of their own, plain names

Need: absorb was a function of 83 lines, table.go and peer.go had some 400; elder, doubt, quiet, shun and Bury needed explaining. Change: absorbSession, absorbState, absorbTasks, removeUnlisted; machine.go, messages.go; legacyRecords, unconfirmed, reportsOverdue, setAsideUntil, RemoveResigned; the tests' restart of a process and two benchmarks stand once.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -163,7 +163,7 @@
 		a.Hear(0)
 		require.False(t, a.has("one"))
 		_, resigned := a.Contact()
-		b.Bury(t.Context(), "a", resigned)
+		b.RemoveResigned(t.Context(), "a", resigned)
 		time.Sleep(4 * time.Second)
 		require.True(t, b.has("one"))
 		require.False(t, a.has("one"))
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -153,8 +153,8 @@
 	k.poke()
 }
 
-// Bury removes the registration of a peer's incarnation that has resigned.
-func (k *Keeper) Bury(ctx context.Context, host, incarnation string) {
+// RemoveResigned removes the registration of a peer's incarnation that has resigned.
+func (k *Keeper) RemoveResigned(ctx context.Context, host, incarnation string) {
 	k.mu.Lock()
 	inc, stamp := k.book.RegisteredOf(host)
 	k.mu.Unlock()
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -64,7 +64,7 @@
 	g := Group{}
 	if e.Value != nil && json.Unmarshal(e.Value, &g) != nil {
 		var r earlier
-		if !elder(e.Key) || json.Unmarshal(e.Value, &r) != nil || r.Type == "" {
+		if !legacyKey(e.Key) || json.Unmarshal(e.Value, &r) != nil || r.Type == "" {
 			return nil, nil // not understood: what was known stays
 		}
 		g = Group{strings.TrimPrefix(e.Key, state.Machines): {Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}}
@@ -81,16 +81,16 @@
 	Spot bool   `json:"spot"`
 }
 
-// elder tells a key of that release from one of a partition's groups.
-func elder(key string) bool {
+// legacyKey tells a key of that release from one of a partition's groups.
+func legacyKey(key string) bool {
 	return !strings.Contains(strings.TrimPrefix(key, state.Machines), "/")
 }
 
 // Elder tells that there are machines which an earlier release has recorded:
 // tasks may be on them of which its placers left no watermark.
-func (b *Book) Elder() bool {
+func (b *Book) Legacy() bool {
 	for key, g := range b.groups {
-		if elder(key) && len(g.machines) > 0 {
+		if legacyKey(key) && len(g.machines) > 0 {
 			return true
 		}
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -47,7 +47,7 @@
 		}
 		n.mu.Unlock()
 		if out.Resigned != "" {
-			n.keeper.Bury(ctx, host, out.Resigned)
+			n.keeper.RemoveResigned(ctx, host, out.Resigned)
 		}
 	}
 }
--- a/internal/owner/cost_test.go
+++ b/internal/owner/cost_test.go
@@ -119,8 +119,10 @@
 }
 
 // A partition of machines with tasks is taken over and all of them report.
-func BenchmarkTakeOver(b *testing.B) {
-	l := newLoadedOwner(b, leanFleet)
+func BenchmarkTakeOver(b *testing.B) { benchmarkTakeOver(b, leanFleet) }
+
+func benchmarkTakeOver(b *testing.B, machines int) {
+	l := newLoadedOwner(b, machines)
 	b.ReportAllocs()
 	for b.Loop() {
 		l.owner.table.Lose(0)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -178,7 +178,7 @@
 		// seen: the worker has begun anew without a new session. What it was just
 		// told may run there, for a lease from now at most, since its reports are
 		// taken for copies and not answered. It is told nothing more.
-		m.answered, m.doubt = now, true
+		m.answered, m.unconfirmed = now, true
 		m.quietUntil = now + t.timing.Lease.PlusDrift() + clock.Second
 		t.touch(m)
 		return
@@ -206,7 +206,7 @@
 	m.quietUntil = now + 2*clock.Second
 	// Reports may come from a machine that no answer and no order reaches. It
 	// gets no more tasks until it shows that it has heard.
-	m.doubt = true
+	m.unconfirmed = true
 	t.touch(m)
 }
 
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -37,8 +37,8 @@
 		m.quietUntil = 0
 	}
 	m.answered = now
-	if m.quiet {
-		m.quiet = false
+	if m.reportsOverdue {
+		m.reportsOverdue = false
 		t.back(m, now)
 	}
 	ans.Token = m.token
@@ -55,7 +55,24 @@
 	if m.heard && (r.Session < m.session || r.Session == m.session && r.Tick <= m.tick) {
 		return
 	}
-	changed := !m.heard
+	changed := t.absorbSession(m, r, now)
+	changed = t.absorbState(m, r, now) || changed
+	listed := t.absorbTasks(m, r, now)
+	if len(listed) < len(m.tasks) {
+		t.removeUnlisted(m, r, listed, isReport)
+	}
+	if len(m.tasks) > 0 {
+		m.idleSince = now
+	}
+	if changed {
+		t.touch(m)
+		t.due[m.id] = m
+	}
+}
+
+// absorbSession takes a worker's session and tick; changed tells that something is different now.
+func (t *Table) absorbSession(m *machine, r *wire.Report, now clock.Micros) (changed bool) {
+	changed = !m.heard
 	if !m.heard || r.Session > m.session {
 		// A session lasts its whole lease from its own beginning, answered or
 		// not, and it may have begun as late as now.
@@ -76,9 +93,14 @@
 		t.back(m, now)
 	}
 	m.heard, m.session, m.tick = true, r.Session, r.Tick
+	return changed
+}
+
+// absorbState takes which token a worker has seen, and its spot notice.
+func (t *Table) absorbState(m *machine, r *wire.Report, now clock.Micros) (changed bool) {
 	m.seenToken = max(m.seenToken, r.Token)
-	if m.doubt && r.Token >= m.token {
-		m.doubt, changed = false, true
+	if m.unconfirmed && r.Token >= m.token {
+		m.unconfirmed, changed = false, true
 		t.back(m, now)
 	}
 	if !m.accounted && r.Token >= baseToken(t.parts[m.part]) {
@@ -91,7 +113,12 @@
 	if r.NoticeS != nil {
 		m.takenAt = now + clock.FromSeconds(*r.NoticeS)
 	}
-	listed := make(map[peer.TaskID]bool, len(r.Tasks))
+	return changed
+}
+
+// absorbTasks takes the tasks that a worker shows, and gives their ids.
+func (t *Table) absorbTasks(m *machine, r *wire.Report, now clock.Micros) (listed map[peer.TaskID]bool) {
+	listed = make(map[peer.TaskID]bool, len(r.Tasks))
 	for _, tr := range r.Tasks {
 		job, n, ok := wire.SplitTask(tr.Task)
 		if !ok {
@@ -101,12 +128,7 @@
 		listed[id] = true
 		k := m.tasks[id]
 		if k == nil {
-			k = &task{id: id, since: now}
-			if j, ok := t.jobs.Find(job); ok {
-				k.team, k.rank, k.need = j.Team, j.Level, j.Need
-				t.note(m, j.Image, j.ImageGB)
-			}
-			m.tasks[id] = k
+			k = t.foundTask(m, id, now)
 		}
 		if !k.seen || k.phase != tr.Phase {
 			t.show(m, k)
@@ -116,26 +138,33 @@
 		}
 		k.seen, k.sent, k.phase, k.cause = true, true, tr.Phase, tr.Cause
 	}
-	if len(listed) < len(m.tasks) {
-		for id, k := range m.tasks {
-			if listed[id] || !k.sent {
-				continue
-			}
-			switch {
-			case k.seen:
-				t.remove(m, k) // forgotten
-			case k.stop && isReport && r.Tick > k.sentTick && (k.risk == 0 || m.seenToken > k.risk):
-				// Never started, and no copy of its run can arrive any more.
-				t.remove(m, k)
-			}
+	return listed
+}
+
+// foundTask adds a task that a worker shows and nobody has asked for here.
+func (t *Table) foundTask(m *machine, id peer.TaskID, now clock.Micros) *task {
+	k := &task{id: id, since: now}
+	if j, ok := t.jobs.Find(id.Job); ok {
+		k.team, k.rank, k.need = j.Team, j.Level, j.Need
+		t.note(m, j.Image, j.ImageGB)
+	}
+	m.tasks[id] = k
+	return k
+}
+
+// removeUnlisted takes off the tasks that a worker does not show any more, or never will.
+func (t *Table) removeUnlisted(m *machine, r *wire.Report, listed map[peer.TaskID]bool, isReport bool) {
+	for id, k := range m.tasks {
+		if listed[id] || !k.sent {
+			continue
+		}
+		switch {
+		case k.seen:
+			t.remove(m, k) // forgotten
+		case k.stop && isReport && r.Tick > k.sentTick && (k.risk == 0 || m.seenToken > k.risk):
+			// Never started, and no copy of its run can arrive any more.
+			t.remove(m, k)
 		}
-	}
-	if len(m.tasks) > 0 {
-		m.idleSince = now
-	}
-	if changed {
-		t.touch(m)
-		t.due[m.id] = m
 	}
 }
 
@@ -167,7 +196,7 @@
 		}
 		m.errors++
 		m.errJobs[k.id.Job] = true
-		m.shunUntil = now + min(5*clock.Second<<min(m.errors, 4), 60*clock.Second)
+		m.setAsideUntil = now + min(5*clock.Second<<min(m.errors, 4), 60*clock.Second)
 		if len(m.errJobs) >= t.timing.SickErrors || m.errors >= 8 {
 			m.sick = true
 		}
--- a/internal/owner/scale_test.go
+++ b/internal/owner/scale_test.go
@@ -24,16 +24,7 @@
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(machines), "held-B/machine")
 		})
-		b.Run(fmt.Sprintf("take-over/%d", machines), func(b *testing.B) {
-			l := newLoadedOwner(b, machines)
-			for b.Loop() {
-				l.owner.table.Lose(0)
-				l.owner.Reconcile()
-				for i := range l.reports {
-					l.report(i)
-				}
-			}
-		})
+		b.Run(fmt.Sprintf("take-over/%d", machines), func(b *testing.B) { benchmarkTakeOver(b, machines) })
 		b.Run(fmt.Sprintf("page/%d", machines), func(b *testing.B) {
 			l := newLoadedOwner(b, machines)
 			for b.Loop() {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -15,7 +15,6 @@
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/res"
-	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 // Registered is the record of a machine that may hold tasks.
@@ -35,81 +34,6 @@
 	SickErrors int
 }
 
-// task is one attempt on a machine: a lease (nothing sent), sent, or seen.
-type task struct {
-	id       peer.TaskID
-	team     string
-	rank     int
-	need     res.Amounts
-	since    clock.Micros
-	sent     bool         // a run was sent, at least once
-	sentTick uint64       // report whose answer carried the last run
-	risk     uint64       // token of an unanswered /orders that carried a run; 0: none
-	lastSend clock.Micros // by /orders; not repeated at once
-	seen     bool
-	made     uint64 // revision of its job's record; 0: not asked for here, but found
-	phase    string
-	cause    string
-	stop     bool
-	grace    float64
-	settled  bool
-	covered  bool // its job is within its team's guarantee
-	held     bool // it runs elsewhere: nothing is sent before its placer's word
-	hold     clock.Micros
-	version  uint64 // of the view that first shows it as it is
-}
-
-func (k *task) exited() bool { return k.phase == wire.TaskExited }
-
-type machine struct {
-	id   string
-	part int
-	Registered
-	cap        res.Amounts
-	token      uint64 // what orders are sent with
-	seenToken  uint64 // highest that the worker showed
-	session    uint64
-	tick       uint64
-	heard      bool // a report of this term has come
-	answered   clock.Micros
-	registered bool // on record, by a write that no drop of its record can follow
-	dropping   bool // a drop of its record was decided, and may be carried out at any later time
-	accounted  bool
-	silent     bool
-	gone       bool
-	draining   bool
-	noticed    bool
-	takenAt    clock.Micros // by its notice
-	quiet      bool         // its reports have stopped: perhaps it is gone
-	doubt      bool         // an /orders had no answer, and no report has shown the raised token since
-	reported   [2]uint64    // session and tick of the last report
-	sick       bool
-	probedAt   clock.Micros
-	quietUntil clock.Micros // no /orders until then: one had no answer
-	inflight   bool
-	orderTick  uint64 // the worker's tick when the /orders on its way was sent
-	shunUntil  clock.Micros
-	errors     int
-	errJobs    map[string]bool
-	images     []string // in its cache as far as is known, the latest used first
-	imagesAt   uint64   // version since when they are so
-	idleSince  clock.Micros
-	version    uint64
-	tasks      map[peer.TaskID]*task
-	left       []departed // tasks gone lately, the oldest first
-	floor      uint64     // who knows the machine as of an earlier version is told of all its tasks
-	place      *list.Element
-}
-
-// departed is a task that is on its machine no more.
-type departed struct {
-	id      peer.TaskID
-	version uint64
-}
-
-// maxLeft bounds how many departed tasks a machine remembers.
-const maxLeft = 256
-
 // Table holds the machines of the partitions that this controller owns.
 type Table struct {
 	timing    Timing
@@ -231,28 +155,6 @@
 	return m
 }
 
-// inUse is what the machine's tasks take that are there, or may be, and what
-// is spoken for. A task that was told to stop is still there, but its room may
-// be leased already: the lease waits for its end.
-func (m *machine) inUse() (started, spoken res.Amounts) {
-	for _, k := range m.tasks {
-		if k.exited() {
-			continue
-		}
-		if !k.stop {
-			spoken = spoken.Plus(k.need)
-		}
-		if k.sent {
-			started = started.Plus(k.need)
-		}
-	}
-	return started, spoken
-}
-
-func (m *machine) usable(now clock.Micros) bool {
-	return m.accounted && m.registered && !m.silent && !m.gone && !m.draining && !m.noticed && !m.quiet && !m.doubt && !m.sick && now >= m.shunUntil
-}
-
 // Tick lets leases lapse and machines fall silent. It gives the machines whose
 // record may be dropped: nothing can be on them any more.
 func (t *Table) Tick(now clock.Micros) (drop []string) {
@@ -264,10 +166,10 @@
 			clear(m.tasks)
 			t.showAll(m)
 		}
-		if quiet := t.timing.Quiet > 0 && now > m.answered+t.timing.Quiet; quiet && !m.quiet {
+		if quiet := t.timing.Quiet > 0 && now > m.answered+t.timing.Quiet; quiet && !m.reportsOverdue {
 			// Long before its lease is over: what is placed there now would be
 			// lost if it is gone, and others may be rented in its place.
-			m.quiet = true
+			m.reportsOverdue = true
 			t.touch(m)
 		}
 		for _, k := range m.tasks {
@@ -275,8 +177,8 @@
 				t.remove(m, k)
 			}
 		}
-		if m.shunUntil != 0 && now >= m.shunUntil {
-			m.shunUntil = 0
+		if m.setAsideUntil != 0 && now >= m.setAsideUntil {
+			m.setAsideUntil = 0
 			t.touch(m)
 		}
 		if (m.silent || m.gone) && (m.registered || m.dropping) {
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,272 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/fairshare"
+	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// TaskID names one attempt of one task.
+type TaskID struct {
+	Job     string
+	N       int
+	Attempt uint64
+}
+
+// String is for logs.
+func (t TaskID) String() string { return fmt.Sprintf("%s/%d#%x", t.Job, t.N, t.Attempt) }
+
+// TaskView is a task as its machine's owner sees it.
+type TaskView struct {
+	ID       TaskID
+	Team     string
+	Rank     int
+	Need     res.Amounts
+	Phase    string // "" while the start was not seen yet
+	Cause    string
+	Stopping bool
+	Covered  bool         // its job is within its team's guarantee
+	Since    clock.Micros // age of the lease when the view was made
+	Held     bool         // room is held for it, and it starts by its placer's word only
+}
+
+// MachineView is a machine as its owner sees it. Of its tasks it lists those
+// that changed since the asker's cursor, or all of them.
+type MachineView struct {
+	ID        string
+	Part      int
+	Term      uint64
+	Version   uint64
+	Type      string
+	Zone      string
+	Spot      bool
+	Cap       res.Amounts
+	Free      res.Amounts
+	Accounted bool // the table is the truth: no order of a former owner can change it
+	Usable    bool // may get tasks
+	Draining  bool
+	Silent    bool // no report for the whole lease: all its tasks are gone
+	Noticed   bool // spot notice
+	// NoticeLeft is how long the machine had, by its notice, when the view was made.
+	NoticeLeft clock.Micros
+	Sick       bool
+	Images     []string     // in its cache; none when that has not changed since the asker's cursor
+	Idle       clock.Micros // how long without tasks
+	Count      int          // how many tasks there are
+	Whole      bool         // Tasks lists all of them
+	Tasks      []TaskView
+	Left       []TaskID // tasks that are there no more, since the asker's cursor
+}
+
+// Ask asks for a lease on a machine's room for one task, and hands the task over.
+type Ask struct {
+	ID      TaskID
+	Made    uint64 // revision of its job's record
+	Team    string
+	Rank    int
+	Need    res.Amounts
+	Image   string
+	ImageGB float64
+	Machine string
+	Term    uint64   // of the machine's partition
+	Victims []TaskID // tasks of others to stop for it
+	Over    bool     // victims may have the same or a higher rank: their team is beyond its guarantee
+	Covered bool     // the task's job is within its team's guarantee
+	// Hold asks for room that is held for at most so long, for a task that runs elsewhere and
+	// is to move here: nothing is started before a Start. 0: the task starts at once.
+	Hold clock.Micros
+}
+
+// Start tells that a task is gone from where it ran, and starts on the room held for it.
+type Start struct {
+	ID      TaskID
+	Machine string
+	Team    string
+}
+
+// Stop asks for the end of a task.
+type Stop struct {
+	ID      TaskID
+	Machine string
+	GraceS  float64
+}
+
+// Settle tells that the end of a task is taken note of: it may be forgotten.
+type Settle struct {
+	ID      TaskID
+	Machine string
+}
+
+// Cancel is a job of which nothing may run any more, by the word of its team's placer.
+type Cancel struct{ Job, Team string }
+
+// Round is what a placing controller has for one owner. Rounds from one
+// incarnation are numbered; a repeat is answered as the first time.
+type Round struct {
+	From    string // incarnation of the placing controller
+	Seq     uint64
+	Terms   map[string]uint64 // its teams' terms: older ones are refused from now on
+	Asks    []Ask
+	Stops   []Stop
+	Settles []Settle
+	Cancels []Cancel
+	Starts  []Start  // of tasks whose room is held
+	Slow    []string // machines on which tasks take much longer than elsewhere
+}
+
+// Empty tells that a round carries nothing.
+func (r *Round) Empty() bool {
+	return len(r.Asks)+len(r.Stops)+len(r.Settles)+len(r.Cancels)+len(r.Starts)+len(r.Slow) == 0
+}
+
+// RoundAnswer answers a round.
+type RoundAnswer struct {
+	Incarnation string
+	Refused     []bool   // one for each ask
+	Versions    []uint64 // of the machine's view that first shows the lease, one for each ask
+	Yielded     []bool   // refused since other teams have a better right to the room; none where no ask was
+}
+
+// Poll asks for the machines that changed after a cursor, waiting for a change.
+type Poll struct {
+	Incarnation string // of the owner, as last heard
+	Cursor      uint64
+	Terms       map[string]uint64
+	Wait        clock.Micros
+	Gen         uint64 // for the asker's own use
+	Most        int    // machines that an answer may list; 0: any number
+	AfterID     string // lists only machines whose names follow, as the next page of an answer
+	// Demands is what waits of the asker's teams, where fair shares are on.
+	Demands []fairshare.Demand
+}
+
+// PollAnswer answers a poll.
+type PollAnswer struct {
+	Incarnation string
+	Cursor      uint64
+	Full        bool
+	Parts       map[int]uint64 // partitions held, with terms
+	Machines    []MachineView  // in order of their names
+	More        bool           // there are more machines than the asker wanted at a time
+	// Capacity and Standings are the teams' shares of the owner's machines, where fair shares are on.
+	Capacity  res.Amounts
+	Standings []fairshare.Standing
+	Holds     bool // the owner holds room for tasks that are to move
+}
+
+// Hello is what controllers tell each other once a second.
+type Hello struct {
+	Contact  clock.Micros // how long ago the state service confirmed its hold
+	Resigned string       // its last incarnation that gave up for good
+	From     string       // who says this
+	Strays   int          // in an answer: machines of the asker's that have come to the answerer lately
+	Machines int          // in an answer: how many should be reporting to the answerer
+	Unheard  int          // and how many of them have left out a report
+}
+
+// Demand is work that waits for room, or runs, as the fleet needs to know it.
+type Demand struct {
+	Need    res.Amounts
+	Types   []string
+	Zone    string
+	Spot    bool
+	Rank    int
+	Waiting int // tasks
+	RunFor  clock.Micros
+	Slack   clock.Micros // how much later it may start; 0 when it is late or has no deadline
+}
+
+// DemandAnswer answers the fleet.
+type DemandAnswer struct{ Demands []Demand }
+
+// JobQuery asks the placer about a job, or to withdraw it.
+type JobQuery struct{ Team, ID string }
+
+// JobAnswer is the placer's answer.
+type JobAnswer struct {
+	Known bool // this controller places the team's jobs and may speak
+	Found bool
+	Retry bool // not yet: ask again
+	State wire.JobState
+}
+
+// SubmitQuery hands a user's submission to a controller that reaches the state service.
+type SubmitQuery struct{ Body []byte }
+
+// SubmitAnswer is what its user is to be told.
+type SubmitAnswer struct {
+	Status     int
+	Body       []byte
+	RetryAfter int
+}
+
+// Machine names a machine and its zone, which tells its partition.
+type Machine struct{ ID, Zone string }
+
+// DrainQuery asks an owner to keep machines free for their return.
+type DrainQuery struct{ Machines []Machine }
+
+// DrainAnswer names those that hold neither task nor lease and get none any more.
+type DrainAnswer struct{ Ready []string }
+
+// GoneNote tells an owner of machines that are gone for certain.
+type GoneNote struct{ Machines []Machine }
+
+// TeamStatus is how a team stands, as its placer sees it.
+type TeamStatus struct {
+	Team      string
+	Term      uint64
+	Guarantee res.Amounts
+	Limit     res.Amounts // an amount of 0 means none
+	Used      res.Amounts // by all that is or may be on a machine
+	Jobs      int         // that are not over
+	Waiting   int         // tasks
+	Running   int         // tasks that are on a machine, or on their way there
+	Waits     telemetry.Quantiles
+	Lateness  telemetry.Quantiles
+	Moves     []MoveNote // the latest, the last one first
+	Unmoved   []Unmoved  // why tasks on machines that are to be drained were not moved
+}
+
+// MoveNote tells of a move of a running task.
+type MoveNote struct {
+	Task, From, To, Reason, Outcome string
+	Gain, Cost, Ago                 clock.Micros
+}
+
+// Unmoved tells how often tasks were not moved for a reason.
+type Unmoved struct {
+	Why   string
+	Count int
+}
+
+// TeamsQuery asks a controller how the teams stand.
+type TeamsQuery struct{}
+
+// TeamsAnswer is what one controller knows of the teams: of those that it places, and of all
+// teams' shares of the machines that it owns.
+type TeamsAnswer struct {
+	Host      string
+	Teams     []TeamStatus
+	Capacity  res.Amounts
+	Standings []fairshare.Standing // none where fair shares are off
+	Yielded   uint64               // asks that had to leave room to other teams
+}
+
+// Service is what every controller offers to its peers.
+type Service interface {
+	Round(in Round, out *RoundAnswer) error
+	Poll(in Poll, out *PollAnswer) error
+	Hello(in Hello, out *Hello) error
+	Demand(in Hello, out *DemandAnswer) error
+	Status(in JobQuery, out *JobAnswer) error
+	Withdraw(in JobQuery, out *JobAnswer) error
+	Submit(in SubmitQuery, out *SubmitAnswer) error
+	Drain(in DrainQuery, out *DrainAnswer) error
+	Gone(in GoneNote, out *DrainAnswer) error
+	Teams(in TeamsQuery, out *TeamsAnswer) error
+}
--- a/internal/placer/cost_test.go
+++ b/internal/placer/cost_test.go
@@ -76,11 +76,14 @@
 }
 
 // Every machine's view is taken, as after a restart.
-func BenchmarkViewsOfWholeFleet(b *testing.B) {
+func BenchmarkViewsOfWholeFleet(b *testing.B) { benchmarkViews(b, leanFleet) }
+
+// benchmarkViews has a scheduler take the views of so many machines at once.
+func benchmarkViews(b *testing.B, machines int) {
 	b.ReportAllocs()
 	for b.Loop() {
 		b.StopTimer()
-		d, ans := loadedScheduler(leanFleet, 1)
+		d, ans := loadedScheduler(machines, 1)
 		b.StartTimer()
 		ans.Cursor++
 		d.Hear("h0", d.Cursor("h0"), ans, 2*sec)
--- a/internal/placer/moves_test.go
+++ b/internal/placer/moves_test.go
@@ -103,22 +103,10 @@
 	}
 	troubles := map[string]func(w *world, from, to string){
 		"the destination's owner ends": func(w *world, _, to string) {
-			h := w.hosts[w.partHost[w.part(to)]]
-			w.boot(h)
-			for p, at := range w.partHost {
-				if w.hosts[at] == h {
-					w.gain(p, at)
-				}
-			}
+			w.restart(w.hosts[w.partHost[w.part(to)]])
 		},
 		"the source's owner ends": func(w *world, from, _ string) {
-			h := w.hosts[w.partHost[w.part(from)]]
-			w.boot(h)
-			for p, at := range w.partHost {
-				if w.hosts[at] == h {
-					w.gain(p, at)
-				}
-			}
+			w.restart(w.hosts[w.partHost[w.part(from)]])
 		},
 		"both partitions change hands": func(w *world, from, to string) {
 			w.gain(w.part(from), 1-w.partHost[w.part(from)])
@@ -136,36 +124,14 @@
 			}
 		},
 		"the source goes on silently beyond its lease": func(w *world, from, _ string) {
-			for range 60 {
-				w.now += 250 * clock.Millisecond
-				for _, id := range w.names {
-					if id != from {
-						w.report(id, true)
-					}
-				}
-				w.tick()
-				for _, h := range w.hosts {
-					w.poll(h, false)
-					w.place()
-					w.send(h, true, true)
+			w.goOn(60, func(id string) {
+				if id != from {
+					w.report(id, true)
 				}
-				w.check("the source is silent")
-			}
+			})
 		},
 		"the source hears nothing for a while, its reports arrive": func(w *world, from, _ string) {
-			for range 20 {
-				w.now += 250 * clock.Millisecond
-				for _, id := range w.names {
-					w.report(id, id != from)
-				}
-				w.tick()
-				for _, h := range w.hosts {
-					w.poll(h, false)
-					w.place()
-					w.send(h, true, true)
-				}
-				w.check("the source hears nothing")
-			}
+			w.goOn(20, func(id string) { w.report(id, id != from) })
 		},
 		"the destination is gone": func(w *world, _, to string) {
 			w.names = without(w.names, to)
@@ -213,6 +179,23 @@
 	}
 }
 
+// goOn runs the cluster for a while, with reports as the caller will have them.
+func (w *world) goOn(steps int, report func(id string)) {
+	for range steps {
+		w.now += 250 * clock.Millisecond
+		for _, id := range w.names {
+			report(id)
+		}
+		w.tick()
+		for _, h := range w.hosts {
+			w.poll(h, false)
+			w.place()
+			w.send(h, true, true)
+		}
+		w.check("going on")
+	}
+}
+
 // anyMove is the only move under way.
 func (w *world) anyMove() *move { return w.scheduler.moves.underWay()[0] }
 
@@ -311,12 +294,7 @@
 			case 11:
 				switch w.rng.IntN(16) {
 				case 0:
-					w.boot(h)
-					for p, at := range w.partHost {
-						if w.hosts[at] == h {
-							w.gain(p, at)
-						}
-					}
+					w.restart(h)
 				case 1:
 					w.gain(w.rng.IntN(2), w.rng.IntN(2))
 				case 2:
@@ -329,6 +307,7 @@
 			w.check(fmt.Sprintf("seed %d step %d", seed, step))
 		}
 		begun, carriedOut = begun+w.scheduler.counts.Moves, carriedOut+w.scheduler.counts.Moved
+		w.checkMoves()
 		for _, id := range w.names {
 			w.workers[id].NoticeS = nil
 		}
@@ -345,6 +324,22 @@
 	t.Logf("%d moves begun, %d carried out", begun, carriedOut)
 }
 
+// checkMoves holds the placer's moves against each other: none ends where it began, and a task that
+// was told to stop stays for the cool-down.
+func (w *world) checkMoves() {
+	last := map[rebalance.Key]clock.Micros{}
+	for _, r := range w.scheduler.moves.book.Recent(red) { // the last one first
+		require.NotEqual(w.t, r.From, r.To)
+		if r.Outcome == rebalance.NoLease {
+			continue
+		}
+		if later, again := last[r.Key]; again {
+			require.GreaterOrEqual(w.t, later-r.Began, testMoves.CoolDown, "%v goes to and fro", r.Key)
+		}
+		last[r.Key] = r.Began
+	}
+}
+
 // With moves off nothing is moved, and nothing is looked at.
 func TestNothingIsMovedWhereMovesAreOff(t *testing.T) {
 	w := newWorldOf(t, 1, 4, limitCPU)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -173,7 +173,7 @@
 		}
 	}
 	if recorded {
-		p.scheduler.elder = p.records.Elder()
+		p.scheduler.legacyRecords = p.records.Legacy()
 	}
 	poke(p.wake)
 }
--- a/internal/placer/rules_test.go
+++ b/internal/placer/rules_test.go
@@ -67,12 +67,7 @@
 			case 14:
 				switch rng.IntN(12) {
 				case 0: // a controller's owner part crashes and takes its partitions anew
-					w.boot(h)
-					for p, at := range w.partHost {
-						if w.hosts[at] == h {
-							w.gain(p, at)
-						}
-					}
+					w.restart(h)
 				case 1: // a partition moves
 					w.gain(rng.IntN(2), rng.IntN(2))
 				case 2:
--- a/internal/placer/scale_test.go
+++ b/internal/placer/scale_test.go
@@ -26,15 +26,6 @@
 		b.Run(fmt.Sprintf("after-restart/%d", machines), func(b *testing.B) {
 			benchmarkRounds(b, schedulerAfterRestart(machines))
 		})
-		b.Run(fmt.Sprintf("views/%d", machines), func(b *testing.B) {
-			b.ReportAllocs()
-			for b.Loop() {
-				b.StopTimer()
-				d, ans := loadedScheduler(machines, 1)
-				b.StartTimer()
-				ans.Cursor++
-				d.Hear("h0", d.Cursor("h0"), ans, 2*sec)
-			}
-		})
+		b.Run(fmt.Sprintf("views/%d", machines), func(b *testing.B) { benchmarkViews(b, machines) })
 	}
 }
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -139,32 +139,32 @@
 
 // Scheduler holds the teams that this controller places, and mirrors all owners' machines.
 type Scheduler struct {
-	timing     Timing
-	instance   string
-	known      map[string]Team
-	teams      map[string]*team
-	machines   map[string]*mirror
-	owners     map[string]*ownerState
-	registry   map[string]bool
-	progress   map[string]map[chunkID]progress
-	chunk      int  // tasks that a record of progress covers
-	elder      bool // machines recorded by an earlier release are there: it left no watermarks
-	watermarks map[string]watermarks
-	rng        *rand.Rand
-	wall       func() int64       // time of day in ms, good to the settings' bound
-	fetch      map[string]float64 // GB a second by machine type
-	prices     map[kindOf]float64 // of a CPU, against the dearest
-	big        int64              // CPUs of the largest task about
-	rooms      rooms              // machines that may get tasks
-	imaged     map[string]*rooms  // and those of them that have an image
-	usable     int64              // CPUs of all of them
-	indexed    int                // how many they are
-	ranks      [4]int             // tasks seen on machines, by rank
-	sizes      map[int64]int      // and by the CPUs they take
-	full       full               // what found no room in this round
-	counts     Counts
-	demands    []fairshare.Demand // what waits, as last counted for the owners
-	demandsAt  clock.Micros
+	timing        Timing
+	instance      string
+	known         map[string]Team
+	teams         map[string]*team
+	machines      map[string]*mirror
+	owners        map[string]*ownerState
+	registry      map[string]bool
+	progress      map[string]map[chunkID]progress
+	chunk         int  // tasks that a record of progress covers
+	legacyRecords bool // machines recorded by an earlier release are there: it left no watermarks
+	watermarks    map[string]watermarks
+	rng           *rand.Rand
+	wall          func() int64       // time of day in ms, good to the settings' bound
+	fetch         map[string]float64 // GB a second by machine type
+	prices        map[kindOf]float64 // of a CPU, against the dearest
+	big           int64              // CPUs of the largest task about
+	rooms         rooms              // machines that may get tasks
+	imaged        map[string]*rooms  // and those of them that have an image
+	usable        int64              // CPUs of all of them
+	indexed       int                // how many they are
+	ranks         [4]int             // tasks seen on machines, by rank
+	sizes         map[int64]int      // and by the CPUs they take
+	full          full               // what found no room in this round
+	counts        Counts
+	demands       []fairshare.Demand // what waits, as last counted for the owners
+	demandsAt     clock.Micros
 
 	distributions map[string]distributions // by team
 	moves         moves
@@ -258,7 +258,7 @@
 		unsettled: map[peer.TaskID]string{}, acked: map[peer.TaskID]uint64{}, since: now}
 	if spec.Stamp < tm.stamp {
 		j.former = min(j.watermark, j.Tasks)
-		if j.former > 0 && (j.OneZone || j.Spread) || d.elder {
+		if j.former > 0 && (j.OneZone || j.Spread) || d.legacyRecords {
 			// Where its other tasks are decides where these may go. And while
 			// machines of an earlier release are there, which left no watermarks,
 			// any task may have been asked for.
--- a/internal/placer/takeover_test.go
+++ b/internal/placer/takeover_test.go
@@ -111,7 +111,7 @@
 	w.settle(4)
 	require.Equal(t, 16, w.running())
 	clear(w.watermarks)
-	w.elder = true
+	w.legacyRecords = true
 	w.takeOverWithoutPartition0()
 	require.Equal(t, 8, w.running(), "those of the machines that are silent, and no more")
 	w.now += 2 * lease
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -44,30 +44,30 @@
 // world is a small cluster without I/O: owners, one placer, workers, and a
 // network that loses, holds up and repeats what the test tells it to.
 type world struct {
-	t          *testing.T
-	now        clock.Micros
-	rng        *rand.Rand
-	book       *jobs.Book
-	stamp      uint64
-	active     map[string]*jobs.Job
-	hosts      []*host
-	partHost   []int
-	partTerm   []uint64
-	registry   map[string]owner.Registered
-	workers    map[string]*fakes.Worker
-	names      []string
-	scheduler  *Scheduler
-	term       uint64
-	crashes    int
-	orders     []lateOrders
-	rounds     []lateRound
-	copies     []wire.Report // of reports, that may come once more
-	ended      map[string]bool
-	limit      float64                   // CPUs; 0: none
-	watermarks map[string]WatermarkWrite // on record, with their stamps
-	elder      bool                      // an earlier release has recorded machines
-	moves      *Moves                    // nil: off
-	oldOwners  bool                      // they hold no room for tasks that are to move
+	t             *testing.T
+	now           clock.Micros
+	rng           *rand.Rand
+	book          *jobs.Book
+	stamp         uint64
+	active        map[string]*jobs.Job
+	hosts         []*host
+	partHost      []int
+	partTerm      []uint64
+	registry      map[string]owner.Registered
+	workers       map[string]*fakes.Worker
+	names         []string
+	scheduler     *Scheduler
+	term          uint64
+	crashes       int
+	orders        []lateOrders
+	rounds        []lateRound
+	copies        []wire.Report // of reports, that may come once more
+	ended         map[string]bool
+	limit         float64                   // CPUs; 0: none
+	watermarks    map[string]WatermarkWrite // on record, with their stamps
+	legacyRecords bool                      // an earlier release has recorded machines
+	moves         *Moves                    // nil: off
+	oldOwners     bool                      // they hold no room for tasks that are to move
 }
 
 func (w *world) Find(id string) (*jobs.Job, bool) { j, ok := w.active[id]; return j, ok }
@@ -126,13 +126,23 @@
 	w.hosts[to].table.Gain(p, w.partTerm[p], found, w.now)
 }
 
+// restart ends a host's process. The next one takes its partitions anew.
+func (w *world) restart(h *host) {
+	w.boot(h)
+	for p, at := range w.partHost {
+		if w.hosts[at] == h {
+			w.gain(p, at)
+		}
+	}
+}
+
 // newScheduler replaces the placer: the former one is gone, and with it its memory.
 func (w *world) newScheduler() {
 	w.term++
 	w.stamp++
 	w.scheduler = NewScheduler(Timing{Sample: 3, Batch: 10, PreemptAfter: sec, Moves: w.moves}, fmt.Sprintf("scheduler-%d", w.term),
 		[]Team{{Name: red, Limit: res.Have(w.limit, 0, 0)}}, []string{"h0", "h1"}, w.term, func() int64 { return 0 })
-	w.scheduler.elder = w.elder
+	w.scheduler.legacyRecords = w.legacyRecords
 	for id := range w.registry {
 		w.scheduler.Register(id, true)
 	}
