Loopback: every cluster's controllers have addresses of their own

Cause: clusters that ran side by side took each other's free ports; one of three commands ended with 'not ready'. Change: addresses 127.x.y.z by process and cluster.

--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -77,26 +77,29 @@
 	return c, c.ready(ctx)
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+// clusters counts the clusters of this process.
+var clusters atomic.Uint32
+
+// hostIP gives the i-th controller of the n-th cluster an address of its own in the loopback
+// range, so that clusters that run side by side don't take each other's ports.
+func hostIP(n uint32, i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, n%250, i+1)
 }
 
+// Ports of the controllers.
+const (
+	usersPort   = 8080
+	clusterPort = 8081
+)
+
 // writeSettings writes the controllers' settings and the policy.
 func (c *cluster) writeSettings(stateAddr, cloudAddr string) error {
 	cluster := map[string]string{}
-	for _, h := range c.hosts {
-		var err error
-		if c.controllers[h], err = freeAddr(); err != nil {
-			return err
-		}
-		if cluster[h], err = freeAddr(); err != nil {
-			return err
-		}
+	n := clusters.Add(1)
+	for i, h := range c.hosts {
+		ip := hostIP(n, i)
+		c.controllers[h] = fmt.Sprintf("%s:%d", ip, usersPort)
+		cluster[h] = fmt.Sprintf("%s:%d", ip, clusterPort)
 	}
 	for _, h := range c.hosts {
 		set := config.Settings{Host: h, Zone: "a", Listen: c.controllers[h], PeerListen: cluster[h]}
