--- a/cmd/loopback/main.go
+++ b/cmd/loopback/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -14,7 +15,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "loopback:", err)
