--- a/cmd/merlinlatch/operators.go
+++ b/cmd/merlinlatch/operators.go
@@ -11,12 +11,16 @@
 
 // operators gives the commands that ask running controllers over their cluster ports.
 func operators(settings *string) []*cobra.Command {
-	return []*cobra.Command{{
+	return []*cobra.Command{teamsCommand(settings), zonesCommand(settings), historyCommand(settings)}
+}
+
+func teamsCommand(settings *string) *cobra.Command {
+	return &cobra.Command{
 		Use:   "teams [TEAM]",
 		Short: "Tell how the teams stand: shares, use, what waits and for how long",
 		Long: "Asks all controllers that the settings name, over their cluster ports. Waits and lateness are\n" +
 			"counted since the team's placer started.",
-		Args: atMostOne,
+		Args: arguments(0, 1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			set, err := readSettings(*settings)
 			if err != nil {
@@ -28,14 +32,75 @@
 			}
 			return console.Teams(cmd.OutOrStdout(), set, console.Controllers(set), team)
 		},
-	}}
+	}
+}
+
+func zonesCommand(settings *string) *cobra.Command {
+	zones := &cobra.Command{
+		Use:   "zones",
+		Short: "Tell in which state the zones are, and what waits while work returns to one",
+		Args:  arguments(0, 0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, err := readSettings(*settings)
+			if err != nil {
+				return err
+			}
+			return console.Zones(cmd.OutOrStdout(), console.Controllers(set))
+		},
+	}
+	hold := func(use, short string, held bool) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: arguments(1, 1), RunE: func(cmd *cobra.Command, args []string) error {
+			set, err := readSettings(*settings)
+			if err != nil {
+				return err
+			}
+			return console.HoldZone(cmd.OutOrStdout(), set, console.Controllers(set), args[0], held)
+		}}
+	}
+	zones.AddCommand(hold("hold ZONE", "Stop the return of work to a zone at its stage", true),
+		hold("resume ZONE", "Let the return of work to a zone go on", false))
+	return zones
+}
+
+// defaultSkewMS is by how much the clocks of controllers are taken to differ.
+const defaultSkewMS = 1000
+
+func historyCommand(settings *string) *cobra.Command {
+	cmd := &cobra.Command{Use: "history", Short: "What the controllers have seen happen"}
+	cmd.AddCommand(&cobra.Command{
+		Use:   "export FILE",
+		Short: "Gather the history of all controllers that are reached into one Parquet file",
+		Args:  arguments(1, 1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			set, err := readSettings(*settings)
+			if err != nil {
+				return err
+			}
+			return console.ExportHistory(cmd.OutOrStdout(), console.Controllers(set), args[0])
+		},
+	})
+	skew := int64(0)
+	check := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Hold the rules against an exported history: no task on two machines, one end for each job",
+		Args:  arguments(1, 1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return console.CheckHistory(cmd.OutOrStdout(), args[0], skew)
+		},
+	}
+	check.Flags().Int64Var(&skew, "skew-ms", defaultSkewMS, "by how much the controllers' clocks may differ")
+	cmd.AddCommand(check)
+	return cmd
 }
 
-func atMostOne(_ *cobra.Command, args []string) error {
-	if len(args) > 1 {
-		return fmt.Errorf("%wtoo many arguments; see --help", errUsage)
+// arguments checks how many arguments a command is given.
+func arguments(least, most int) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) < least || len(args) > most {
+			return fmt.Errorf("%wwrong number of arguments; see --help", errUsage)
+		}
+		return nil
 	}
-	return nil
 }
 
 func readSettings(path string) (*config.Settings, error) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,7 @@
 	kept    func() wire.Catalog
 	log     *slog.Logger
 	steps   *telemetry.Duty
+	zones   zones
 
 	term      uint64
 	counter   uint64
@@ -149,7 +150,12 @@
 	in := Input{Now: f.clock.Now(), Types: f.catalog.Types, Rented: f.rented, Views: f.views, Demands: f.others.Demands(ctx),
 		Refused: f.refused, Knobs: f.knobs, MaxCount: f.most, viewAt: f.viewAt}
 	f.notice(in, now)
+	unsettled := false
+	in.Closed, unsettled = f.closedZones()
 	rentals, returns := Plan(in)
+	if unsettled {
+		returns = limitReturns(returns)
+	}
 	if now > f.told+10*clock.Second {
 		f.told = now
 		f.tell(in)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -50,7 +50,8 @@
 	Demands  []peer.Demand
 	Refused  map[Kind]clock.Micros // not to be asked for until
 	Knobs    Knobs
-	MaxCount int // machines of a kind asked for at once
+	MaxCount int             // machines of a kind asked for at once
+	Closed   map[string]bool // zones in which none are rented now
 
 	// viewAt gives the place of a machine in Views. Plan makes it where it is not given.
 	viewAt map[string]int
@@ -310,7 +311,7 @@
 				if spot {
 					p = t.SpotPrice
 				}
-				if in.Now < in.Refused[k] || p <= 0 {
+				if in.Now < in.Refused[k] || p <= 0 || in.Closed[z] {
 					continue
 				}
 				price[k] = p/max(t.CPUs, 1) + spreadWeight*float64(have[k])
@@ -335,6 +336,9 @@
 	return idle > clock.FromSeconds(types[r.Type].BootS)
 }
 
+// whyIdle is the reason for which machines are given back that could be used.
+const whyIdle = "idle"
+
 // giveBack decides which machines are of no more use. On a large fleet something
 // waits at every moment, so with economy an idle machine is kept only for what is
 // to go to that machine; without economy, for anything that waits.
@@ -355,7 +359,7 @@
 		case v.Draining && v.Count == 0:
 			out = append(out, Return{v.ID, v.Zone, "set aside for return"})
 		case v.Accounted && v.Count == 0 && v.Idle > in.Knobs.IdleReturn && !wanted && (v.Usable || v.Noticed || r.idleFor(v.Idle-in.Knobs.IdleReturn, types)):
-			out = append(out, Return{v.ID, v.Zone, "idle"})
+			out = append(out, Return{v.ID, v.Zone, whyIdle})
 		}
 	}
 	for _, r := range in.Rented {
--- /dev/null
+++ b/internal/fleet/zones.go
@@ -0,0 +1,234 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/internal/zone"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// ZoneSource tells what the fleet's holder decides the states of zones by.
+type ZoneSource interface {
+	// ZoneEvidence tells what is known of each zone's machines.
+	ZoneEvidence() map[string]zone.Evidence
+	// ZoneRecords gives the states on record, with their keys' stamps.
+	ZoneRecords() map[string]ZoneRecord
+}
+
+// ZoneRecord is a state on record.
+type ZoneRecord struct {
+	zone.Record
+	Stamp uint64
+}
+
+// ZoneWatch has the fleet's holder decide the states of zones.
+type ZoneWatch struct {
+	Settings zone.Settings
+	Names    []string
+	Source   ZoneSource
+}
+
+// Errors of a hold.
+var (
+	ErrNotHolder = errors.New("this controller does not hold the fleet")
+	ErrNoZone    = errors.New("there is no such zone")
+	ErrZonesOff  = errors.New("zone states are off")
+)
+
+// zones is the deciding part of the duty.
+type zones struct {
+	watch ZoneWatch
+
+	mu      sync.Mutex
+	decider *zone.Decider // nil while the duty is not held
+	stamps  map[string]uint64
+	unsaved map[string]bool // zones whose state is not on record as it was decided
+}
+
+// WatchZones has the duty decide the states of zones. It is called before Run.
+func (f *Fleet) WatchZones(w ZoneWatch) { f.zones.watch = w }
+
+// zonesEvery is how often the states of zones are looked at.
+const zonesEvery = 500 * time.Millisecond
+
+// RunZones decides the states of zones while the duty is held, until ctx ends. It does not wait
+// for the cloud, whose calls may take seconds.
+func (f *Fleet) RunZones(ctx context.Context) error {
+	z := &f.zones
+	if z.watch.Source == nil {
+		return nil
+	}
+	tick := time.NewTicker(zonesEvery)
+	defer tick.Stop()
+	term := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		h, mine := f.claims.Mine(Duty)
+		if !mine {
+			term = 0
+			z.end()
+			continue
+		}
+		now := f.clock.Now()
+		if h.Term != term {
+			term = h.Term
+			z.begin(now)
+		}
+		f.stepZones(ctx, h, f.others.Demands(ctx), now)
+	}
+}
+
+// begin goes on where the records stand.
+func (z *zones) begin(now clock.Micros) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	records := map[string]zone.Record{}
+	z.stamps, z.unsaved = map[string]uint64{}, map[string]bool{}
+	for name, r := range z.watch.Source.ZoneRecords() {
+		records[name], z.stamps[name] = r.Record, r.Stamp
+	}
+	z.decider = zone.NewDecider(z.watch.Settings, z.watch.Names, records, now)
+}
+
+// end forgets what was decided: another holder goes on.
+func (z *zones) end() {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.decider = nil
+}
+
+// stepZones decides, and writes what has changed.
+func (f *Fleet) stepZones(ctx context.Context, h claim.Held, demands []peer.Demand, now clock.Micros) {
+	z := &f.zones
+	waiting := map[recovery.Stage]int{}
+	for i := range demands {
+		if d := &demands[i]; d.Stage > 0 {
+			waiting[recovery.Stage(d.Stage-1)] += d.Waiting
+		}
+	}
+	evidence := z.watch.Source.ZoneEvidence()
+	z.mu.Lock()
+	changed := z.decider.Step(evidence, waiting, now, f.wall().UnixMilli())
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		r := changed[name]
+		z.unsaved[name] = true
+		f.log.Info("a zone's state has changed", "zone", name, "state", r.State, "stage", r.Stage.String(), "flaps", r.Flaps, "why", r.Why)
+	}
+	z.mu.Unlock()
+	if err := f.saveZones(ctx, h); err != nil {
+		f.log.Debug("writing the states of zones", "err", err)
+	}
+}
+
+// saveZones writes what is not on record yet, each on the condition of the fleet's claim and of the
+// key's stamp as last known: a late copy, or a former holder's write, changes nothing.
+func (f *Fleet) saveZones(ctx context.Context, h claim.Held) error {
+	z := &f.zones
+	z.mu.Lock()
+	if z.decider == nil {
+		z.mu.Unlock()
+		return ErrNotHolder
+	}
+	m := wire.Multi{When: []wire.Cond{{Key: state.Claims + Duty, Stamp: h.Stamp}}}
+	records := z.decider.Records()
+	names := slices.Sorted(maps.Keys(z.unsaved))
+	for _, name := range names {
+		key := state.Zones + name
+		m.When = append(m.When, wire.Cond{Key: key, Stamp: z.stamps[name]})
+		m.Then = append(m.Then, wire.Op{Put: key, Value: records[name]})
+	}
+	z.mu.Unlock()
+	if len(names) == 0 {
+		return nil
+	}
+	rev, err := f.store.Commit(ctx, m)
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if err != nil {
+		// Its fate may be unknown: what is on record by now is what the replica shows.
+		for name, r := range z.watch.Source.ZoneRecords() {
+			z.stamps[name] = r.Stamp
+		}
+		return err
+	}
+	for _, name := range names {
+		z.stamps[name] = rev
+		if z.decider == nil || z.decider.Records()[name] == records[name] {
+			delete(z.unsaved, name)
+		}
+	}
+	return nil
+}
+
+// HoldZone stops a zone's return at its stage, or lets it go on. It returns once that is on record.
+func (f *Fleet) HoldZone(ctx context.Context, name string, held bool) error {
+	z := &f.zones
+	if z.watch.Source == nil {
+		return ErrZonesOff
+	}
+	h, mine := f.claims.Mine(Duty)
+	z.mu.Lock()
+	if !mine || z.decider == nil {
+		z.mu.Unlock()
+		return ErrNotHolder
+	}
+	_, known := z.decider.Hold(name, held, f.wall().UnixMilli())
+	if known {
+		z.unsaved[name] = true
+	}
+	z.mu.Unlock()
+	if !known {
+		return ErrNoZone
+	}
+	return f.saveZones(ctx, h)
+}
+
+// closedZones are those in which no machines are rented now.
+func (f *Fleet) closedZones() (closed map[string]bool, unsettled bool) {
+	z := &f.zones
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.decider == nil {
+		return nil, false
+	}
+	closed = map[string]bool{}
+	for name, r := range z.decider.Records() {
+		if r.State == zone.Lost || r.State == zone.Suspect {
+			closed[name] = true
+		}
+		unsettled = unsettled || r.State != zone.Healthy
+	}
+	return closed, unsettled
+}
+
+// returnsAtOnce is how many idle machines are given back at a time while a zone comes back: the
+// replacements rented for it are not all dropped in the moment in which it is there again.
+const returnsAtOnce = 2
+
+// limitReturns leaves of the machines to give back those that can't be used, and a few idle ones.
+func limitReturns(list []Return) (out []Return) {
+	idle := 0
+	for _, r := range list {
+		if r.Why == whyIdle {
+			if idle++; idle > returnsAtOnce {
+				continue
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,76 @@
+package history
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The ring keeps the latest events, numbers them, and tells how many were lost.
+func TestRingIsBounded(t *testing.T) {
+	var none *Ring
+	none.Add(Event{})
+	require.Empty(t, none.Page(0, 10).Events)
+	now := int64(0)
+	r := NewRing("a", 64, func() int64 { now++; return now })
+	for i := range 100 {
+		r.Add(Event{Kind: TaskRunning, Job: fmt.Sprint(i)})
+	}
+	p := r.Page(0, 50)
+	require.EqualValues(t, 36, p.Lost)
+	require.Len(t, p.Events, 50)
+	require.Equal(t, "36", p.Events[0].Job)
+	require.Equal(t, "a", p.Events[0].Controller)
+	require.EqualValues(t, 37, p.Events[0].AtMS)
+	require.True(t, p.More)
+	rest := r.Page(p.Next, 50)
+	require.Len(t, rest.Events, 14)
+	require.Zero(t, rest.Lost)
+	require.False(t, rest.More)
+	require.Equal(t, "99", rest.Events[13].Job)
+}
+
+func TestFilesAreReadAsTheyWereWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "history.parquet")
+	var events []Event
+	for i := range 3000 {
+		events = append(events, Event{AtMS: int64(1000 + i), Controller: "a", Kind: TaskEnded, Job: fmt.Sprintf("job-%d", i/10), Task: int32(i % 10),
+			Attempt: uint64(i) << 32, Machine: "m-1", Zone: "z", Note: "done"})
+	}
+	require.NoError(t, Write(path, events))
+	got, err := Read(path)
+	require.NoError(t, err)
+	require.Equal(t, events, got)
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.Less(t, info.Size(), int64(60_000), "columns pack well")
+	require.NoError(t, os.WriteFile(path, []byte("no history"), 0o600))
+	_, err = Read(path)
+	require.Error(t, err)
+	_, err = Read(path + ".none")
+	require.Error(t, err)
+	require.Error(t, Write(filepath.Join(path, "x"), events))
+}
+
+func TestCheck(t *testing.T) {
+	run := func(at int64, kind Kind, attempt uint64, machine string) Event {
+		return Event{AtMS: at, Kind: kind, Job: "job-1", Attempt: attempt, Machine: machine}
+	}
+	over := func(phase string) Event { return Event{AtMS: 9000, Kind: JobOver, Job: "job-1", Note: phase} }
+	for name, x := range map[string]struct {
+		events []Event
+		want   int
+	}{
+		"one after the other":         {[]Event{run(1000, TaskRunning, 1, "m-1"), run(5000, TaskEnded, 1, "m-1"), run(5100, TaskRunning, 2, "m-2"), run(8000, TaskEnded, 2, "m-2")}, 0},
+		"at the same time":            {[]Event{run(1000, TaskRunning, 1, "m-1"), run(5000, TaskEnded, 1, "m-1"), run(3000, TaskRunning, 2, "m-2"), run(8000, TaskEnded, 2, "m-2")}, 1},
+		"less than the clocks differ": {[]Event{run(1000, TaskRunning, 1, "m-1"), run(5000, TaskEnded, 1, "m-1"), run(4500, TaskRunning, 2, "m-2"), run(8000, TaskEnded, 2, "m-2")}, 0},
+		"seen by two owners":          {[]Event{run(1000, TaskRunning, 1, "m-1"), run(2000, TaskRunning, 1, "m-1"), run(5000, TaskEnded, 1, "m-1")}, 0},
+		"one end, told twice":         {[]Event{over("done"), over("done")}, 0},
+		"two ends":                    {[]Event{over("done"), over("cancelled")}, 1},
+	} {
+		t.Run(name, func(t *testing.T) { require.Len(t, Check(x.events, 1000), x.want) })
+	}
+}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -14,6 +14,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/fleet"
 	"github.com/merlinlatch/merlinlatch/internal/front"
+	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/owner"
 	"github.com/merlinlatch/merlinlatch/internal/placement"
@@ -21,6 +22,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/policy"
 	"github.com/merlinlatch/merlinlatch/internal/rebalance"
 	"github.com/merlinlatch/merlinlatch/internal/res"
+	"github.com/merlinlatch/merlinlatch/internal/zone"
 )
 
 // partsPerController is how many partitions there are for each controller.
@@ -84,6 +86,7 @@
 	valueMost := int(p.State.ValueKB * 1024 * recordShare)
 	n := &Node{
 		fresh: knobs.HoldRenew * 8 / 5, set: set, log: log, store: store, book: jobs.NewBook(), peers: peers,
+		zones: zoneBook{records: map[string]fleet.ZoneRecord{}}, followZones: knobs.ZoneReturn,
 		contact: map[string]time.Time{}, told: map[string]told{}, loaded: make(chan struct{}),
 	}
 	n.keeper = claim.NewKeeper(claim.NewBook(set.Host, l.hosts, l.duties(), len(l.partDuties)), urgent, steady, holdTiming(knobs), log)
@@ -105,9 +108,37 @@
 	cloud := fleet.NewCloud(set.Services.Cloud, p.Cloud.RPS, answerMost(p.Limits.MemoryMB))
 	n.fleet = fleet.New(cloud, n.keeper, n.store, n, steady, fleetKnobs(knobs), knobs.RentalBackoff,
 		clock.FromSeconds(p.Cloud.ListLagS), clock.FromSeconds(p.SkewMS/1000), wall, n.keptCatalog, log)
+	n.fleet.WatchZones(n.zoneWatch(knobs))
+	if knobs.History {
+		n.history = history.NewRing(set.Host, history.Entries(int(p.Limits.MemoryMB*historyShare*(1<<20))), func() int64 { return wall().UnixMilli() })
+		n.owner.SetHistory(n.history)
+		n.placer.SetHistory(n.history)
+	}
 	return n
 }
 
+// historyShare is the part of its memory that a controller's history may take.
+const historyShare = 0.02
+
+// zoneWatch has the fleet's holder decide the states of zones, where that is on and there are
+// several.
+func (n *Node) zoneWatch(knobs *policy.Knobs) fleet.ZoneWatch {
+	names := n.set.Params.Zones
+	if !knobs.ZoneReturn {
+		return fleet.ZoneWatch{}
+	}
+	if len(names) < 2 {
+		n.log.Info("zone_return is on, and there are fewer than two zones: it does nothing", "zones", names)
+		n.followZones = false
+		return fleet.ZoneWatch{}
+	}
+	return fleet.ZoneWatch{Names: names, Source: n, Settings: zone.Settings{SuspectAfter: knobs.ZoneSuspect, LostAfter: knobs.ZoneLost,
+		ReturnAfter: knobs.ZoneBack, ReturnMost: zoneBackMost}}
+}
+
+// zoneBackMost is the longest that a zone which comes and goes must be heard before it returns.
+const zoneBackMost = 60 * clock.Second
+
 // owners gives the ways to the owner parts of all controllers, this one's included.
 func (n *Node) owners() map[string]placer.OwnerCaller {
 	out := map[string]placer.OwnerCaller{n.set.Host: localOwner{n.owner}}
@@ -153,7 +184,7 @@
 			Weights: placement.Weights{Data: knobs.DataWeight, Even: knobs.EvenWeight, Price: knobs.PriceWeight}}
 	}
 	return placer.Timing{
-		Costs: costs, Moves: moveSettings(set, knobs, log),
+		Stages: knobs.Stages(log), Costs: costs, Moves: moveSettings(set, knobs, log),
 		Lease: set.Lease(), Sample: knobs.Sample, Batch: knobs.Batch, PreemptAfter: knobs.PreemptAfter, Economy: knobs.Economy,
 		Waits: spans(objectives, "wait"), Finishes: spans(objectives, "finished"), Times: times(objectives),
 		Guarantee: spans(objectives, "guarantee")[""],
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -133,6 +134,10 @@
 		return s.Status(in.(peer.JobQuery), out.(*peer.JobAnswer))
 	case "Submit":
 		return s.Submit(in.(peer.SubmitQuery), out.(*peer.SubmitAnswer))
+	case "Demand":
+		return s.Demand(in.(peer.Hello), out.(*peer.DemandAnswer))
+	case "HoldZone":
+		return s.HoldZone(in.(peer.ZoneHold), out.(*peer.ZoneHoldAnswer))
 	case "Withdraw":
 		return s.Withdraw(in.(peer.JobQuery), out.(*peer.JobAnswer))
 	}
@@ -181,6 +186,12 @@
 	set.Params.State.TxnOps = c.txnOps
 	set.Params.State.ValueKB = c.valueKB
 	set.Params.Cloud.RPS = 1
+	for _, zone := range c.zones {
+		if !slices.Contains(set.Params.Zones, zone) {
+			set.Params.Zones = append(set.Params.Zones, zone)
+		}
+	}
+	slices.Sort(set.Params.Zones)
 	peers := map[string]Peer{}
 	for _, h := range hosts {
 		if h != host {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/config"
 	"github.com/merlinlatch/merlinlatch/internal/fleet"
 	"github.com/merlinlatch/merlinlatch/internal/front"
+	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/httpx"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/owner"
@@ -57,6 +58,10 @@
 	// count as reaching the state service.
 	fresh clock.Micros
 
+	zones       zoneBook
+	followZones bool // work returns to zones in stages
+	history     *history.Ring
+
 	mu      sync.Mutex
 	catalog wire.Catalog
 	contact map[string]time.Time // when a peer last said that it reaches the state service
@@ -126,6 +131,7 @@
 	g.Go(func() error { return n.keeper.Run(ctx) })
 	g.Go(func() error { return n.owner.Run(ctx) })
 	g.Go(func() error { return n.placer.Run(ctx) })
+	g.Go(func() error { return n.fleet.RunZones(ctx) })
 	for h, c := range n.peers {
 		g.Go(func() error { return n.greet(ctx, h, c) })
 	}
@@ -147,6 +153,9 @@
 	n.book.Reach(rev)
 	n.owner.Apply(evs)
 	n.placer.Apply(evs)
+	for _, e := range evs {
+		n.applyZone(e)
+	}
 	n.keeper.Apply(evs, rev)
 	for _, e := range evs {
 		if strings.HasPrefix(e.Key, state.Claims) || strings.HasPrefix(e.Key, state.Nodes) {
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/merlinlatch/merlinlatch/internal/fleet"
+	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/owner"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 )
@@ -82,6 +84,23 @@
 	return nil
 }
 
+func (s *service) Zones(_ peer.ZonesQuery, out *peer.ZonesAnswer) error {
+	_, holds := s.n.keeper.Mine(fleet.Duty)
+	*out = peer.ZonesAnswer{Host: s.n.set.Host, Zones: s.n.zoneStatuses(), On: s.n.followZones, Fleet: holds}
+	return nil
+}
+
+func (s *service) HoldZone(in peer.ZoneHold, out *peer.ZoneHoldAnswer) error {
+	*out = s.n.holdZone(in)
+	return nil
+}
+
+func (s *service) History(in peer.HistoryQuery, out *history.Page) error {
+	*out = s.n.history.Page(in.From, in.Most)
+	out.Host = s.n.set.Host
+	return nil
+}
+
 func (s *service) Gone(in peer.GoneNote, _ *peer.DrainAnswer) error {
 	s.n.owner.Gone(in.Machines)
 	return nil
--- /dev/null
+++ b/internal/node/zones.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+
+	"github.com/merlinlatch/merlinlatch/internal/fleet"
+	"github.com/merlinlatch/merlinlatch/internal/history"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/internal/zone"
+)
+
+// zoneBook holds the states of zones as the replica shows them.
+type zoneBook struct {
+	mu      sync.Mutex
+	records map[string]fleet.ZoneRecord
+}
+
+// apply takes an event; changed gives the zone that it is about.
+func (b *zoneBook) apply(e state.Event) (name string, r zone.Record, changed bool) {
+	name, ok := strings.CutPrefix(e.Key, state.Zones)
+	if !ok {
+		return "", r, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e.Value == nil || json.Unmarshal(e.Value, &r) != nil {
+		delete(b.records, name)
+		return name, zone.Record{State: zone.Healthy}, true
+	}
+	b.records[name] = fleet.ZoneRecord{Record: r, Stamp: e.Stamp}
+	return name, r, true
+}
+
+// ZoneRecords gives the states on record.
+func (n *Node) ZoneRecords() map[string]fleet.ZoneRecord {
+	n.zones.mu.Lock()
+	defer n.zones.mu.Unlock()
+	out := make(map[string]fleet.ZoneRecord, len(n.zones.records))
+	for name, r := range n.zones.records {
+		out[name] = r
+	}
+	return out
+}
+
+// ZoneEvidence tells what is known of each zone's machines.
+func (n *Node) ZoneEvidence() map[string]zone.Evidence {
+	return n.placer.ZoneEvidence(n.owner.Strangers())
+}
+
+// applyZone takes a zone's state from the replica, where states are followed.
+func (n *Node) applyZone(e state.Event) {
+	name, r, changed := n.zones.apply(e)
+	if !changed || !n.followZones {
+		return
+	}
+	n.owner.SetZone(name, r)
+	n.placer.SetZone(name, r)
+	note := string(r.State)
+	if r.State == zone.Returning {
+		note += " " + r.Stage.String()
+	}
+	n.history.Add(history.Event{Kind: history.ZoneChanged, Zone: name, Note: note})
+}
+
+// zoneStatuses tells how each zone stands.
+func (n *Node) zoneStatuses() []peer.ZoneStatus {
+	evidence, records, gates := n.ZoneEvidence(), n.ZoneRecords(), n.owner.Gates()
+	waiting := map[recovery.Stage]int{}
+	for _, d := range n.placer.Demands() {
+		if d.Stage > 0 {
+			waiting[recovery.Stage(d.Stage-1)] += d.Waiting
+		}
+	}
+	out := make([]peer.ZoneStatus, 0, len(n.set.Params.Zones))
+	for _, name := range n.set.Params.Zones {
+		r, e := records[name], evidence[name]
+		if r.State == "" {
+			r.State = zone.Healthy
+		}
+		s := peer.ZoneStatus{Zone: name, State: string(r.State), Held: r.Held, Flaps: r.Flaps, AtMS: r.AtMS, Why: r.Why,
+			Machines: e.Machines, Unheard: e.Unheard, Unsettled: e.Unsettled}
+		if r.State == zone.Returning {
+			s.Stage = r.Stage.String()
+			for stage, n := range waiting {
+				if stage > r.Stage {
+					s.Waiting += n
+				}
+			}
+		}
+		if g, ok := gates[name]; ok {
+			s.Admits = g.String()
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// holdZone stops a return, or lets it go on, if this controller holds the fleet.
+func (n *Node) holdZone(in peer.ZoneHold) (out peer.ZoneHoldAnswer) {
+	if holder, ok := n.keeper.Holder(fleet.Duty); ok {
+		out.Holder = holder
+	}
+	err := n.fleet.HoldZone(context.Background(), in.Zone, in.Held)
+	switch {
+	case err == nil:
+		out.Done = true
+	case errors.Is(err, fleet.ErrNotHolder):
+	default:
+		out.Refusal = err.Error()
+	}
+	return out
+}
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -101,7 +101,7 @@
 	if !t.mayLease(m, a, term, now) {
 		return refused
 	}
-	if a.Hold > 0 && m.holdsRoom() {
+	if a.Hold > 0 && m.holdsRoom() || !t.admits(m, a, now) {
 		return refused
 	}
 	_, all := m.inUse()
@@ -136,6 +136,9 @@
 	if t.arbiter != nil {
 		t.arbiter.Granted(shareAsk(a), m.id)
 	}
+	if g := t.gates[m.Zone]; g != nil {
+		g.underWay++
+	}
 	return granted
 }
 
--- a/internal/owner/machine.go
+++ b/internal/owner/machine.go
@@ -70,9 +70,11 @@
 	idleSince      clock.Micros
 	version        uint64
 	tasks          map[peer.TaskID]*task
-	left           []departed // tasks gone lately, the oldest first
-	floor          uint64     // who knows the machine as of an earlier version is told of all its tasks
-	place          *list.Element
+	// warmSession is the session in which a task was seen running here last.
+	warmSession uint64
+	left        []departed // tasks gone lately, the oldest first
+	floor       uint64     // who knows the machine as of an earlier version is told of all its tasks
+	place       *list.Element
 }
 
 // departed is a task that is on its machine no more.
--- a/internal/owner/reach.go
+++ b/internal/owner/reach.go
@@ -46,6 +46,24 @@
 	return len(s.of[holder])
 }
 
+// all lists the machines that came here lately, whoever has them.
+func (s *misdirected) all(now clock.Micros) map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]bool{}
+	for _, machines := range s.of {
+		for id, at := range machines {
+			if now <= at+misdirectedFor {
+				out[id] = true
+			}
+		}
+	}
+	return out
+}
+
+// Strangers lists the machines of other controllers that have come to this one lately.
+func (o *Owner) Strangers() map[string]bool { return o.misdirected.all(o.clock.Now()) }
+
 // Misdirected is how many machines of a controller's have come to this one lately.
 func (o *Owner) Misdirected(holder string) int { return o.misdirected.count(holder, o.clock.Now()) }
 
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -132,8 +132,12 @@
 		}
 		if !k.seen || k.phase != tr.Phase {
 			t.show(m, k)
-			if tr.Phase == wire.TaskExited {
+			t.noteEvent(m, id, tr.Phase, tr.Cause)
+			switch tr.Phase {
+			case wire.TaskExited:
 				t.exit(m, k, tr.Cause, now)
+			case wire.TaskRunning:
+				t.warmed(m)
 			}
 		}
 		k.seen, k.sent, k.phase, k.cause = true, true, tr.Phase, tr.Cause
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -11,6 +11,7 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fairshare"
+	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
@@ -51,6 +52,8 @@
 	cancelled map[string]cancel
 	failing   map[string]map[string]bool // job: machines on which it failed
 	arbiter   *fairshare.Arbiter         // divides contended room among teams; nil: whoever asks first has it
+	gates     map[string]*gate           // of zones to which work returns
+	history   *history.Ring              // nil: none is kept
 }
 
 // cancel is a job of which nothing may run any more, by the word of a placer.
@@ -63,7 +66,7 @@
 func NewTable(t Timing, j Jobs) *Table {
 	return &Table{caches: map[string]float64{}, sizes: map[string]float64{}, timing: t, jobs: j, types: map[string]res.Amounts{}, parts: map[int]uint64{},
 		machines: map[string]*machine{}, changes: list.New(), due: map[string]*machine{}, teamTerms: map[string]uint64{}, rounds: map[string]lastRound{},
-		cancelled: map[string]cancel{}, failing: map[string]map[string]bool{}}
+		cancelled: map[string]cancel{}, failing: map[string]map[string]bool{}, gates: map[string]*gate{}}
 }
 
 // SetTypes tells what the machine types offer.
--- a/internal/owner/views.go
+++ b/internal/owner/views.go
@@ -58,7 +58,7 @@
 	_, all := m.inUse()
 	v := peer.MachineView{ID: m.id, Part: m.part, Term: t.parts[m.part], Version: m.version, Type: m.Type, Zone: m.Zone,
 		Spot: m.Spot, Cap: m.cap, Free: m.cap.Minus(all), Accounted: m.accounted || m.silent || m.gone, Usable: m.usable(now),
-		Draining: m.draining, Silent: m.silent || m.gone, Noticed: m.noticed, Sick: m.sick,
+		Draining: m.draining, Silent: m.silent || m.gone, Overdue: m.reportsOverdue, Noticed: m.noticed, Sick: m.sick,
 		Count: len(m.tasks), Whole: after < m.floor}
 	if m.noticed {
 		v.NoticeLeft = max(0, m.takenAt-now)
--- /dev/null
+++ b/internal/owner/zones.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/history"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
+	"github.com/merlinlatch/merlinlatch/internal/zone"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// gate admits work in one zone while work returns there.
+type gate struct {
+	*recovery.Gate
+	underWay  int // starts, as of the last count and with the grants since
+	countedAt clock.Micros
+}
+
+// gateCount is how often the starts under way in a zone are counted anew.
+const gateCount = 100 * clock.Millisecond
+
+// SetZone takes the state of a zone: while work returns there, it is admitted in stages.
+func (t *Table) SetZone(name string, r zone.Record, now clock.Micros) {
+	if r.State != zone.Returning {
+		delete(t.gates, name)
+		return
+	}
+	if g := t.gates[name]; g != nil {
+		g.Enter(r.Stage, r.Held, now)
+		return
+	}
+	t.gates[name] = &gate{Gate: recovery.NewGate(r.Stage, r.Held, now)}
+}
+
+// admits tells whether the gate of a machine's zone admits a task.
+func (t *Table) admits(m *machine, a *peer.Ask, now clock.Micros) bool {
+	g := t.gates[m.Zone]
+	if g == nil {
+		return true
+	}
+	if now >= g.countedAt+gateCount {
+		g.countedAt, g.underWay = now, t.startsUnderWay(m.Zone)
+	}
+	stage := recovery.DefaultStage(a.Rank, false) // of a placer that names none
+	if a.Stage > 0 {
+		stage = recovery.Stage(a.Stage - 1)
+	}
+	return g.Admits(stage, recovery.Machine{Warm: m.warmSession == m.session, Pending: m.pending()}, g.underWay, now)
+}
+
+// startsUnderWay counts the tasks in a zone that were granted and not seen running yet.
+func (t *Table) startsUnderWay(zone string) (n int) {
+	for _, m := range t.machines {
+		if m.Zone == zone && !m.silent && !m.gone {
+			n += m.pending()
+		}
+	}
+	return n
+}
+
+// pending counts a machine's tasks that were granted and not seen running yet.
+func (m *machine) pending() (n int) {
+	for _, k := range m.tasks {
+		if !k.stop && (k.phase == "" || k.phase == wire.TaskFetching) {
+			n++
+		}
+	}
+	return n
+}
+
+// warmed takes note that a task was seen running on a machine: its image is there, and it works.
+func (t *Table) warmed(m *machine) {
+	m.warmSession = m.session
+	if g := t.gates[m.Zone]; g != nil {
+		g.Succeeded()
+	}
+}
+
+// Gates tells the stages of the zones to which work returns, as this owner admits it.
+func (t *Table) Gates(now clock.Micros) map[string]recovery.Stage {
+	out := make(map[string]recovery.Stage, len(t.gates))
+	for name, g := range t.gates {
+		out[name] = g.Stage(now)
+	}
+	return out
+}
+
+// SetZone takes the state of a zone.
+func (o *Owner) SetZone(name string, r zone.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.SetZone(name, r, o.clock.Now())
+}
+
+// Gates tells the stages that this owner admits in zones to which work returns.
+func (o *Owner) Gates() map[string]recovery.Stage {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Gates(o.clock.Now())
+}
+
+// SetHistory has what tasks do noted.
+func (o *Owner) SetHistory(r *history.Ring) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.history = r
+}
+
+// noteEvent notes that a task runs or has ended.
+func (t *Table) noteEvent(m *machine, id peer.TaskID, phase, cause string) {
+	if t.history == nil {
+		return
+	}
+	e := history.Event{Kind: history.TaskRunning, Job: id.Job, Task: int32(id.N), Attempt: id.Attempt, Machine: m.id, Zone: m.Zone}
+	switch phase {
+	case wire.TaskExited:
+		e.Kind, e.Note = history.TaskEnded, cause
+	case wire.TaskRunning:
+	default:
+		return
+	}
+	t.history.Add(e)
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fairshare"
+	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -50,6 +51,7 @@
 	Usable    bool // may get tasks
 	Draining  bool
 	Silent    bool // no report for the whole lease: all its tasks are gone
+	Overdue   bool // several of its reports are missing
 	Noticed   bool // spot notice
 	// NoticeLeft is how long the machine had, by its notice, when the view was made.
 	NoticeLeft clock.Micros
@@ -79,6 +81,8 @@
 	// Hold asks for room that is held for at most so long, for a task that runs elsewhere and
 	// is to move here: nothing is started before a Start. 0: the task starts at once.
 	Hold clock.Micros
+	// Stage is one more than the stage of a zone's return that admits the task; 0: none is named.
+	Stage int
 }
 
 // Start tells that a task is gone from where it ran, and starts on the room held for it.
@@ -177,6 +181,7 @@
 	Rank    int
 	Waiting int // tasks
 	RunFor  clock.Micros
+	Stage   int          // one more than the stage of a zone's return that admits it; 0: none is named
 	Slack   clock.Micros // how much later it may start; 0 when it is late or has no deadline
 }
 
@@ -257,6 +262,48 @@
 	Yielded   uint64               // asks that had to leave room to other teams
 }
 
+// ZonesQuery asks a controller how the zones stand.
+type ZonesQuery struct{}
+
+// ZoneStatus is how a zone stands, as one controller sees it.
+type ZoneStatus struct {
+	Zone, State, Stage           string
+	Admits                       string // the stage that its own machines there admit, empty where all is admitted
+	Held                         bool
+	Flaps                        int
+	AtMS                         int64 // time of day of the last change
+	Why                          string
+	Machines, Unheard, Unsettled int
+	Waiting                      int // tasks of its teams that wait for a later stage
+}
+
+// ZonesAnswer is what a controller knows of the zones.
+type ZonesAnswer struct {
+	Host  string
+	Zones []ZoneStatus
+	On    bool // work returns in stages
+	Fleet bool // this controller decides
+}
+
+// ZoneHold asks the fleet's holder to stop a zone's return at its stage, or to let it go on.
+type ZoneHold struct {
+	Zone string
+	Held bool
+}
+
+// ZoneHoldAnswer answers a hold.
+type ZoneHoldAnswer struct {
+	Done    bool
+	Holder  string // of the fleet, as far as is known here; empty: nobody
+	Refusal string
+}
+
+// HistoryQuery asks for a part of a controller's history.
+type HistoryQuery struct {
+	From uint64
+	Most int
+}
+
 // Service is what every controller offers to its peers.
 type Service interface {
 	Round(in Round, out *RoundAnswer) error
@@ -269,4 +316,7 @@
 	Drain(in DrainQuery, out *DrainAnswer) error
 	Gone(in GoneNote, out *DrainAnswer) error
 	Teams(in TeamsQuery, out *TeamsAnswer) error
+	Zones(in ZonesQuery, out *ZonesAnswer) error
+	HoldZone(in ZoneHold, out *ZoneHoldAnswer) error
+	History(in HistoryQuery, out *history.Page) error
 }
--- a/internal/peer/names_test.go
+++ b/internal/peer/names_test.go
@@ -29,7 +29,7 @@
 		require.Equal(t, c.fields, names, "%T", c.message)
 	}
 	service := reflect.TypeFor[Service]()
-	for _, method := range []string{"Round", "Poll", "Hello", "Demand", "Status", "Withdraw", "Submit", "Drain", "Gone", "Teams"} {
+	for _, method := range []string{"Round", "Poll", "Hello", "Demand", "Status", "Withdraw", "Submit", "Drain", "Gone", "Teams", "Zones", "HoldZone", "History"} {
 		_, ok := service.MethodByName(method)
 		require.True(t, ok, method)
 	}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -61,7 +61,7 @@
 	}
 	batch := d.timing.Batch + waiting/4
 	d.big = d.largestTask(list)
-	d.full = full{}
+	d.full = full{staged: len(d.zones) > 0}
 	for _, j := range list {
 		// However much else goes first, no job's first task waits for ever.
 		if !j.begun() && now >= j.since+beginWithin {
@@ -135,7 +135,8 @@
 		d.index(m)
 		o := d.owners[m.host]
 		o.next.Asks = append(o.next.Asks, peer.Ask{ID: b.id, Made: j.Stamp, Team: j.team.Name, Rank: j.Level, Need: j.Need, Image: j.Image, ImageGB: j.ImageGB,
-			Machine: m.ID, Term: m.Term, Victims: victims, Over: over, Covered: j.covered})
+			Machine: m.ID, Term: m.Term, Victims: victims, Over: over, Covered: j.covered,
+			Stage: int(j.stage) + 1})
 		placed++
 	}
 	return placed
@@ -161,8 +162,8 @@
 }
 
 // mayAsk tells whether a machine may be asked for room for a task of a job now.
-func (j *job) mayAsk(m *mirror, now clock.Micros) bool {
-	return now >= j.failedOn[m.ID] && j.allowed(m) && !j.yields(m.host, now)
+func (d *Scheduler) mayAsk(j *job, m *mirror, now clock.Micros) bool {
+	return now >= j.failedOn[m.ID] && j.allowed(m) && !j.yields(m.host, now) && !j.returns(m, d.zones, now)
 }
 
 // choose draws a small sample of the machines that showed room and takes the
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -4,6 +4,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
 )
 
 type job struct {
@@ -34,6 +35,7 @@
 	bareSince  clock.Micros           // since when there is room, but none where its image is
 	covered    bool                   // fits its team's guarantee together with the team's earlier jobs
 	since      clock.Micros
+	stage      recovery.Stage // of a zone's return that admits it
 	runs       []runTime
 	errors     int
 	again      int          // tasks placed once more
--- a/internal/placer/moves.go
+++ b/internal/placer/moves.go
@@ -179,7 +179,7 @@
 	d.counts.Moves++
 	o := d.owners[to.host]
 	o.next.Asks = append(o.next.Asks, peer.Ask{ID: b.id, Made: j.Stamp, Team: j.team.Name, Rank: j.Level, Need: j.Need, Image: j.Image,
-		ImageGB: j.ImageGB, Machine: to.ID, Term: to.Term, Covered: j.covered, Hold: rebalance.HoldFor})
+		ImageGB: j.ImageGB, Machine: to.ID, Term: to.Term, Covered: j.covered, Hold: rebalance.HoldFor, Stage: int(j.stage) + 1})
 }
 
 // act carries out what a move asks for.
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -81,7 +81,7 @@
 	looked := 0
 	in.walk(0, d.rng.Uint64(), func(m *mirror) bool {
 		d.counts.Looked++
-		if !someRank(&m.ranks, most) || !j.mayAsk(m, now) {
+		if !someRank(&m.ranks, most) || !d.mayAsk(j, m, now) {
 			return false
 		}
 		looked++
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -182,6 +182,7 @@
 type full struct {
 	needs   []res.Amounts // of jobs that go anywhere
 	jobs    map[*job]bool
+	staged  bool               // work returns to a zone: what one job may not have another may
 	victims map[victimsOf]bool // whose room was looked for in vain: of lower ranks, of other teams
 }
 
@@ -201,7 +202,7 @@
 func (f *full) knowsVictims(j *job, owed bool) bool { return f.victims[j.victims(owed)] }
 
 func (f *full) noteVictims(j *job, owed bool) {
-	if !j.anywhere() {
+	if !j.anywhere() || f.staged {
 		return
 	}
 	if f.victims == nil {
@@ -225,7 +226,7 @@
 }
 
 func (f *full) note(j *job) {
-	if j.anywhere() && len(j.team.yielding) == 0 {
+	if j.anywhere() && len(j.team.yielding) == 0 && !f.staged {
 		f.needs = append(f.needs, j.Need)
 	}
 	if f.jobs == nil {
@@ -249,7 +250,7 @@
 	}
 	in.walk(levelOf(j.Need.CPU), d.rng.Uint64(), func(m *mirror) bool {
 		d.counts.Looked++
-		if j.Need.Fits(m.free) && m.free.Mem > 0 && j.mayAsk(m, now) && !(m.refused && now < m.refusedAt+refusedFor) {
+		if j.Need.Fits(m.free) && m.free.Mem > 0 && d.mayAsk(j, m, now) && !(m.refused && now < m.refusedAt+refusedFor) {
 			out = append(out, m)
 		}
 		return len(out) >= most
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 )
 
@@ -27,6 +28,8 @@
 	Times         map[string]float64      // classes, and the largest multiple of their deadlines that is asked for
 	Costs         *Costs                  // nil: machines are not weighed by costs
 	Moves         *Moves                  // nil: running tasks are not moved
+	// Stages tells at which stage of a zone's return a job is admitted; nil: by rank and deadline.
+	Stages func(*jobs.Job) recovery.Stage
 }
 
 // Team is a team's guarantee and limit.
@@ -167,13 +170,14 @@
 	demandsAt     clock.Micros
 
 	distributions map[string]distributions // by team
+	zones         map[string]returning     // to which work returns
 	moves         moves
 	movesAt       clock.Micros
 }
 
 // NewScheduler makes an empty scheduler.
 func NewScheduler(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Scheduler {
-	d := &Scheduler{distributions: map[string]distributions{}, watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
+	d := &Scheduler{zones: map[string]returning{}, distributions: map[string]distributions{}, watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID]progress{}, chunk: ChunkTasks,
 		rng: rand.New(rand.NewPCG(seed, 1)), wall: wall}
 	d.moves = newMoves(t.Moves)
@@ -256,6 +260,7 @@
 	j := &job{Job: spec, per: d.chunk, team: tm, watermark: d.watermarkOf(tm.Name, spec), done: make([]uint64, (spec.Tasks+63)/64), bound: map[int]*binding{},
 		zones: map[string]int{}, dirty: map[int]bool{}, failedOn: map[string]clock.Micros{},
 		unsettled: map[peer.TaskID]string{}, acked: map[peer.TaskID]uint64{}, since: now}
+	j.stage = d.stageOf(spec)
 	if spec.Stamp < tm.stamp {
 		j.former = min(j.watermark, j.Tasks)
 		if j.former > 0 && (j.OneZone || j.Spread) || d.legacyRecords {
--- a/internal/placer/talk.go
+++ b/internal/placer/talk.go
@@ -209,7 +209,7 @@
 func (d *Scheduler) Demands(now clock.Micros) (out []peer.Demand) {
 	d.eachWaiting(now, func(j *job, tasks int) {
 		dm := peer.Demand{Need: j.Need, Types: j.Types, Zone: j.Zone, Spot: j.Spot, Rank: j.Level, Waiting: tasks,
-			RunFor: clock.FromSeconds(j.EstimateS)}
+			RunFor: clock.FromSeconds(j.EstimateS), Stage: int(j.stage) + 1}
 		if start := d.finish(j); j.DueS != nil && !j.late(now) {
 			dm.Slack = max(clock.Second, j.due()-now-dm.RunFor)
 		} else if j.DueS == nil && start != math.MaxInt64 && now < start {
--- /dev/null
+++ b/internal/placer/zones.go
@@ -0,0 +1,83 @@
+package placer
+
+import (
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
+	"github.com/merlinlatch/merlinlatch/internal/zone"
+)
+
+// returning is a zone to which work returns, by the placer's own clock.
+type returning struct {
+	zone.Record
+	gate *recovery.Gate
+}
+
+// SetZone takes the state of a zone. What its owners would not admit is not asked for; they
+// decide, whatever a placer believes.
+func (d *Scheduler) SetZone(name string, r zone.Record, now clock.Micros) {
+	if r.State != zone.Returning {
+		delete(d.zones, name)
+		return
+	}
+	if old, ok := d.zones[name]; ok {
+		old.gate.Enter(r.Stage, r.Held, now)
+		d.zones[name] = returning{r, old.gate}
+		return
+	}
+	d.zones[name] = returning{r, recovery.NewGate(r.Stage, r.Held, now)}
+}
+
+// stageOf is the stage of a return that admits a job.
+func (d *Scheduler) stageOf(j *jobs.Job) recovery.Stage {
+	if d.timing.Stages != nil {
+		return d.timing.Stages(j)
+	}
+	return recovery.DefaultStage(j.Level, j.DueS != nil)
+}
+
+// returns tells that work returns to a machine's zone and has not come to a job's stage yet.
+func (j *job) returns(m *mirror, zones map[string]returning, now clock.Micros) bool {
+	if len(zones) == 0 {
+		return false
+	}
+	z, ok := zones[m.Zone]
+	return ok && j.stage > z.gate.Stage(now)
+}
+
+// ZoneEvidence counts for each zone how many of its machines are known, not heard, and heard but
+// not accounted for. Strangers are machines of other controllers that have come to this one: it is
+// their controller that is down, and not they.
+func (d *Scheduler) ZoneEvidence(strangers map[string]bool) map[string]zone.Evidence {
+	out := map[string]zone.Evidence{}
+	for _, m := range d.machines {
+		o := d.owners[m.host]
+		e := out[m.Zone]
+		e.Machines++
+		switch {
+		case m.Silent || m.Overdue || !o.up || o.instance != m.instance || o.parts[m.Part] != m.Term:
+			if !strangers[m.ID] {
+				e.Unheard++
+			}
+		case !m.Accounted:
+			e.Unsettled++
+		}
+		out[m.Zone] = e
+	}
+	return out
+}
+
+// SetZone takes the state of a zone.
+func (p *Placer) SetZone(name string, r zone.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.SetZone(name, r, p.clock.Now())
+	poke(p.wake)
+}
+
+// ZoneEvidence counts for each zone what is known of its machines.
+func (p *Placer) ZoneEvidence(strangers map[string]bool) map[string]zone.Evidence {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.ZoneEvidence(strangers)
+}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -40,3 +40,12 @@
 move_cool_down_s = 120 # a task is not moved again so soon
 moves_per_team = 6     # in a minute
 moves_per_machine = 8  # in a minute, from it and to it
+
+# Zone return: what a zone's state is, and work that comes back to it in stages.
+zone_return = False
+zone_suspect_s = 4     # most of a zone's machines are not heard for so long: it is suspect
+zone_lost_s = 12       # and lost: no machines are rented there
+zone_back_s = 3        # half are heard again for so long: work returns; doubled each time it is lost again
+
+# What happens is noted in memory, for `merlinlatch history`.
+history = False
--- a/internal/policy/hooks.go
+++ b/internal/policy/hooks.go
@@ -8,13 +8,19 @@
 	"go.starlark.net/starlark"
 	"go.starlark.net/starlarkstruct"
 
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/rebalance"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
 )
 
 // vetoHook is the function of a script that is asked before a task is moved. It takes the
 // move and tells whether it must not be made.
 const vetoHook = "veto_move"
 
+// stageHook is the function of a script that names the stage of a zone's return at which a job is
+// admitted: urgent, services or cold.
+const stageHook = "recovery_stage"
+
 // hookSteps bounds what a hook may compute: it is asked while the placer decides.
 const hookSteps = 20_000
 
@@ -71,3 +77,40 @@
 	}
 	return bool(answer), nil
 }
+
+// Stages gives the script's word on stages, nil where the script has no hook for them. A hook that
+// fails is logged, and the job is admitted by its rank and deadline.
+func (k *Knobs) Stages(log *slog.Logger) func(*jobs.Job) recovery.Stage {
+	if k.stage == nil {
+		return nil
+	}
+	return func(j *jobs.Job) recovery.Stage {
+		s, err := k.askStage(j)
+		if err != nil {
+			log.Error("the policy script's hook failed; the job goes by its rank", "hook", stageHook, "job", j.ID, "err", err)
+			return recovery.DefaultStage(j.Level, j.DueS != nil)
+		}
+		return s
+	}
+}
+
+var errNoStage = errors.New("the answer must be urgent, services or cold")
+
+func (k *Knobs) askStage(j *jobs.Job) (recovery.Stage, error) {
+	thread := &starlark.Thread{Name: stageHook}
+	thread.SetMaxExecutionSteps(hookSteps)
+	job := starlarkstruct.FromStringDict(starlark.String("job"), starlark.StringDict{
+		"team": starlark.String(j.Team), "jobclass": starlark.String(j.Class), "rank": starlark.String(j.Rank),
+		"deadline": starlark.Bool(j.DueS != nil), "tasks": starlark.MakeInt(j.Tasks),
+	})
+	v, err := starlark.Call(thread, k.stage, starlark.Tuple{job}, nil)
+	if err != nil {
+		return 0, located(err)
+	}
+	name, _ := starlark.AsString(v)
+	s, ok := recovery.StageOf(name)
+	if !ok || s < recovery.Urgent || s > recovery.Cold {
+		return 0, fmt.Errorf("%s: %w", k.stage.Position(), errNoStage)
+	}
+	return s, nil
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -43,6 +43,10 @@
 	MoveCoolDown            clock.Micros
 	TeamMoves, MachineMoves int
 	veto                    *starlark.Function
+	// ZoneReturn has work return to zones in stages; History has what happens noted.
+	ZoneReturn, History             bool
+	ZoneSuspect, ZoneLost, ZoneBack clock.Micros
+	stage                           *starlark.Function
 	// Renamed are the knobs that the script set by a former name.
 	Renamed []Rename
 }
@@ -105,6 +109,9 @@
 		if k.veto, err = hook(own, vetoHook, 1); err != nil {
 			return nil, err
 		}
+		if k.stage, err = hook(own, stageHook, 1); err != nil {
+			return nil, err
+		}
 		names := make([]string, 0, len(own))
 		for n := range own {
 			names = append(names, n)
@@ -242,6 +249,9 @@
 		{"move_cool_down_s", 0, 86400, func(v float64) { k.MoveCoolDown = clock.FromSeconds(v) }},
 		{"moves_per_team", 0, 10000, func(v float64) { k.TeamMoves = int(v) }},
 		{"moves_per_machine", 0, 10000, func(v float64) { k.MachineMoves = int(v) }},
+		{"zone_suspect_s", 1, 600, func(v float64) { k.ZoneSuspect = clock.FromSeconds(v) }},
+		{"zone_lost_s", 1, 600, func(v float64) { k.ZoneLost = clock.FromSeconds(v) }},
+		{"zone_back_s", 0, 600, func(v float64) { k.ZoneBack = clock.FromSeconds(v) }},
 		{"sick_errors", 1, 1000, func(v float64) { k.SickErrors = int(v) }},
 	} {
 		v, err := num(f.name, f.lo, f.hi)
@@ -250,7 +260,8 @@
 		}
 		f.set(v)
 	}
-	for name, flag := range map[string]*bool{"fair_shares": &k.FairShares, "placement_costs": &k.PlacementCosts, "moves": &k.Moves} {
+	for name, flag := range map[string]*bool{"fair_shares": &k.FairShares, "placement_costs": &k.PlacementCosts, "moves": &k.Moves,
+		"zone_return": &k.ZoneReturn, "history": &k.History} {
 		v, ok := vals[name].(starlark.Bool)
 		if !ok {
 			return fmt.Errorf("policy: knob %s must be True or False", name)
--- /dev/null
+++ b/internal/recovery/gate.go
@@ -0,0 +1,72 @@
+package recovery
+
+import "github.com/merlinlatch/merlinlatch/internal/clock"
+
+// Machine is what a gate needs to know of a machine in its zone.
+type Machine struct {
+	Warm    bool // a task was seen running on it in this session
+	Pending int  // tasks on it that were granted and not seen running yet
+}
+
+const (
+	// firstStarts is how many starts may be under way at a time when a return begins.
+	firstStarts = 4
+	// widening is by how much each start that succeeded raises that.
+	widening = 1
+	// mostStarts bounds it.
+	mostStarts = 256
+	// lateness is how much longer than its bound a stage may seem to last, where the word of its
+	// end is missing: after that an owner admits all.
+	lateness = 5 * clock.Second
+)
+
+// Gate admits work in one zone at one owner of machines, while work returns there.
+type Gate struct {
+	stage  Stage
+	held   bool // by operators: it stays as it is
+	since  clock.Micros
+	starts int // how many may be under way
+}
+
+// NewGate makes a gate at a stage.
+func NewGate(s Stage, held bool, now clock.Micros) *Gate {
+	return &Gate{stage: s, held: held, since: now, starts: firstStarts}
+}
+
+// Enter takes the word of a stage, or of a hold.
+func (g *Gate) Enter(s Stage, held bool, now clock.Micros) {
+	if s != g.stage || held != g.held {
+		g.stage, g.held, g.since = s, held, now
+	}
+}
+
+// Stage is the present stage. Where the word of its end doesn't come, all is admitted after a
+// while: a controller with an old view may do less, but not for ever.
+func (g *Gate) Stage(now clock.Micros) Stage {
+	if !g.held && now > g.since+g.stage.Most()+lateness {
+		return Open
+	}
+	return g.stage
+}
+
+// Succeeded takes note that a start has led to a running task: more may be under way.
+func (g *Gate) Succeeded() { g.starts = min(g.starts+widening, mostStarts) }
+
+// Starts is how many starts may be under way at a time.
+func (g *Gate) Starts() int { return g.starts }
+
+// Admits tells whether a task of a stage may be given room on a machine while so many starts are
+// under way in the zone. A cold machine gets one trial task, in the last stage.
+func (g *Gate) Admits(task Stage, m Machine, underWay int, now clock.Micros) bool {
+	stage := g.Stage(now)
+	if stage == Open {
+		return true
+	}
+	if task > stage || underWay >= g.starts {
+		return false
+	}
+	if m.Warm {
+		return true
+	}
+	return stage == Cold && m.Pending == 0
+}
--- /dev/null
+++ b/internal/recovery/stages.go
@@ -0,0 +1,114 @@
+// Package recovery is the plan by which work returns to a zone that was lost: in stages, each
+// of which admits more, with a bound on what starts at a time. Progress decides when a stage is
+// over, where the state of zones is decided; Gate admits work at each owner of machines.
+// Both are plain code that takes the time.
+package recovery
+
+import (
+	"fmt"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+)
+
+// Stage of a return. A stage admits the work of its own and of those before.
+type Stage int
+
+// Stages, in order.
+const (
+	Reconcile Stage = iota // every machine's tasks are settled against the jobs' records; nothing new
+	Urgent                 // urgent work, on machines that have shown their images
+	Services               // other work, on the same machines
+	Cold                   // work that can wait, and machines that were not seen at work yet
+	Open                   // all is admitted: the return is over
+)
+
+var stageNames = [...]string{"reconcile", "urgent", "services", "cold", "open"}
+
+// String is the stage's name.
+func (s Stage) String() string {
+	if s < Reconcile || s > Open {
+		return fmt.Sprintf("stage %d", int(s))
+	}
+	return stageNames[s]
+}
+
+// StageOf gives the stage of a name.
+func StageOf(name string) (Stage, bool) {
+	for i, n := range stageNames {
+		if n == name {
+			return Stage(i), true
+		}
+	}
+	return Open, false
+}
+
+// idleRank and highRank are levels of ranks as jobs have them.
+const (
+	idleRank = 0
+	highRank = 2
+)
+
+// DefaultStage is the stage of a job by its rank and by whether it has a deadline: what is
+// urgent by rank or has a deadline goes first, what is idle last.
+func DefaultStage(rank int, deadline bool) Stage {
+	switch {
+	case rank >= highRank || deadline && rank > idleRank:
+		return Urgent
+	case rank > idleRank:
+		return Services
+	}
+	return Cold
+}
+
+// Bounds of the stages: whatever waits, a stage is over by then. Together they stay below the time
+// for which work may wait while a machine that fits has room.
+var stageMost = [...]clock.Micros{
+	Reconcile: 15 * clock.Second,
+	Urgent:    20 * clock.Second,
+	Services:  15 * clock.Second,
+	Cold:      15 * clock.Second,
+	Open:      0,
+}
+
+// Most is the longest that a stage lasts.
+func (s Stage) Most() clock.Micros {
+	if s < Reconcile || s > Open {
+		return 0
+	}
+	return stageMost[s]
+}
+
+// least is how long a stage lasts at least: what waits must have been told.
+const least = 2 * clock.Second
+
+// Facts is what decides when a stage is over.
+type Facts struct {
+	Unsettled int           // machines that are heard and not accounted for
+	Waiting   map[Stage]int // tasks that wait, by the stage that admits them
+}
+
+// Advance gives the stage that follows when a stage has lasted for so long: the same, or the next.
+func Advance(s Stage, lasted clock.Micros, f Facts) Stage {
+	if s >= Open {
+		return Open
+	}
+	if lasted >= s.Most() {
+		return s + 1
+	}
+	if lasted < least {
+		return s
+	}
+	switch s {
+	case Reconcile:
+		if f.Unsettled == 0 {
+			return Urgent
+		}
+	case Urgent, Services:
+		if f.Waiting[s] == 0 {
+			return s + 1
+		}
+	case Cold:
+		// Machines are warmed by trial tasks for as long as the stage lasts.
+	}
+	return s
+}
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -25,10 +25,11 @@
 	Progress   = Root + "p/" // completed tasks of active jobs
 	Watermarks = Root + "w/" // how many tasks of active jobs may have been asked for
 	Catalog    = Root + "k/catalog"
+	Zones      = Root + "z/" // states of zones
 )
 
 // loaded are the prefixes read at the start; final states are only followed.
-var loaded = []string{Claims, Nodes, Active, Machines, Progress, Watermarks, Root + "k/"}
+var loaded = []string{Claims, Nodes, Active, Machines, Progress, Watermarks, Zones, Root + "k/"}
 
 // Event is one change of a key, in order of revisions.
 type Event struct {
