--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -14,7 +14,7 @@
 const (
 	TaskRunning Kind = "running" // an owner has seen the task run
 	TaskEnded   Kind = "ended"   // an owner has seen it end, or knows that it is gone; Note tells why
-	JobOver     Kind = "over"    // its placer has written its end; Note is the phase
+	JobOver     Kind = "over"    // the controller has learnt its final answer; Note is the phase
 	ZoneChanged Kind = "zone"    // Note is the state and stage
 )
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -77,6 +77,7 @@
 	finals map[string]Final
 	order  []string
 	rev    uint64 // all changes up to this revision are known
+	ended  func(id string, f Final)
 }
 
 // NewBook makes an empty view.
@@ -109,8 +110,15 @@
 	}
 }
 
+// OnEnd has a listener told of each final state when it is first known here. It is called before
+// the book is used, and the listener must not use the book.
+func (b *Book) OnEnd(ended func(id string, f Final)) { b.ended = ended }
+
 func (b *Book) keep(id string, f Final) {
 	if _, ok := b.finals[id]; !ok {
+		if b.ended != nil {
+			b.ended(id, f)
+		}
 		b.order = append(b.order, id)
 		if len(b.order) > maxFinals {
 			delete(b.finals, b.order[0])
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -112,7 +112,9 @@
 	if knobs.History {
 		n.history = history.NewRing(set.Host, history.Entries(int(p.Limits.MemoryMB*historyShare*(1<<20))), func() int64 { return wall().UnixMilli() })
 		n.owner.SetHistory(n.history)
-		n.placer.SetHistory(n.history)
+		n.book.OnEnd(func(id string, f jobs.Final) {
+			n.history.Add(history.Event{Kind: history.JobOver, Job: id, Note: f.Phase})
+		})
 	}
 	return n
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -14,7 +14,6 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
-	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/machines"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
@@ -58,7 +57,6 @@
 	valueMost int
 	urgent    Store // for what starts wait for
 	progress  clock.Micros
-	history   *history.Ring // nil: none is kept
 	// fairShares has owners told what waits of each team.
 	fairShares bool
 	log        *slog.Logger
@@ -103,9 +101,6 @@
 	p.rounds, p.views = r.Duty("placer_round"), r.Duty("placer_view")
 }
 
-// SetHistory has the ends of jobs noted. It is called before Run.
-func (p *Placer) SetHistory(r *history.Ring) { p.history = r }
-
 // heard has withdrawals that wait look again. The lock is held.
 func (p *Placer) heard() {
 	close(p.news)
--- a/internal/placer/writes.go
+++ b/internal/placer/writes.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
-	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -251,7 +250,6 @@
 	for _, j := range batch {
 		p.book.Keep(j.ID, jobs.Final{Phase: phase, Team: j.Team, Tasks: j.Tasks})
 		p.scheduler.DropJob(j.ID)
-		p.history.Add(history.Event{Kind: history.JobOver, Job: j.ID, Note: phase})
 		p.log.Info("job is over", "job", j.ID, "class", j.Class, "phase", phase, "tasks", j.Tasks,
 			"after_s", (p.clock.Now() - j.since).Seconds(), "last_start_s", (j.lastStart - j.since).Seconds(), "again", j.again)
 	}
