No more room is withheld than waits: one machine for each task, none where there is room for both

Change: an ask yields only if what waits could not start beside it, and no more machines are kept for a team than it has tasks that wait; a grant counts as waiting no more.

--- a/internal/fairshare/arbiter.go
+++ b/internal/fairshare/arbiter.go
@@ -84,6 +84,12 @@
 	at clock.Micros
 }
 
+// withheld is a machine whose room is kept for a team, and since when.
+type withheld struct {
+	team  string
+	since clock.Micros
+}
+
 // Arbiter decides, for one owner of machines, who must leave free room to others.
 type Arbiter struct {
 	settings Settings
@@ -92,7 +98,7 @@
 	used     map[string]Use
 	shares   map[string]float64
 	counted  clock.Micros
-	withheld map[string]clock.Micros // by machine: since when its room is withheld from somebody
+	withheld map[string]withheld     // by machine whose room is kept
 	open     map[string]clock.Micros // by machine: until when it is not
 	yields   uint64
 }
@@ -100,7 +106,7 @@
 // NewArbiter makes an arbiter that knows of no demand, and so withholds nothing.
 func NewArbiter(s Settings) *Arbiter {
 	return &Arbiter{settings: s, demands: map[string]told{}, used: map[string]Use{}, shares: map[string]float64{},
-		withheld: map[string]clock.Micros{}, open: map[string]clock.Micros{}}
+		withheld: map[string]withheld{}, open: map[string]clock.Micros{}}
 }
 
 // Hear takes what a placer tells of its teams' demand.
@@ -128,9 +134,7 @@
 	a.capacity, a.used, a.counted = capacity, used, now
 	maps.DeleteFunc(a.demands, func(_ string, d told) bool { return now > d.at+a.settings.Fresh })
 	maps.DeleteFunc(a.open, func(_ string, until clock.Micros) bool { return now >= until })
-	maps.DeleteFunc(a.withheld, func(_ string, since clock.Micros) bool {
-		return now >= since+a.settings.Withhold+a.settings.Open
-	})
+	maps.DeleteFunc(a.withheld, func(_ string, w withheld) bool { return now >= w.since+a.settings.Withhold })
 	a.shares = Divide(capacity, a.claimants())
 }
 
@@ -163,22 +167,24 @@
 }
 
 // Yields tells that an ask must leave the room to somebody else: its team is above its share,
-// and a team below its own has work of the same rank or a higher one that waits and could
-// start right there. Work within a guarantee never yields. Room is withheld for a bounded
-// time: what nobody takes goes to whoever asks.
+// and a team below its own has work of the same rank or a higher one that waits, could
+// start right there, and could not once the ask had its part. Work within a guarantee never yields.
+// Room is kept for as many tasks as wait, one on a machine, and for a bounded time: what nobody
+// takes goes to whoever asks.
 func (a *Arbiter) Yields(ask *Ask, room *Room, now clock.Micros) bool {
-	if ask.Owed || a.capacity == (res.Amounts{}) || !a.above(ask) {
+	if ask.Owed || a.capacity == (res.Amounts{}) || !a.above(ask) || now < a.open[room.Machine] {
 		return false
 	}
-	if now < a.open[room.Machine] || !a.wanted(ask, room, now) {
+	team, ok := a.wanted(ask, room, now)
+	if !ok {
 		return false
 	}
-	since, ok := a.withheld[room.Machine]
-	if !ok {
-		since = now
-		a.withheld[room.Machine] = now
+	w, kept := a.withheld[room.Machine]
+	if !kept {
+		w = withheld{team, now}
+		a.withheld[room.Machine] = w
 	}
-	if now >= since+a.settings.Withhold {
+	if now >= w.since+a.settings.Withhold {
 		delete(a.withheld, room.Machine)
 		a.open[room.Machine] = now + a.settings.Open
 		return false
@@ -192,22 +198,32 @@
 	return Dominant(a.used[ask.Team].All.Plus(ask.Need), a.capacity) > a.shares[ask.Team]+tolerance
 }
 
-// wanted tells that another team that is below its share waits for just such room.
-func (a *Arbiter) wanted(ask *Ask, room *Room, now clock.Micros) bool {
-	for team, d := range a.demands {
-		if team == ask.Team || now > d.at+a.settings.Fresh {
-			continue
-		}
-		if Dominant(a.used[team].All, a.capacity) >= a.shares[team]-tolerance {
+// wanted names a team that is below its share and waits for just such room.
+func (a *Arbiter) wanted(ask *Ask, room *Room, now clock.Micros) (team string, ok bool) {
+	rest := *room
+	rest.Free = room.Free.Minus(ask.Need)
+	for _, team := range slices.Sorted(maps.Keys(a.demands)) {
+		d := a.demands[team]
+		if team == ask.Team || now > d.at+a.settings.Fresh || Dominant(a.used[team].All, a.capacity) >= a.shares[team]-tolerance {
 			continue
 		}
 		for i := range d.Shapes {
-			if s := &d.Shapes[i]; s.Rank >= ask.Rank && s.takes(room) {
-				return true
+			if s := &d.Shapes[i]; s.Rank >= ask.Rank && s.takes(room) && !s.takes(&rest) && a.keeps(team, room.Machine) < s.Tasks {
+				return team, true
 			}
 		}
 	}
-	return false
+	return "", false
+}
+
+// keeps counts the machines whose room is kept for a team, one left out.
+func (a *Arbiter) keeps(team, besides string) (n int) {
+	for machine, w := range a.withheld {
+		if w.team == team && machine != besides {
+			n++
+		}
+	}
+	return n
 }
 
 // Granted takes note of a lease.
@@ -219,6 +235,17 @@
 	}
 	a.used[ask.Team] = u
 	delete(a.withheld, machine)
+	// What was granted waits no more, whatever its placer told before.
+	shapes := slices.Clone(a.demands[ask.Team].Shapes)
+	for i := range shapes {
+		if s := &shapes[i]; s.Need == ask.Need && s.Rank == ask.Rank && s.Owed == ask.Owed && s.Tasks > 0 {
+			s.Tasks--
+			d := a.demands[ask.Team]
+			d.Shapes = shapes
+			a.demands[ask.Team] = d
+			return
+		}
+	}
 }
 
 // Yielded is how many asks had to leave room to others so far.
