--- a/cmd/loopback/main.go
+++ b/cmd/loopback/main.go
@@ -39,6 +39,15 @@
 	hot.Flags().StringVar(&h.Program, "program", "target/merlinlatch", "the built program")
 	hot.Flags().IntVar(&h.Seeds, "seeds", 1, "how many seeds; each takes some two minutes")
 	hot.Flags().StringVar(&failure, "failure", string(loopback.NoFailure), "in the middle: none, placer or owner")
-	cmd.AddCommand(hot)
+	z := loopback.ZoneReturn{}
+	zones := &cobra.Command{
+		Use:   "zone-return",
+		Short: "Runs in which one of two zones is cut off and joined again, zone return off and on",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return z.Run(cmd.Context(), cmd.OutOrStdout()) },
+	}
+	zones.Flags().StringVar(&z.Program, "program", "target/merlinlatch", "the built program")
+	zones.Flags().IntVar(&z.Seeds, "seeds", 1, "how many seeds; each takes some four minutes")
+	cmd.AddCommand(hot, zones)
 	return cmd
 }
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -11,3 +11,9 @@
 
 # Running tasks are moved off machines that the cloud takes back or that are set aside as slow.
 moves = True
+
+# Zone return (docs/zone-return.md): zones have states, and work returns to one in stages.
+zone_return = False
+
+# What happens is noted in memory, for `merlinlatch history`.
+history = False
--- /dev/null
+++ b/internal/fleet/zones_test.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/claim"
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
+	"github.com/merlinlatch/merlinlatch/internal/state"
+	"github.com/merlinlatch/merlinlatch/internal/zone"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// zoneWorld is a fleet's holder with zones a and b, and the state service as it stands.
+type zoneWorld struct {
+	evidence map[string]zone.Evidence
+	records  map[string]ZoneRecord
+	stamps   map[string]uint64 // of all keys
+	rev      uint64
+	lose     bool // the answer to the next write
+	commits  []wire.Multi
+}
+
+func (w *zoneWorld) ZoneEvidence() map[string]zone.Evidence { return w.evidence }
+func (w *zoneWorld) ZoneRecords() map[string]ZoneRecord     { return w.records }
+func (w *zoneWorld) Mine(string) (claim.Held, bool) {
+	return claim.Held{Record: claim.Record{Term: 1}, Stamp: 7}, true
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (w *zoneWorld) Commit(_ context.Context, m wire.Multi) (uint64, error) {
+	w.commits = append(w.commits, m)
+	for _, c := range m.When {
+		if w.stamps[c.Key] != c.Stamp {
+			return 0, state.ErrConflict
+		}
+	}
+	w.rev++
+	for _, op := range m.Then {
+		w.stamps[op.Put] = w.rev
+		w.records[op.Put[len(state.Zones):]] = ZoneRecord{op.Value.(zone.Record), w.rev}
+	}
+	if w.lose {
+		w.lose = false
+		return 0, errNoAnswer
+	}
+	return w.rev, nil
+}
+
+func newZoneWorld() (*zoneWorld, *Fleet) {
+	w := &zoneWorld{evidence: map[string]zone.Evidence{"a": {Machines: 10}, "b": {Machines: 10, Unheard: 10}}, records: map[string]ZoneRecord{},
+		stamps: map[string]uint64{state.Claims + Duty: 7}, rev: 10}
+	f := &Fleet{claims: w, store: w, wall: time.Now, log: slog.New(slog.DiscardHandler)}
+	f.WatchZones(ZoneWatch{Names: []string{"a", "b"}, Source: w, Settings: zone.Settings{SuspectAfter: clock.Second, LostAfter: 3 * clock.Second,
+		ReturnAfter: clock.Second, ReturnMost: clock.Second}})
+	f.zones.begin(clock.Second)
+	return w, f
+}
+
+func (w *zoneWorld) steps(t *testing.T, f *Fleet, from clock.Micros, n int) {
+	h, _ := w.Mine(Duty)
+	for i := range n {
+		f.stepZones(t.Context(), h, nil, from+clock.Micros(i)*clock.Second/2)
+	}
+}
+
+// A state is written on the condition of the fleet's claim and of the key's stamp, so that neither a late copy
+// nor a former holder's write changes a later one. A write without an answer is tried again from
+// what is on record by then.
+func TestZoneRecordsAreConditional(t *testing.T) {
+	w, f := newZoneWorld()
+	w.lose = true
+	w.steps(t, f, 2*clock.Second, 12)
+	require.Equal(t, zone.Lost, w.records["b"].State)
+	require.NotEmpty(t, w.commits)
+	for _, m := range w.commits {
+		require.Equal(t, wire.Cond{Key: state.Claims + Duty, Stamp: 7}, m.When[0])
+		require.Len(t, m.When, 1+len(m.Then))
+		require.Equal(t, state.Zones+"b", m.When[1].Key)
+	}
+	before := w.records["b"]
+	for _, late := range w.commits {
+		_, err := w.Commit(t.Context(), late)
+		require.ErrorIs(t, err, state.ErrConflict, "a late copy")
+	}
+	require.Equal(t, before, w.records["b"])
+	require.Zero(t, w.records["a"], "what does not change is not written")
+}
+
+// A hold is on record when the operator is told so; an unknown zone and a controller that does not
+// decide are told apart.
+func TestHoldsAreOnRecord(t *testing.T) {
+	w, f := newZoneWorld()
+	require.NoError(t, f.HoldZone(t.Context(), "b", true))
+	require.True(t, w.records["b"].Held)
+	require.ErrorIs(t, f.HoldZone(t.Context(), "c", true), ErrNoZone)
+	f.zones.end()
+	require.ErrorIs(t, f.HoldZone(t.Context(), "b", false), ErrNotHolder)
+	require.ErrorIs(t, (&Fleet{}).HoldZone(t.Context(), "b", true), ErrZonesOff)
+}
+
+// No machines are rented in a zone that is lost, and few idle ones given back while it returns.
+func TestRentingWhileAZoneIsAway(t *testing.T) {
+	w, f := newZoneWorld()
+	w.steps(t, f, 2*clock.Second, 12)
+	closed, unsettled := f.closedZones()
+	require.Equal(t, map[string]bool{"b": true}, closed)
+	require.True(t, unsettled)
+	list, _ := kinds(Input{Types: []wire.MachineType{{Name: "big", CPUs: 8, Price: 1, SpotPrice: 1, Zones: []string{"a", "b"}}}, Closed: closed})
+	require.Len(t, list, 2)
+	for _, k := range list {
+		require.Equal(t, "a", k.Zone)
+	}
+	returns := []Return{{ID: "1", Why: whyIdle}, {ID: "2", Why: whyIdle}, {ID: "3", Why: whyIdle}, {ID: "4", Why: "failed"}}
+	require.Equal(t, []Return{returns[0], returns[1], returns[3]}, limitReturns(returns))
+	w.evidence["b"] = zone.Evidence{Machines: 10}
+	w.steps(t, f, 20*clock.Second, 4)
+	require.Equal(t, zone.Returning, w.records["b"].State)
+	require.Equal(t, recovery.Reconcile, w.records["b"].Stage)
+	closed, unsettled = f.closedZones()
+	require.Empty(t, closed)
+	require.True(t, unsettled)
+}
--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,8 +25,29 @@
 	Policy  string // text of the policy script
 	Workers int
 	Teams   []config.Team
-	RunFor  time.Duration // of every task
-	LogDir  string        // logs of the controllers go there
+	RunFor  time.Duration     // of every task
+	LogDir  string            // logs of the controllers go there
+	Zones   map[string]string // of the controllers; none: all are in zone a. Workers are spread over the zones
+}
+
+// zoneNames lists the zones.
+func (s *Setup) zoneNames() []string {
+	names := []string{"a"}
+	for _, z := range s.Zones {
+		if !slices.Contains(names, z) {
+			names = append(names, z)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// zoneOf is a controller's zone.
+func (s *Setup) zoneOf(host string) string {
+	if z, ok := s.Zones[host]; ok {
+		return z
+	}
+	return "a"
 }
 
 // cluster is three controllers and what they need.
@@ -34,6 +56,16 @@
 	*fleet
 	settings map[string]string // files, by host
 	running  map[string]*exec.Cmd
+	store    *fakes.State
+	views    map[string]*fakes.View // ways to the state service, by host
+	links    []peerLink
+	workers  []*worker
+}
+
+// peerLink is the way from one controller to another.
+type peerLink struct {
+	*link
+	from, to string
 }
 
 // leaseS is the workers' lease.
@@ -42,28 +74,26 @@
 // newCluster starts a cluster, and gives it back once it is ready. Everything ends with ctx.
 func newCluster(ctx context.Context, s Setup, done func(task string)) (*cluster, error) {
 	c := &cluster{Setup: s, settings: map[string]string{}, running: map[string]*exec.Cmd{},
+		store: fakes.NewState(), views: map[string]*fakes.View{},
 		fleet: &fleet{clock: clock.NewSteady(), runFor: s.RunFor, controllers: map[string]string{}, hosts: []string{"a", "b", "c"},
 			began: map[string]clock.Micros{}, on: map[string]string{}, done: done}}
 	var machines []wire.Rental
-	var workers []*worker
+	zones := s.zoneNames()
 	for i := range s.Workers {
 		w, err := newWorker(c.fleet, fmt.Sprintf("m-%06d", i), leaseS*clock.Second, i%len(c.hosts))
 		if err != nil {
 			return nil, err
 		}
-		workers = append(workers, w)
-		machines = append(machines, wire.Rental{ID: w.ID, Addr: w.addr, Type: "big", Zone: "a", Phase: wire.MachineRunning, AgeS: 60})
-	}
-	types := []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, CacheGB: 100, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"a"}}}
-	stateAddr, err := serve(stateService(fakes.NewState()))
-	if err != nil {
-		return nil, err
+		w.Zone = zones[i%len(zones)]
+		c.workers = append(c.workers, w)
+		machines = append(machines, wire.Rental{ID: w.ID, Addr: w.addr, Type: "big", Zone: w.Zone, Phase: wire.MachineRunning, AgeS: 60})
 	}
+	types := []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, CacheGB: 100, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: zones}}
 	cloudAddr, err := serve(cloud(machines, types))
 	if err != nil {
 		return nil, err
 	}
-	if err := c.writeSettings(stateAddr, cloudAddr); err != nil {
+	if err := c.writeSettings(cloudAddr); err != nil {
 		return nil, err
 	}
 	for _, h := range c.hosts {
@@ -71,7 +101,7 @@
 			return nil, err
 		}
 	}
-	for _, w := range workers {
+	for _, w := range c.workers {
 		go w.run(ctx)
 	}
 	return c, c.ready(ctx)
@@ -93,7 +123,7 @@
 )
 
 // writeSettings writes the controllers' settings and the policy.
-func (c *cluster) writeSettings(stateAddr, cloudAddr string) error {
+func (c *cluster) writeSettings(cloudAddr string) error {
 	cluster := map[string]string{}
 	n := clusters.Add(1)
 	for i, h := range c.hosts {
@@ -102,20 +132,11 @@
 		cluster[h] = fmt.Sprintf("%s:%d", ip, clusterPort)
 	}
 	for _, h := range c.hosts {
-		set := config.Settings{Host: h, Zone: "a", Listen: c.controllers[h], PeerListen: cluster[h]}
-		set.Services.State, set.Services.Cloud = stateAddr, cloudAddr
-		for _, other := range c.hosts {
-			if other != h {
-				set.Peers = append(set.Peers, config.Peer{Host: other, Zone: "a", Addr: cluster[other]})
-			}
+		set, err := c.settingsOf(h, cluster)
+		if err != nil {
+			return err
 		}
-		p := &set.Params
-		p.Count, p.Zones, p.Teams = len(c.hosts), []string{"a"}, c.Teams
-		p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = reportEvery.Seconds(), leaseS, 36
-		p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 300, 120, 8, 12
-		p.Cloud.RPS, p.Cloud.ListLagS = 5, 1
-		p.Limits.CoreShare, p.Limits.MemoryMB, p.Limits.Sockets = 1, 256, 1000
-		p.SkewMS = 100
+		set.Services.Cloud = cloudAddr
 		b, err := json.Marshal(set)
 		if err != nil {
 			return err
@@ -128,6 +149,64 @@
 	return os.WriteFile(filepath.Join(c.LogDir, "policy.star"), []byte(c.Policy), 0o600)
 }
 
+// settingsOf makes a controller's settings: its ways to the state service and to the others are its own.
+func (c *cluster) settingsOf(host string, cluster map[string]string) (*config.Settings, error) {
+	set := &config.Settings{Host: host, Zone: c.zoneOf(host), Listen: c.controllers[host], PeerListen: cluster[host]}
+	var err error
+	c.views[host] = &fakes.View{State: c.store}
+	if set.Services.State, err = serve(stateService(c.views[host])); err != nil {
+		return nil, err
+	}
+	for _, other := range c.hosts {
+		if other == host {
+			continue
+		}
+		l, addr, err := newLink(cluster[other])
+		if err != nil {
+			return nil, err
+		}
+		c.links = append(c.links, peerLink{l, host, other})
+		set.Peers = append(set.Peers, config.Peer{Host: other, Zone: c.zoneOf(other), Addr: addr})
+	}
+	p := &set.Params
+	p.Count, p.Zones, p.Teams = len(c.hosts), c.zoneNames(), c.Teams
+	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = reportEvery.Seconds(), leaseS, 36
+	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 300, 120, 8, 12
+	p.Cloud.RPS, p.Cloud.ListLagS = 5, 1
+	p.Limits.CoreShare, p.Limits.MemoryMB, p.Limits.Sockets = 1, 256, 1000
+	p.SkewMS = 100
+	return set, nil
+}
+
+// cutZone cuts a zone off, or joins it again: its controllers reach neither the state service nor the
+// others, its workers reach its controllers only, and no direct orders reach them.
+func (c *cluster) cutZone(zone string, cut bool) {
+	for _, h := range c.hosts {
+		if c.zoneOf(h) == zone {
+			c.views[h].SetCut(cut)
+		}
+	}
+	for _, l := range c.links {
+		if (c.zoneOf(l.from) == zone) != (c.zoneOf(l.to) == zone) {
+			l.set(cut)
+		}
+	}
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	for _, w := range c.workers {
+		if w.Zone == zone {
+			w.cut = cut
+		}
+	}
+	c.cutFrom = nil
+	if cut {
+		c.cutFrom = map[string]bool{}
+		for _, h := range c.hosts {
+			c.cutFrom[h] = c.zoneOf(h) != zone
+		}
+	}
+}
+
 // start starts a controller; its log is appended to a file of its own.
 func (c *cluster) start(ctx context.Context, host string) error {
 	log, err := os.OpenFile(filepath.Join(c.LogDir, host+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/internal/loopback/hotteams.go
+++ b/internal/loopback/hotteams.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -291,22 +290,27 @@
 		l.mu.Lock()
 		l.jobs[id] = &progress{team: name, submitted: time.Now(), done: map[string]bool{}}
 		l.mu.Unlock()
-		for !c.submit(ctx, client, rng, id, name) && ctx.Err() == nil {
+		for !c.submit(ctx, client, job{id: id, team: name, rank: "normal", tasks: hotTasks, host: c.hosts[rng.IntN(len(c.hosts))]}) && ctx.Err() == nil {
 			time.Sleep(time.Second)
 		}
 	}
 }
 
-// submit sends a submission to one of the controllers.
-func (c *cluster) submit(ctx context.Context, client *http.Client, rng *rand.Rand, id, team string) (accepted bool) {
-	body, err := json.Marshal(map[string]any{"id": id, "jobclass": "x", "owner": team, "shape": "array", "rank": "normal", "shards": hotTasks,
+// job is what a user submits, and where.
+type job struct {
+	id, team, rank, host string
+	tasks                int
+}
+
+// submit sends a submission to a controller.
+func (c *cluster) submit(ctx context.Context, client *http.Client, j job) (accepted bool) {
+	body, err := json.Marshal(map[string]any{"id": j.id, "jobclass": "x", "owner": j.team, "shape": "array", "rank": j.rank, "shards": j.tasks,
 		"cpus": 2, "accelerators": 0, "mem_gb": 1, "bundle": "img", "size_gb": 1, "one_zone": false, "spread": false, "loaners": true,
-		"guess_s": 4, "snap_every_s": 0, "snap_s": 0})
+		"guess_s": c.RunFor.Seconds(), "snap_every_s": 0, "snap_s": 0})
 	if err != nil {
 		return false
 	}
-	host := c.hosts[rng.IntN(len(c.hosts))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.controllers[host]+wire.PathJobs, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.controllers[j.host]+wire.PathJobs, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
--- a/internal/loopback/services.go
+++ b/internal/loopback/services.go
@@ -41,9 +41,8 @@
 // keysMost is how many keys a page has at most.
 const keysMost = 1000
 
-// stateService answers as the state service over a store in memory.
-func stateService(store *fakes.State) http.Handler {
-	view := &fakes.View{State: store}
+// stateService answers one controller as the state service, over a store in memory.
+func stateService(view *fakes.View) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /keys", func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
@@ -88,6 +87,8 @@
 		}
 		rev, err := view.Commit(r.Context(), m)
 		switch {
+		case errors.Is(err, state.ErrRefused) && !strings.Contains(err.Error(), "no such lease"):
+			answer(w, 503, nil)
 		case errors.Is(err, state.ErrConflict):
 			answer(w, 409, wire.MultiAnswer{Rev: rev})
 		case err != nil:
--- a/internal/loopback/workers.go
+++ b/internal/loopback/workers.go
@@ -28,14 +28,23 @@
 	began       map[string]clock.Micros // by attempt on its machine
 	on          map[string]string       // by task: where it runs
 	twice       []string                // tasks that ran on two machines
+	started     []start
+	cutFrom     map[string]bool // controllers that workers of a zone which is cut off don't reach
 	done        func(task string)
 }
 
+// start is a task's start on a machine.
+type start struct {
+	task, zone string
+	at         clock.Micros
+}
+
 // worker is a stand-in worker that reports to one controller at a time.
 type worker struct {
 	*fakes.Worker
 	fleet *fleet
 	addr  string // its own
+	cut   bool   // its zone is cut off
 	at    int    // the controller that it reports to
 }
 
@@ -50,6 +59,11 @@
 			return
 		}
 		f.mu.Lock()
+		if w.cut {
+			f.mu.Unlock()
+			answer(rw, 504, nil) // a proxy's word: the worker has not heard
+			return
+		}
 		report, ok := w.Orders(o, f.clock.Now())
 		f.look(w)
 		f.mu.Unlock()
@@ -76,6 +90,7 @@
 		attempt := fmt.Sprint(w.ID, k.Task, k.Attempt, w.Session)
 		if f.began[attempt] == 0 {
 			f.began[attempt] = now
+			f.started = append(f.started, start{k.Task, w.Zone, now})
 		}
 		if now >= f.began[attempt]+clock.FromDuration(f.runFor) {
 			k.Phase, k.Cause = wire.TaskExited, wire.CauseDone
@@ -109,7 +124,12 @@
 	w.Check(sent)
 	f.look(w)
 	r := w.Report(sent)
+	unreachable := w.cut && f.cutFrom[f.hosts[w.at]]
 	f.mu.Unlock()
+	if unreachable {
+		w.at = (w.at + 1) % len(f.hosts)
+		return
+	}
 	r.Addr = w.addr
 	body, err := json.Marshal(r)
 	if err != nil {
--- /dev/null
+++ b/internal/loopback/zonereturn.go
@@ -0,0 +1,254 @@
+package loopback
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/console"
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// The load of a run: twelve workers in two zones run 48 tasks at a time, three teams of ranks keep
+// submitting somewhat less than the fleet can do, and more than one zone can.
+const (
+	zoneWorkers = 12
+	zoneRunFor  = 5 * time.Second
+	zoneTasks   = 6
+	zoneBefore  = 15 * time.Second
+	zoneCut     = 40 * time.Second
+	zoneAfter   = 45 * time.Second
+	zoneDrain   = 120 * time.Second // at most
+	zoneRate    = 0.35              // jobs a second and rank
+)
+
+// ranks are the ranks of the teams' jobs, by what returns first.
+var ranks = []string{"high", "normal", "idle"}
+
+// ZoneReturn plays runs in which one of two zones is cut off and joined again.
+type ZoneReturn struct {
+	Program string
+	Seeds   int
+}
+
+// zoneResult is what came of runs.
+type zoneResult struct {
+	first  [3]*telemetry.Distribution // by rank: from the return until a task starts in the zone
+	waits  [3]*telemetry.Distribution // by rank: of the jobs submitted after the return, until their end
+	jobs   int
+	redone int // starts beyond one for each task
+	peak   int // starts in the zone in the busiest second after the return
+}
+
+// Run writes what came of the runs, zone return off and on. An error tells that a run failed, that a job
+// had not one final answer, or that a task was on two machines.
+func (z *ZoneReturn) Run(ctx context.Context, out io.Writer) error {
+	for _, on := range []bool{false, true} {
+		sum := zoneResult{}
+		for i := range ranks {
+			sum.first[i], sum.waits[i] = telemetry.NewDistribution(), telemetry.NewDistribution()
+		}
+		for seed := range uint64(z.Seeds) {
+			if err := z.play(ctx, seed, on, &sum); err != nil {
+				return err
+			}
+		}
+		fmt.Fprintf(out, "zone return %v, %d seeds, %d jobs: each has one final answer at every controller; %d tasks started again; at most %d starts a second in the zone\n",
+			on, z.Seeds, sum.jobs, sum.redone, sum.peak)
+		for i, rank := range ranks {
+			fmt.Fprintf(out, "  %s: first start in the zone after the return p50/p95/p99 %s; submitted afterwards, until done %s\n", rank,
+				quantiles(sum.first[i]), quantiles(sum.waits[i]))
+		}
+	}
+	return nil
+}
+
+// zoneRun is one run.
+type zoneRun struct {
+	*cluster
+	mu       sync.Mutex
+	jobs     map[string]*zoneJob
+	returned time.Time
+}
+
+type zoneJob struct {
+	rank      int
+	submitted time.Time
+	done      map[string]bool
+	ended     time.Time
+}
+
+func (r *zoneRun) taskDone(task string) {
+	id, _, _ := wire.SplitTask(task)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.done[task] = true; len(j.done) == zoneTasks && j.ended.IsZero() {
+		j.ended = time.Now()
+	}
+}
+
+func (r *zoneRun) left() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, j := range r.jobs {
+		if j.ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+func (z *ZoneReturn) play(ctx context.Context, seed uint64, on bool, sum *zoneResult) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin+zoneBefore+zoneCut+zoneAfter+zoneDrain+30*time.Second)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "merlinlatch-loopback-")
+	if err != nil {
+		return err
+	}
+	setup := Setup{Program: z.Program, Workers: zoneWorkers, RunFor: zoneRunFor, LogDir: dir, Teams: []config.Team{{Name: "team"}},
+		Zones: map[string]string{"a": "a", "b": "a", "c": "b"}, Policy: "history = True\nzone_return = False\n"}
+	if on {
+		setup.Policy = "history = True\nzone_return = True\n"
+	}
+	r := &zoneRun{jobs: map[string]*zoneJob{}}
+	if r.cluster, err = newCluster(ctx, setup, r.taskDone); err != nil {
+		return err
+	}
+	defer r.stop()
+	var users sync.WaitGroup
+	for i := range ranks {
+		users.Go(func() { r.submitRank(ctx, seed*10+uint64(i), i) })
+	}
+	time.Sleep(zoneBefore)
+	r.cutZone("b", true)
+	time.Sleep(zoneCut)
+	r.cutZone("b", false)
+	r.mu.Lock()
+	r.returned = time.Now()
+	r.mu.Unlock()
+	returned := r.clock.Now()
+	users.Wait()
+	for end := time.Now().Add(zoneDrain); r.left() > 0 && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(200 * time.Millisecond)
+	}
+	if n := r.left(); n > 0 {
+		return fmt.Errorf("%d jobs are not done; logs are in %s", n, dir)
+	}
+	time.Sleep(4 * time.Second) // answers may be three seconds behind
+	if err := r.check(ctx, dir); err != nil {
+		return fmt.Errorf("%w; logs are in %s", err, dir)
+	}
+	r.sumUp(returned, sum)
+	return os.RemoveAll(dir)
+}
+
+// submitRank submits jobs of one rank, at controllers that are not cut off.
+func (r *zoneRun) submitRank(ctx context.Context, seed uint64, rank int) {
+	client := &http.Client{Timeout: 5 * time.Second}
+	rng := fakes.Rand(seed)
+	start, at := time.Now(), time.Duration(0)
+	for n := 0; ctx.Err() == nil; n++ {
+		if at += time.Duration((0.5 + rng.Float64()) / zoneRate * float64(time.Second)); at >= zoneBefore+zoneCut+zoneAfter {
+			return
+		}
+		time.Sleep(time.Until(start.Add(at)))
+		id := fmt.Sprintf("job-%d%05d", rank, n)
+		r.mu.Lock()
+		r.jobs[id] = &zoneJob{rank: rank, submitted: time.Now(), done: map[string]bool{}}
+		r.mu.Unlock()
+		for !r.submit(ctx, client, job{id: id, team: "team", rank: ranks[rank], tasks: zoneTasks, host: r.hosts[rng.IntN(2)]}) && ctx.Err() == nil {
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+// check asks every controller for every job, and holds the rules against the controllers' history.
+func (r *zoneRun) check(ctx context.Context, dir string) error {
+	client := &http.Client{Timeout: 5 * time.Second}
+	for id := range r.jobs {
+		for _, h := range r.hosts {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.controllers[h]+wire.PathJobs+"/"+id, nil)
+			if err != nil {
+				return err
+			}
+			resp, err := client.Do(req)
+			if err != nil {
+				return err
+			}
+			var s wire.JobState
+			err = json.NewDecoder(resp.Body).Decode(&s)
+			resp.Body.Close()
+			if err != nil || s.Phase != wire.Done {
+				return fmt.Errorf("%s answers %d %q for %s", h, resp.StatusCode, s.Phase, id)
+			}
+		}
+	}
+	r.fleet.mu.Lock()
+	twice := r.twice
+	r.fleet.mu.Unlock()
+	if len(twice) > 0 {
+		return fmt.Errorf("tasks ran on two machines: %v", twice)
+	}
+	set, err := r.controllerSettings()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(dir, "history.parquet")
+	var told bytes.Buffer
+	if err := console.ExportHistory(&told, console.Controllers(set), path); err != nil {
+		return err
+	}
+	return console.CheckHistory(&told, path, 200)
+}
+
+// sumUp adds what came of the run.
+func (r *zoneRun) sumUp(returned clock.Micros, sum *zoneResult) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	first := [3]clock.Micros{}
+	starts := map[string]int{}
+	second := map[clock.Micros]int{}
+	for _, s := range r.started {
+		starts[s.task]++
+		if s.zone != "b" || s.at < returned {
+			continue
+		}
+		second[(s.at-returned)/clock.Second]++
+		id, _, _ := wire.SplitTask(s.task)
+		if j := r.jobs[id]; j != nil && (first[j.rank] == 0 || s.at < first[j.rank]) {
+			first[j.rank] = s.at
+		}
+	}
+	for rank, at := range first {
+		if at != 0 {
+			sum.first[rank].Record(at - returned)
+		}
+	}
+	for _, n := range second {
+		sum.peak = max(sum.peak, n)
+	}
+	for _, n := range starts {
+		sum.redone += n - 1
+	}
+	sum.jobs += len(r.jobs)
+	for _, j := range r.jobs {
+		if j.submitted.After(r.returned) {
+			sum.waits[j.rank].Record(clock.FromDuration(j.ended.Sub(j.submitted)))
+		}
+	}
+}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/config"
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
 	"github.com/merlinlatch/merlinlatch/internal/rebalance"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
+	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 func settings(kinds ...string) *config.Settings {
@@ -138,3 +141,27 @@
 	require.True(t, k.FairShares && k.Moves && !k.PlacementCosts)
 	require.Equal(t, map[string]float64{"red": 2.5}, k.TeamWeights)
 }
+
+// A script may name the stage of a zone's return that admits a job; one that fails or names none is
+// logged, and the job goes by its rank and deadline.
+func TestTheScriptMayNameStages(t *testing.T) {
+	urgent := jobs.New(jobs.Record{Job: wire.Job{ID: "job-1", Team: "red", Rank: "high"}}, 1)
+	for script, want := range map[string]struct {
+		stage  recovery.Stage
+		logged string
+	}{
+		"def recovery_stage(job):\n    return 'cold' if job.team == 'red' and not job.deadline else 'urgent'\n": {recovery.Cold, ""},
+		"def recovery_stage(job):\n    return 'soon'\n":                                                         {recovery.Urgent, "urgent, services or cold"},
+		"def recovery_stage(job):\n    return 'reconcile'\n":                                                    {recovery.Urgent, "urgent, services or cold"},
+		"def recovery_stage(job):\n    return job.nothing\n":                                                    {recovery.Urgent, "policy:2:"},
+	} {
+		k, err := Parse(script, settings())
+		require.NoError(t, err)
+		var out bytes.Buffer
+		require.Equal(t, want.stage, k.Stages(slog.New(slog.NewTextHandler(&out, nil)))(urgent), script)
+		require.Contains(t, out.String(), want.logged)
+	}
+	k, err := Parse("", settings())
+	require.NoError(t, err)
+	require.Nil(t, k.Stages(nil))
+}
