--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -86,7 +86,7 @@
 	return !strings.Contains(strings.TrimPrefix(key, state.Machines), "/")
 }
 
-// Elder tells that there are machines which an earlier release has recorded:
+// Legacy tells that there are machines which an earlier release has recorded:
 // tasks may be on them of which its placers left no watermark.
 func (b *Book) Legacy() bool {
 	for key, g := range b.groups {
