--- a/internal/loopback/hotteams.go
+++ b/internal/loopback/hotteams.go
@@ -151,45 +151,6 @@
 	r.table = other.table
 }
 
-// progress is a job's way to its end.
-type progress struct {
-	team      string
-	submitted time.Time
-	done      map[string]bool
-	ended     time.Time
-}
-
-// load is the users' side of a run.
-type load struct {
-	mu   sync.Mutex
-	jobs map[string]*progress
-}
-
-func (l *load) taskDone(task string) {
-	id, _, _ := wire.SplitTask(task)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	j := l.jobs[id]
-	if j == nil {
-		return
-	}
-	if j.done[task] = true; len(j.done) == hotTasks && j.ended.IsZero() {
-		j.ended = time.Now()
-	}
-}
-
-// left counts the jobs that are not done.
-func (l *load) left() (n int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, j := range l.jobs {
-		if j.ended.IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
 // play runs a cluster under the teams' load.
 func (h *HotTeams) play(ctx context.Context, seed uint64, key runKey) (*result, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin+hotBurst+hotDrain+30*time.Second)
@@ -205,7 +166,7 @@
 	for i := range hotTeams {
 		setup.Teams = append(setup.Teams, config.Team{Name: fmt.Sprintf("team-%d", i)})
 	}
-	l := &load{jobs: map[string]*progress{}}
+	l := newLoad(hotTasks)
 	c, err := newCluster(ctx, setup, l.taskDone)
 	if err != nil {
 		return nil, err
@@ -227,11 +188,8 @@
 	if err := <-failed; err != nil {
 		return nil, err
 	}
-	for end := time.Now().Add(hotDrain); l.left() > 0 && time.Now().Before(end) && ctx.Err() == nil; {
-		time.Sleep(200 * time.Millisecond)
-	}
-	if n := l.left(); n > 0 {
-		return nil, fmt.Errorf("%d jobs are not done; logs are in %s", n, dir)
+	if err := l.drain(ctx, hotDrain); err != nil {
+		return nil, fmt.Errorf("%w; logs are in %s", err, dir)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -246,14 +204,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, j := range l.jobs {
-		if out.took[j.team] == nil {
-			out.took[j.team] = telemetry.NewDistribution()
+		if out.took[j.group] == nil {
+			out.took[j.group] = telemetry.NewDistribution()
 		}
 		took := j.ended.Sub(j.submitted)
-		out.took[j.team].Record(clock.FromDuration(took))
-		out.all[j.team]++
+		out.took[j.group].Record(clock.FromDuration(took))
+		out.all[j.group]++
 		if took <= hotOnTime {
-			out.onTime[j.team]++
+			out.onTime[j.group]++
 		}
 	}
 }
@@ -287,9 +245,7 @@
 		}
 		time.Sleep(time.Until(start.Add(at)))
 		id := fmt.Sprintf("job-%d%05d", team, n)
-		l.mu.Lock()
-		l.jobs[id] = &progress{team: name, submitted: time.Now(), done: map[string]bool{}}
-		l.mu.Unlock()
+		l.add(id, name)
 		for !c.submit(ctx, client, job{id: id, team: name, rank: "normal", tasks: hotTasks, host: c.hosts[rng.IntN(len(c.hosts))]}) && ctx.Err() == nil {
 			time.Sleep(time.Second)
 		}
--- a/internal/loopback/zonereturn.go
+++ b/internal/loopback/zonereturn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,45 +75,13 @@
 	return nil
 }
 
-// zoneRun is one run.
+// zoneRun is one run; jobs are grouped by rank.
 type zoneRun struct {
 	*cluster
-	mu       sync.Mutex
-	jobs     map[string]*zoneJob
+	*load
 	returned time.Time
 }
 
-type zoneJob struct {
-	rank      int
-	submitted time.Time
-	done      map[string]bool
-	ended     time.Time
-}
-
-func (r *zoneRun) taskDone(task string) {
-	id, _, _ := wire.SplitTask(task)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	j := r.jobs[id]
-	if j == nil {
-		return
-	}
-	if j.done[task] = true; len(j.done) == zoneTasks && j.ended.IsZero() {
-		j.ended = time.Now()
-	}
-}
-
-func (r *zoneRun) left() (n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, j := range r.jobs {
-		if j.ended.IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
 func (z *ZoneReturn) play(ctx context.Context, seed uint64, on bool, sum *zoneResult) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin+zoneBefore+zoneCut+zoneAfter+zoneDrain+30*time.Second)
 	defer cancel()
@@ -125,7 +94,7 @@
 	if on {
 		setup.Policy = "history = True\nzone_return = True\n"
 	}
-	r := &zoneRun{jobs: map[string]*zoneJob{}}
+	r := &zoneRun{load: newLoad(zoneTasks)}
 	if r.cluster, err = newCluster(ctx, setup, r.taskDone); err != nil {
 		return err
 	}
@@ -138,16 +107,11 @@
 	r.cutZone("b", true)
 	time.Sleep(zoneCut)
 	r.cutZone("b", false)
-	r.mu.Lock()
 	r.returned = time.Now()
-	r.mu.Unlock()
 	returned := r.clock.Now()
 	users.Wait()
-	for end := time.Now().Add(zoneDrain); r.left() > 0 && time.Now().Before(end) && ctx.Err() == nil; {
-		time.Sleep(200 * time.Millisecond)
-	}
-	if n := r.left(); n > 0 {
-		return fmt.Errorf("%d jobs are not done; logs are in %s", n, dir)
+	if err := r.drain(ctx, zoneDrain); err != nil {
+		return fmt.Errorf("%w; logs are in %s", err, dir)
 	}
 	time.Sleep(4 * time.Second) // answers may be three seconds behind
 	if err := r.check(ctx, dir); err != nil {
@@ -168,10 +132,8 @@
 		}
 		time.Sleep(time.Until(start.Add(at)))
 		id := fmt.Sprintf("job-%d%05d", rank, n)
-		r.mu.Lock()
-		r.jobs[id] = &zoneJob{rank: rank, submitted: time.Now(), done: map[string]bool{}}
-		r.mu.Unlock()
-		for !r.submit(ctx, client, job{id: id, team: "team", rank: ranks[rank], tasks: zoneTasks, host: r.hosts[rng.IntN(2)]}) && ctx.Err() == nil {
+		r.add(id, ranks[rank])
+		for !r.cluster.submit(ctx, client, job{id: id, team: "team", rank: ranks[rank], tasks: zoneTasks, host: r.hosts[rng.IntN(2)]}) && ctx.Err() == nil {
 			time.Sleep(time.Second)
 		}
 	}
@@ -230,8 +192,11 @@
 		}
 		second[(s.at-returned)/clock.Second]++
 		id, _, _ := wire.SplitTask(s.task)
-		if j := r.jobs[id]; j != nil && (first[j.rank] == 0 || s.at < first[j.rank]) {
-			first[j.rank] = s.at
+		if j := r.jobs[id]; j != nil {
+			rank := slices.Index(ranks, j.group)
+			if first[rank] == 0 || s.at < first[rank] {
+				first[rank] = s.at
+			}
 		}
 	}
 	for rank, at := range first {
@@ -248,7 +213,7 @@
 	sum.jobs += len(r.jobs)
 	for _, j := range r.jobs {
 		if j.submitted.After(r.returned) {
-			sum.waits[j.rank].Record(clock.FromDuration(j.ended.Sub(j.submitted)))
+			sum.waits[slices.Index(ranks, j.group)].Record(clock.FromDuration(j.ended.Sub(j.submitted)))
 		}
 	}
 }
