Zones: nothing new from a loss until the return, and a trial task in every stage

Cause: on loopback, zone return on or off, work began in the zone 0.2 s after it was joined: in the seconds in which a zone must be heard before it returns nothing was gated. With that mended, urgent work waited 50 s: all machines were cold and got nothing. Change: a gate of a lost zone admits nothing new (at most 65 s from the first machine heard); a cold machine gets one trial task in any stage.

--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -96,6 +98,24 @@
 	return out
 }
 
+// earlyStarts lists the attempts that began in zone b between a moment and the stage that admits urgent work.
+func (c *cluster) earlyStarts(afterMS int64) (out []history.Event) {
+	events := c.events()
+	slices.SortStableFunc(events, func(a, b history.Event) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	before := map[uint64]bool{}
+	for _, e := range events {
+		switch {
+		case e.AtMS < afterMS:
+			before[e.Attempt] = true
+		case e.Kind == history.ZoneChanged && e.Note == "returning urgent":
+			return out
+		case e.Kind == history.TaskRunning && e.Zone == "b" && !before[e.Attempt]:
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // allDoneOnce asks every controller for every job, and holds that each gives the same final answer,
 // that none has learnt a second one, and that somebody has learnt it. A controller that was cut off
 // as a job ended need not have: it asks others then.
@@ -153,6 +173,7 @@
 				require.True(t, states["returning reconcile"] && states["returning urgent"], "%v", states)
 				c.run(150*time.Second, 8*time.Second)
 				require.Equal(t, zone.Healthy, c.zoneState("a").State)
+				require.Empty(t, c.earlyStarts(back), "nothing begins before machines are accounted for")
 				first := c.firstStarts(back)
 				require.NotZero(t, first["job-5"], "urgent work has returned: %v", first)
 				for _, x := range [][2]string{{"job-5", "job-4"}, {"job-4", "job-3"}} {
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -37,6 +37,9 @@
 		m.quietUntil = 0
 	}
 	m.answered = now
+	if g := t.gates[m.Zone]; g != nil {
+		g.Heard(now)
+	}
 	if m.reportsOverdue {
 		m.reportsOverdue = false
 		t.back(m, now)
--- a/internal/owner/zones.go
+++ b/internal/owner/zones.go
@@ -19,9 +19,15 @@
 // gateCount is how often the starts under way in a zone are counted anew.
 const gateCount = 100 * clock.Millisecond
 
-// SetZone takes the state of a zone: while work returns there, it is admitted in stages.
+// SetZone takes the state of a zone: nothing new is admitted from its loss until it returns, and
+// then it is in stages. A controller inside a zone that is cut off does not hear of that, and goes on.
 func (t *Table) SetZone(name string, r zone.Record, now clock.Micros) {
-	if r.State != zone.Returning {
+	switch r.State {
+	case zone.Lost:
+		t.gates[name] = &gate{Gate: recovery.NewLostGate()}
+		return
+	case zone.Returning:
+	default:
 		delete(t.gates, name)
 		return
 	}
--- a/internal/recovery/gate.go
+++ b/internal/recovery/gate.go
@@ -24,25 +24,48 @@
 type Gate struct {
 	stage  Stage
 	held   bool // by operators: it stays as it is
+	lost   bool // the zone has not begun to return
 	since  clock.Micros
-	starts int // how many may be under way
+	heard  clock.Micros // since when a machine of a lost zone is heard; 0: none is
+	starts int          // how many may be under way
 }
 
+// lostMost is how long an owner waits, from the first machine of a lost zone that it hears, for the
+// word that the zone returns. It is longer than the longest that a zone must be heard before.
+const lostMost = 65 * clock.Second
+
 // NewGate makes a gate at a stage.
 func NewGate(s Stage, held bool, now clock.Micros) *Gate {
 	return &Gate{stage: s, held: held, since: now, starts: firstStarts}
 }
 
+// NewLostGate makes a gate of a zone that is lost: it admits nothing new, so that the first machines
+// that are back don't get whatever asks first.
+func NewLostGate() *Gate { return &Gate{stage: Reconcile, lost: true, starts: firstStarts} }
+
+// Heard takes note that a machine of the zone is heard.
+func (g *Gate) Heard(now clock.Micros) {
+	if g.lost && g.heard == 0 {
+		g.heard = now
+	}
+}
+
 // Enter takes the word of a stage, or of a hold.
 func (g *Gate) Enter(s Stage, held bool, now clock.Micros) {
-	if s != g.stage || held != g.held {
-		g.stage, g.held, g.since = s, held, now
+	if s != g.stage || held != g.held || g.lost {
+		g.stage, g.held, g.since, g.lost = s, held, now, false
 	}
 }
 
 // Stage is the present stage. Where the word of its end doesn't come, all is admitted after a
 // while: a controller with an old view may do less, but not for ever.
 func (g *Gate) Stage(now clock.Micros) Stage {
+	if g.lost {
+		if g.heard != 0 && now > g.heard+lostMost {
+			return Open
+		}
+		return Reconcile
+	}
 	if !g.held && now > g.since+g.stage.Most()+lateness {
 		return Open
 	}
@@ -56,7 +79,8 @@
 func (g *Gate) Starts() int { return g.starts }
 
 // Admits tells whether a task of a stage may be given room on a machine while so many starts are
-// under way in the zone. A cold machine gets one trial task, in the last stage.
+// under way in the zone. A cold machine gets one trial task before more: after a loss that outlasted the
+// workers' leases all machines are cold, and urgent work must not wait for others to warm them.
 func (g *Gate) Admits(task Stage, m Machine, underWay int, now clock.Micros) bool {
 	stage := g.Stage(now)
 	if stage == Open {
@@ -65,8 +89,5 @@
 	if task > stage || underWay >= g.starts {
 		return false
 	}
-	if m.Warm {
-		return true
-	}
-	return stage == Cold && m.Pending == 0
+	return m.Warm || m.Pending == 0
 }
--- a/internal/recovery/stages.go
+++ b/internal/recovery/stages.go
@@ -16,9 +16,9 @@
 // Stages, in order.
 const (
 	Reconcile Stage = iota // every machine's tasks are settled against the jobs' records; nothing new
-	Urgent                 // urgent work, on machines that have shown their images
-	Services               // other work, on the same machines
-	Cold                   // work that can wait, and machines that were not seen at work yet
+	Urgent                 // urgent work; a machine that was not seen at work yet gets one trial task
+	Services               // other work, in the same way
+	Cold                   // work that can wait
 	Open                   // all is admitted: the return is over
 )
 
