Read once more: one way to find room, to know a machine's owner, to sum what waits, to call a hook

Cause: moves and placement by costs joined the same two searches; three places held a machine's view against its owner; the fleet and the zones' status summed what waits by stage; both hooks made their own thread. The placer kept zone records that nothing read. Change: findAll, owned, peer.WaitingByStage, call; gates only. Behaviour and tests are as they were.

--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -11,7 +11,6 @@
 	"github.com/merlinlatch/merlinlatch/internal/claim"
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
-	"github.com/merlinlatch/merlinlatch/internal/recovery"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/internal/zone"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -114,15 +113,9 @@
 // stepZones decides, and writes what has changed.
 func (f *Fleet) stepZones(ctx context.Context, h claim.Held, demands []peer.Demand, now clock.Micros) {
 	z := &f.zones
-	waiting := map[recovery.Stage]int{}
-	for i := range demands {
-		if d := &demands[i]; d.Stage > 0 {
-			waiting[recovery.Stage(d.Stage-1)] += d.Waiting
-		}
-	}
 	evidence := z.watch.Source.ZoneEvidence()
 	z.mu.Lock()
-	changed := z.decider.Step(evidence, waiting, now, f.wall().UnixMilli())
+	changed := z.decider.Step(evidence, peer.WaitingByStage(demands), now, f.wall().UnixMilli())
 	for _, name := range slices.Sorted(maps.Keys(changed)) {
 		r := changed[name]
 		z.unsaved[name] = true
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -10,7 +10,6 @@
 	"github.com/merlinlatch/merlinlatch/internal/fleet"
 	"github.com/merlinlatch/merlinlatch/internal/history"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
-	"github.com/merlinlatch/merlinlatch/internal/recovery"
 	"github.com/merlinlatch/merlinlatch/internal/state"
 	"github.com/merlinlatch/merlinlatch/internal/zone"
 )
@@ -71,12 +70,7 @@
 // zoneStatuses tells how each zone stands.
 func (n *Node) zoneStatuses() []peer.ZoneStatus {
 	evidence, records, gates := n.ZoneEvidence(), n.ZoneRecords(), n.owner.Gates()
-	waiting := map[recovery.Stage]int{}
-	for _, d := range n.placer.Demands() {
-		if d.Stage > 0 {
-			waiting[recovery.Stage(d.Stage-1)] += d.Waiting
-		}
-	}
+	waiting := peer.WaitingByStage(n.placer.Demands())
 	out := make([]peer.ZoneStatus, 0, len(n.set.Params.Zones))
 	for _, name := range n.set.Params.Zones {
 		r, e := records[name], evidence[name]
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -6,6 +6,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fairshare"
 	"github.com/merlinlatch/merlinlatch/internal/history"
+	"github.com/merlinlatch/merlinlatch/internal/recovery"
 	"github.com/merlinlatch/merlinlatch/internal/res"
 	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -185,6 +186,18 @@
 	Slack   clock.Micros // how much later it may start; 0 when it is late or has no deadline
 }
 
+// WaitingByStage sums the tasks that wait by the stage of a zone's return that admits them. What
+// names none is left out.
+func WaitingByStage(list []Demand) map[recovery.Stage]int {
+	out := map[recovery.Stage]int{}
+	for i := range list {
+		if d := &list[i]; d.Stage > 0 {
+			out[recovery.Stage(d.Stage-1)] += d.Waiting
+		}
+	}
+	return out
+}
+
 // DemandAnswer answers the fleet.
 type DemandAnswer struct{ Demands []Demand }
 
--- a/internal/placer/costs.go
+++ b/internal/placer/costs.go
@@ -66,12 +66,7 @@
 	if !task.Known() {
 		return nil, false
 	}
-	list := d.find(j, d.imaged[j.Image], now)
-	for _, m := range d.find(j, &d.rooms, now) {
-		if !slices.Contains(list, m) {
-			list = append(list, m)
-		}
-	}
+	list := d.findAll(j, now)
 	if len(list) == 0 {
 		return nil, false
 	}
--- a/internal/placer/moves.go
+++ b/internal/placer/moves.go
@@ -44,9 +44,8 @@
 
 // drains tells that a machine is to be drained, and why.
 func (d *Scheduler) drains(m *mirror) (rebalance.Reason, bool) {
-	o := d.owners[m.host]
 	switch {
-	case !m.Accounted || m.Silent || !o.up || o.instance != m.instance || o.parts[m.Part] != m.Term:
+	case !m.Accounted || m.Silent || !d.owned(m):
 		return "", false // what is known of it may be old
 	case m.Noticed:
 		return rebalance.SpotNotice, true
@@ -142,13 +141,7 @@
 
 // destinations lists machines with room for a task of a job, those with its image first.
 func (d *Scheduler) destinations(j *job, from string, now clock.Micros) (out []*mirror) {
-	list := d.find(j, d.imaged[j.Image], now)
-	for _, m := range d.find(j, &d.rooms, now) {
-		if !slices.Contains(list, m) {
-			list = append(list, m)
-		}
-	}
-	for _, m := range list {
+	for _, m := range d.findAll(j, now) {
 		// An owner of an earlier version would start the task at once.
 		if m.ID != from && d.owners[m.host].holds && !d.moves.to(m.ID) {
 			out = append(out, m)
--- a/internal/placer/rooms.go
+++ b/internal/placer/rooms.go
@@ -76,8 +76,14 @@
 
 // ready tells that a machine may get tasks, as far as it and its owner are known.
 func (d *Scheduler) ready(m *mirror) bool {
+	return m.Usable && d.owned(m) && d.machines[m.ID] == m
+}
+
+// owned tells that what is known of a machine is the word of its present owner, and that this
+// one can be reached.
+func (d *Scheduler) owned(m *mirror) bool {
 	o := d.owners[m.host]
-	return m.Usable && o.up && o.instance == m.instance && o.parts[m.Part] == m.Term && d.machines[m.ID] == m
+	return o.up && o.instance == m.instance && o.parts[m.Part] == m.Term
 }
 
 // index puts a machine where its room and images belong. It is called after
@@ -257,3 +263,14 @@
 	})
 	return out
 }
+
+// findAll collects machines that have room for a task of a job, those with its image first.
+func (d *Scheduler) findAll(j *job, now clock.Micros) []*mirror {
+	list := d.find(j, d.imaged[j.Image], now)
+	for _, m := range d.find(j, &d.rooms, now) {
+		if !slices.Contains(list, m) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -169,15 +169,15 @@
 	demands       []fairshare.Demand // what waits, as last counted for the owners
 	demandsAt     clock.Micros
 
-	distributions map[string]distributions // by team
-	zones         map[string]returning     // to which work returns
+	distributions map[string]distributions  // by team
+	zones         map[string]*recovery.Gate // of zones to which work returns, by the clock here
 	moves         moves
 	movesAt       clock.Micros
 }
 
 // NewScheduler makes an empty scheduler.
 func NewScheduler(t Timing, instance string, teams []Team, hosts []string, seed uint64, wall func() int64) *Scheduler {
-	d := &Scheduler{zones: map[string]returning{}, distributions: map[string]distributions{}, watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
+	d := &Scheduler{zones: map[string]*recovery.Gate{}, distributions: map[string]distributions{}, watermarks: map[string]watermarks{}, imaged: map[string]*rooms{}, sizes: map[int64]int{}, timing: t, instance: instance, known: map[string]Team{}, teams: map[string]*team{}, machines: map[string]*mirror{},
 		owners: map[string]*ownerState{}, registry: map[string]bool{}, progress: map[string]map[chunkID]progress{}, chunk: ChunkTasks,
 		rng: rand.New(rand.NewPCG(seed, 1)), wall: wall}
 	d.moves = newMoves(t.Moves)
--- a/internal/placer/zones.go
+++ b/internal/placer/zones.go
@@ -7,12 +7,6 @@
 	"github.com/merlinlatch/merlinlatch/internal/zone"
 )
 
-// returning is a zone to which work returns, by the placer's own clock.
-type returning struct {
-	zone.Record
-	gate *recovery.Gate
-}
-
 // SetZone takes the state of a zone. What its owners would not admit is not asked for; they
 // decide, whatever a placer believes.
 func (d *Scheduler) SetZone(name string, r zone.Record, now clock.Micros) {
@@ -20,12 +14,11 @@
 		delete(d.zones, name)
 		return
 	}
-	if old, ok := d.zones[name]; ok {
-		old.gate.Enter(r.Stage, r.Held, now)
-		d.zones[name] = returning{r, old.gate}
+	if g := d.zones[name]; g != nil {
+		g.Enter(r.Stage, r.Held, now)
 		return
 	}
-	d.zones[name] = returning{r, recovery.NewGate(r.Stage, r.Held, now)}
+	d.zones[name] = recovery.NewGate(r.Stage, r.Held, now)
 }
 
 // stageOf is the stage of a return that admits a job.
@@ -37,12 +30,9 @@
 }
 
 // returns tells that work returns to a machine's zone and has not come to a job's stage yet.
-func (j *job) returns(m *mirror, zones map[string]returning, now clock.Micros) bool {
-	if len(zones) == 0 {
-		return false
-	}
-	z, ok := zones[m.Zone]
-	return ok && j.stage > z.gate.Stage(now)
+func (j *job) returns(m *mirror, zones map[string]*recovery.Gate, now clock.Micros) bool {
+	g := zones[m.Zone]
+	return g != nil && j.stage > g.Stage(now)
 }
 
 // ZoneEvidence counts for each zone how many of its machines are known, not heard, and heard but
@@ -51,11 +41,10 @@
 func (d *Scheduler) ZoneEvidence(strangers map[string]bool) map[string]zone.Evidence {
 	out := map[string]zone.Evidence{}
 	for _, m := range d.machines {
-		o := d.owners[m.host]
 		e := out[m.Zone]
 		e.Machines++
 		switch {
-		case m.Silent || m.Overdue || !o.up || o.instance != m.instance || o.parts[m.Part] != m.Term:
+		case m.Silent || m.Overdue || !d.owned(m):
 			if !strangers[m.ID] {
 				e.Unheard++
 			}
--- a/internal/policy/hooks.go
+++ b/internal/policy/hooks.go
@@ -41,6 +41,17 @@
 	return f, nil
 }
 
+// call asks a hook, within its bound of steps.
+func call(f *starlark.Function, argument starlark.Value) (starlark.Value, error) {
+	thread := &starlark.Thread{Name: f.Name()}
+	thread.SetMaxExecutionSteps(hookSteps)
+	v, err := starlark.Call(thread, f, starlark.Tuple{argument}, nil)
+	if err != nil {
+		return nil, located(err)
+	}
+	return v, nil
+}
+
 var errNoAnswer = errors.New("the answer must be True or False")
 
 // Veto gives the script's word on moves, nil where the script has no hook for them. A hook that
@@ -60,16 +71,14 @@
 }
 
 func (k *Knobs) askVeto(r rebalance.Record) (vetoed bool, err error) {
-	thread := &starlark.Thread{Name: vetoHook}
-	thread.SetMaxExecutionSteps(hookSteps)
 	move := starlarkstruct.FromStringDict(starlark.String("move"), starlark.StringDict{
 		"team": starlark.String(r.Team), "job": starlark.String(r.Key.Job), "task": starlark.MakeInt(r.Key.N),
 		"source": starlark.String(r.From), "destination": starlark.String(r.To), "reason": starlark.String(r.Reason),
 		"gain_s": starlark.Float(r.Gain.Seconds()), "cost_s": starlark.Float(r.Cost.Seconds()),
 	})
-	v, err := starlark.Call(thread, k.veto, starlark.Tuple{move}, nil)
+	v, err := call(k.veto, move)
 	if err != nil {
-		return false, located(err)
+		return false, err
 	}
 	answer, ok := v.(starlark.Bool)
 	if !ok {
@@ -97,15 +106,13 @@
 var errNoStage = errors.New("the answer must be urgent, services or cold")
 
 func (k *Knobs) askStage(j *jobs.Job) (recovery.Stage, error) {
-	thread := &starlark.Thread{Name: stageHook}
-	thread.SetMaxExecutionSteps(hookSteps)
 	job := starlarkstruct.FromStringDict(starlark.String("job"), starlark.StringDict{
 		"team": starlark.String(j.Team), "jobclass": starlark.String(j.Class), "rank": starlark.String(j.Rank),
 		"deadline": starlark.Bool(j.DueS != nil), "tasks": starlark.MakeInt(j.Tasks),
 	})
-	v, err := starlark.Call(thread, k.stage, starlark.Tuple{job}, nil)
+	v, err := call(k.stage, job)
 	if err != nil {
-		return 0, located(err)
+		return 0, err
 	}
 	name, _ := starlark.AsString(v)
 	s, ok := recovery.StageOf(name)
