--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 mkdir -p ../target/review
 for n in 1 2 3; do
   if [ -f "$n/main.go" ]; then
-    GOFLAGS=-mod=mod GOWORK=off go build -o "../target/review/case$n" "./$n"
+    GOWORK=off go build -buildvcs=false -o "../target/review/case$n" "./$n"
   fi
 done
--- a/review/kit/net.go
+++ b/review/kit/net.go
@@ -100,28 +100,13 @@
 
 	mu  sync.Mutex
 	cut chan struct{} // closed when the cut is over; nil: not cut
-
-	refuse bool
-	conns  map[net.Conn]bool
-}
-
-// SetRefused makes the link refuse connections and resets the open ones, or ends that.
-func (l *Link) SetRefused(on bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refuse = on
-	if on {
-		for c := range l.conns {
-			c.Close()
-		}
-	}
 }
 
 // NewLink starts a link to a target.
 func NewLink(target string) *Link {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Must(err)
-	link := &Link{Addr: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	link := &Link{Addr: l.Addr().String(), target: target}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -164,18 +149,6 @@
 
 func (l *Link) serve(conn net.Conn) {
 	defer conn.Close()
-	l.mu.Lock()
-	refuse := l.refuse
-	l.conns[conn] = true
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.conns, conn)
-		l.mu.Unlock()
-	}()
-	if refuse {
-		return
-	}
 	if l.isCut() {
 		first := make([]byte, 64<<10)
 		got := make(chan int, 1)
--- a/review/kit/site.go
+++ b/review/kit/site.go
@@ -195,8 +195,9 @@
 	mu                          sync.Mutex
 	cmd                         *exec.Cmd
 	exited                      chan struct{}
-	ended                       bool // ended by the case
-	Crashes                     int  // ends that the case did not cause
+	ended                       bool      // ended by the case
+	Begun                       time.Time // start of the process
+	Crashes                     int       // ends that the case did not cause
 }
 
 // NewSite prepares a deployment; the caller adds workers to its fleet before Start.
@@ -336,6 +337,7 @@
 	cmd.Stderr = log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	Must(cmd.Start())
+	n.Begun = time.Now()
 	n.cmd, n.ended, n.exited = cmd, false, make(chan struct{})
 	exited := n.exited
 	go func() {
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -22,8 +22,6 @@
 	nextHold uint64
 	changed  chan struct{}
 
-	outage   bool
-	refused  map[string]bool // controllers that get 503 alone
 	txnOps   int
 	valueKB  float64
 	requests bucket
@@ -31,9 +29,6 @@
 
 	// OnExtend, if set, is called after the answer to a renewal has been decided.
 	OnExtend func(controller string)
-	// OnMulti, if set, may take over a transaction: it returns true if the caller must get no answer. apply carries
-	// the transaction out; it may be called later, or never.
-	OnMulti func(controller string, txn *Txn, apply func() int) (noAnswer bool)
 	// Refusals counts the transactions that got 400.
 	Refusals int
 }
@@ -100,7 +95,7 @@
 // NewStore returns an empty store with these limits.
 func NewStore(rps, writeRPS, valueKB float64, txnOps int) *Store {
 	s := &Store{keys: map[string]*storeItem{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{}),
-		refused: map[string]bool{}, txnOps: txnOps, valueKB: valueKB,
+		txnOps: txnOps, valueKB: valueKB,
 		requests: bucket{rate: rps}, writes: bucket{rate: writeRPS}}
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
@@ -120,46 +115,12 @@
 	s.valueKB, s.txnOps = valueKB, txnOps
 }
 
-// SetOutage begins or ends an outage. At its end every lease has its full time again.
-func (s *Store) SetOutage(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.outage && !on {
-		for _, l := range s.leases {
-			l.end = time.Now().Add(l.ttl)
-		}
-		s.notify()
-	}
-	s.outage = on
-}
-
-// SetRefused makes the store answer 503 to one controller alone.
-func (s *Store) SetRefused(controller string, on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refused[controller] = on
-	s.notify()
-}
-
-// Value returns the value of a key, or nil.
-func (s *Store) Value(key string) json.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if it := s.keys[key]; it != nil {
-		return it.Value
-	}
-	return nil
-}
-
 func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 func (s *Store) expire() {
-	if s.outage {
-		return
-	}
 	for id, l := range s.leases {
 		if time.Now().After(l.end) {
 			delete(s.leases, id)
@@ -197,24 +158,19 @@
 	}))
 }
 
-func (s *Store) unavailable(controller string) bool { return s.outage || s.refused[controller] }
-
 func (s *Store) handle(controller string, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down := s.unavailable(controller)
-	limited := !down && !s.requests.take(1)
+	limited := !s.requests.take(1)
 	s.mu.Unlock()
 	switch {
-	case down:
-		Answer(w, 503, map[string]string{"error": "trouble"})
 	case limited:
 		Answer(w, 429, map[string]string{"error": "too many requests"})
 	case r.URL.Path == "/multi":
-		s.multi(controller, w, r)
+		s.multi(w, r)
 	case r.URL.Path == "/keys":
 		s.list(w, r)
 	case r.URL.Path == "/changes":
-		s.changes(controller, w, r)
+		s.changes(w, r)
 	case strings.HasPrefix(r.URL.Path, "/keys/"):
 		s.get(w, strings.TrimPrefix(r.URL.Path, "/keys/"))
 	case strings.HasPrefix(r.URL.Path, "/holds"):
@@ -263,32 +219,30 @@
 	Answer(w, 200, map[string]any{"items": items, "truncated": truncated, "ledger_rev": s.rev})
 }
 
-func (s *Store) changes(controller string, w http.ResponseWriter, r *http.Request) {
+func (s *Store) changes(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	block, _ := strconv.Atoi(q.Get("block_ms"))
 	deadline := time.Now().Add(time.Duration(min(block, 60_000)) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if !s.unavailable(controller) {
-			if len(s.log) > 0 && s.log[0].Stamp > after+1 && s.log[0].Stamp > 1 && len(s.log) >= keptChanges {
-				s.mu.Unlock()
-				Answer(w, 410, nil)
-				return
-			}
-			out := []storeChange{}
-			i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Stamp > after })
-			for _, c := range s.log[i:] {
-				if strings.HasPrefix(c.Put+c.Drop, q.Get("prefix")) {
-					out = append(out, c)
-				}
-			}
-			if rev := s.rev; len(out) > 0 || !time.Now().Before(deadline) {
-				s.mu.Unlock()
-				Answer(w, 200, map[string]any{"ledger_rev": max(rev, after), "log": out})
-				return
+		if len(s.log) > 0 && s.log[0].Stamp > after+1 && s.log[0].Stamp > 1 && len(s.log) >= keptChanges {
+			s.mu.Unlock()
+			Answer(w, 410, nil)
+			return
+		}
+		out := []storeChange{}
+		i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Stamp > after })
+		for _, c := range s.log[i:] {
+			if strings.HasPrefix(c.Put+c.Drop, q.Get("prefix")) {
+				out = append(out, c)
 			}
 		}
+		if rev := s.rev; len(out) > 0 || !time.Now().Before(deadline) {
+			s.mu.Unlock()
+			Answer(w, 200, map[string]any{"ledger_rev": max(rev, after), "log": out})
+			return
+		}
 		wait := s.changed
 		s.mu.Unlock()
 		select {
@@ -342,30 +296,15 @@
 	}
 }
 
-func (s *Store) multi(controller string, w http.ResponseWriter, r *http.Request) {
+func (s *Store) multi(w http.ResponseWriter, r *http.Request) {
 	var txn Txn
 	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
 		Answer(w, 400, map[string]string{"error": err.Error()})
 		return
 	}
-	var status int
-	var body any
-	apply := func() int {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		status, body = s.apply(&txn)
-		return status
-	}
 	s.mu.Lock()
-	onMulti := s.OnMulti
-	s.mu.Unlock()
-	if onMulti != nil && onMulti(controller, &txn, apply) {
-		<-r.Context().Done()
-		return
-	}
-	if status == 0 {
-		apply()
-	}
+	defer s.mu.Unlock()
+	status, body := s.apply(&txn)
 	Answer(w, status, body)
 }
 
@@ -415,20 +354,3 @@
 	}
 	return 200, map[string]uint64{"ledger_rev": s.rev}
 }
-
-// SetLate makes transactions get no answer: they are carried out after the given time if late says so.
-func (s *Store) SetLate(late func() (time.Duration, bool)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.OnMulti = nil
-	if late != nil {
-		s.OnMulti = func(_ string, _ *Txn, apply func() int) bool {
-			d, yes := late()
-			if !yes {
-				return false
-			}
-			time.AfterFunc(d, func() { apply() })
-			return true
-		}
-	}
-}
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -37,8 +37,7 @@
 	SnapS        float64  `json:"snap_s"`
 	DueS         *float64 `json:"due_s"`
 
-	RunS  float64 `json:"-"` // run time of each task
-	Fails bool    `json:"-"` // every task fails
+	RunS float64 `json:"-"` // run time of each task
 }
 
 // Fleet has the workers, the uploaded jobs, and what is on which machine.
@@ -46,19 +45,15 @@
 	ReportS, LeaseS float64
 	FetchGBPS       float64
 
-	mu       sync.Mutex
-	nodes    []string // names of the controllers, in order
-	addrs    []string // their addresses for workers
-	jobs     map[string]*Job
-	on       map[string]map[string]time.Time // task -> attempts that are on a machine, by machine and attempt
-	Workers  map[string]*Worker
-	Starts   []Start
-	RanTwice []string // starts of a task on one machine while it was on another
-	doneAt   map[string]time.Time
-	// OnStart, if set, is called with each start, under the fleet's lock.
-	OnStart func(j *Job, task string, w *Worker, now time.Time)
-	// LateCopy, if set, says after which time a copy of a report arrives again at every node; 0: none does.
-	LateCopy   func() time.Duration
+	mu         sync.Mutex
+	nodes      []string // names of the controllers, in order
+	addrs      []string // their addresses for workers
+	jobs       map[string]*Job
+	on         map[string]map[string]time.Time // task -> attempts that are on a machine, by machine and attempt
+	Workers    map[string]*Worker
+	Starts     []Start
+	RanTwice   []string // starts of a task on one machine while it was on another
+	doneAt     map[string]time.Time
 	doneByTask map[string]bool
 }
 
@@ -90,17 +85,6 @@
 	return at, ok
 }
 
-// OnMachines returns the machines that a task is on.
-func (f *Fleet) OnMachines(task string) (out []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for k := range f.on[task] {
-		out = append(out, strings.SplitN(k, " ", 2)[0])
-	}
-	sort.Strings(out)
-	return out
-}
-
 // TasksOn counts the tasks of jobs with a prefix that are on machines now.
 func (f *Fleet) TasksOn(prefix string) (n int) {
 	f.mu.Lock()
@@ -150,28 +134,6 @@
 	gone      bool
 	booted    bool
 	rented    time.Time
-	// Cut, if set, makes the worker unable to reach a node.
-	Cut func(node string) bool
-	// Deaf makes answers to reports, and direct commands, get lost.
-	Deaf bool
-	// HoldOrders, if set, is called with each direct command message; it may delay it.
-	HoldOrders func(w *Worker)
-	hung       bool
-	taken      time.Time // when the cloud takes the machine; zero: no notice
-}
-
-// Notice gives a machine notice; it is gone after d.
-func (f *Fleet) Notice(id string, d time.Duration) {
-	f.mu.Lock()
-	w := f.Workers[id]
-	if w != nil {
-		w.taken = time.Now().Add(d)
-		w.changed()
-	}
-	f.mu.Unlock()
-	Note("%s has notice of %v", id, d)
-	time.Sleep(d)
-	f.Remove(id)
 }
 
 // Boot adds a machine that is up after a time.
@@ -187,70 +149,6 @@
 	}
 }
 
-// IDs returns the names of the machines that are up.
-func (f *Fleet) IDs() (out []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for id, w := range f.Workers {
-		if !w.gone && w.booted {
-			out = append(out, id)
-		}
-	}
-	sort.Strings(out)
-	return out
-}
-
-// Hang makes the machine hang for a time: it answers nothing and its tasks stand still.
-func (w *Worker) Hang(d time.Duration) {
-	w.fleet.mu.Lock()
-	w.hung = true
-	w.fleet.mu.Unlock()
-	Note("%s hangs for %v", w.ID, d)
-	time.Sleep(d)
-	w.fleet.mu.Lock()
-	w.hung = false
-	for _, t := range w.tasks {
-		if t.Phase == "running" || t.Phase == "fetching" {
-			t.end = t.end.Add(d)
-		}
-	}
-	if !w.gone {
-		w.advance(time.Now())
-	}
-	w.fleet.mu.Unlock()
-	Note("%s goes on", w.ID)
-}
-
-func (w *Worker) awaitResumed() {
-	for w.hung {
-		w.fleet.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
-		w.fleet.mu.Lock()
-	}
-}
-
-// OnNow calls visit with every task that is on a machine.
-func (f *Fleet) OnNow(visit func(j *Job, task string, since time.Time)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for task, on := range f.on {
-		for _, since := range on {
-			id, _, _ := strings.Cut(task, "/")
-			visit(f.jobs[id], task, since)
-		}
-	}
-}
-
-// EachOn is OnNow with the fleet's lock held by the caller, with the machines.
-func (f *Fleet) EachOn(visit func(j *Job, task string, w *Worker)) {
-	for task, on := range f.on {
-		for k := range on {
-			id, _, _ := strings.Cut(task, "/")
-			visit(f.jobs[id], task, f.Workers[strings.SplitN(k, " ", 2)[0]])
-		}
-	}
-}
-
 // AddWorker starts a worker.
 func (f *Fleet) AddWorker(id, hull, yard string, cpus, memGB float64, node int) *Worker {
 	w := &Worker{ID: id, Hull: hull, Yard: yard, CPUs: cpus, MemGB: memGB, fleet: f, tenure: 1, renewed: time.Now(),
@@ -337,11 +235,6 @@
 			t.Phase, t.Cause, t.Stored = "exited", "stopped", true
 			w.changed()
 		}
-		if t.Phase == "running" && t.job.Fails {
-			w.off(t)
-			t.Phase, t.Cause = "exited", "error"
-			w.changed()
-		}
 		if t.Phase == "running" && now.After(t.end) {
 			w.off(t)
 			t.Phase, t.Cause = "exited", "done"
@@ -366,9 +259,6 @@
 	f.on[t.Shard][fmt.Sprintf("%s %d", w.ID, t.Try)] = now
 	f.Starts = append(f.Starts, Start{t.Shard, w.ID, t.Try, now})
 	Note("%s: %s try %d starts", w.ID, t.Shard, t.Try)
-	if f.OnStart != nil {
-		f.OnStart(t.job, t.Shard, w, now)
-	}
 }
 
 func (w *Worker) completed(t *workerTask, now time.Time) {
@@ -392,9 +282,7 @@
 			w.fleet.mu.Unlock()
 			return
 		}
-		if now := time.Now(); !w.hung || now.Sub(w.renewed).Seconds() > w.fleet.LeaseS {
-			w.advance(now) // the lease ends the tasks of a machine that hangs, too
-		}
+		w.advance(time.Now())
 		w.fleet.mu.Unlock()
 	}
 }
@@ -406,12 +294,8 @@
 		shards = append(shards, *t)
 	}
 	sort.Slice(shards, func(a, b int) bool { return shards[a].Shard < shards[b].Shard })
-	var recall any
-	if !w.taken.IsZero() {
-		recall = max(0, time.Until(w.taken).Seconds())
-	}
 	return map[string]any{"host": w.ID, "addr": w.Addr, "hull": w.Hull, "yard": w.Yard, "loaners": w.Spot,
-		"tenure": w.tenure, "tick": w.tick, "epoch": w.epoch, "recall_s": recall, "shards": shards}
+		"tenure": w.tenure, "tick": w.tick, "epoch": w.epoch, "recall_s": nil, "shards": shards}
 }
 
 func (w *Worker) execute(orders []order, now time.Time) {
@@ -486,14 +370,7 @@
 	}
 	f := w.fleet
 	f.mu.Lock()
-	hold := w.HoldOrders
-	f.mu.Unlock()
-	if hold != nil {
-		hold(w)
-	}
-	f.mu.Lock()
-	w.awaitResumed()
-	if w.gone || w.Deaf {
+	if w.gone {
 		f.mu.Unlock()
 		<-r.Context().Done()
 		return
@@ -524,8 +401,7 @@
 // handleShow answers with the worker's report. It takes the fleet's lock.
 func (w *Worker) handleShow(rw http.ResponseWriter, r *http.Request) {
 	w.fleet.mu.Lock()
-	w.awaitResumed()
-	if w.gone || w.Deaf {
+	if w.gone {
 		w.fleet.mu.Unlock()
 		<-r.Context().Done()
 		return
@@ -540,7 +416,7 @@
 	time.Sleep(time.Duration(rand.Float64() * float64(time.Second)))
 	for {
 		sent := time.Now()
-		pause := w.sendReport(client, sent)
+		pause := w.sendReport(client)
 		if pause < 0 {
 			return
 		}
@@ -559,30 +435,18 @@
 
 // sendReport sends one report and returns the pause before the next one if another node is to be tried: 0 if the
 // worker stays, below 0 if the machine is gone.
-func (w *Worker) sendReport(client *http.Client, sent time.Time) time.Duration {
+func (w *Worker) sendReport(client *http.Client) time.Duration {
 	f := w.fleet
 	f.mu.Lock()
-	w.awaitResumed()
 	if w.gone {
 		f.mu.Unlock()
 		return -1
 	}
-	sent = time.Now()
+	sent := time.Now()
 	w.advance(sent)
 	tenure := w.tenure
 	b, _ := json.Marshal(w.report())
-	node, addr, cut := f.nodes[w.node], f.addrs[w.node], w.Cut
-	if f.LateCopy != nil {
-		if d := f.LateCopy(); d > 0 {
-			for _, a := range f.addrs {
-				time.AfterFunc(d, func() {
-					if resp, err := client.Post("http://"+a+"/v1/report", "application/json", bytes.NewReader(b)); err == nil {
-						resp.Body.Close()
-					}
-				})
-			}
-		}
-	}
+	node, addr := f.nodes[w.node], f.addrs[w.node]
 	f.mu.Unlock()
 	next := func() time.Duration {
 		f.mu.Lock()
@@ -590,10 +454,6 @@
 		f.mu.Unlock()
 		return time.Second
 	}
-	if cut != nil && cut(node) {
-		time.Sleep(4 * time.Second)
-		return next()
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/report", bytes.NewReader(b))
@@ -611,16 +471,7 @@
 	if err != nil || json.Unmarshal(body, &out) != nil {
 		return next()
 	}
-	f.mu.Lock()
-	w.awaitResumed()
-	deaf := w.Deaf
-	f.mu.Unlock()
-	if time.Since(sent) > 4*time.Second {
-		return next() // it came too late, or the machine hung
-	}
 	switch {
-	case deaf:
-		return next()
 	case resp.StatusCode == 200:
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -646,70 +497,37 @@
 	return next()
 }
 
-// SetDeaf makes some machines deaf, or ends it.
-func (f *Fleet) SetDeaf(all []*Worker, which []int, on bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, i := range which {
-		all[i].Deaf = on
-	}
-}
-
-// SetMute makes some machines unable to reach any controller, or ends it.
-func (f *Fleet) SetMute(all []*Worker, which []int, on bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, i := range which {
-		all[i].Cut = nil
-		if on {
-			all[i].Cut = func(string) bool { return true }
-		}
-	}
-}
-
-// SetLateCopy sets LateCopy.
-func (f *Fleet) SetLateCopy(late func() time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.LateCopy = late
-}
-
-// SetLateOrders delays direct commands.
-func (f *Fleet) SetLateOrders(all []*Worker, late func() time.Duration) {
+// FinishOn completes one running task of a job with a prefix on each machine that reports to a node, the machines
+// one after the other at the given times: these are the tasks' run times. It returns the tasks.
+func (f *Fleet) FinishOn(node int, prefix string, at []time.Time) (tasks []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, w := range all {
-		w.HoldOrders = nil
-		if late != nil {
-			w.HoldOrders = func(*Worker) { time.Sleep(late()) }
+	var ids []string
+	for id, w := range f.Workers {
+		if w.node == node && !w.gone {
+			ids = append(ids, id)
 		}
 	}
-}
-
-// CutZone cuts a zone off: its controllers lose the state service and the controllers of other zones, its workers the
-// controllers of other zones.
-func (f *Fleet) CutZone(zone string, s *Site, on bool) {
-	Note("zone %s is cut off: %v", zone, on)
-	in := map[string]bool{}
-	for _, n := range s.Nodes {
-		in[n.Name] = n.Zone == zone
-		if n.Zone == zone {
-			n.State.SetCut(on)
+	sort.Strings(ids)
+	for _, id := range ids {
+		if len(tasks) == len(at) {
+			break
 		}
-	}
-	for _, n := range s.Nodes {
-		for other, l := range n.Peers {
-			if in[n.Name] != in[other] {
-				l.SetCut(on)
+		w := f.Workers[id]
+		for _, t := range w.tasks {
+			if t.Phase != "running" || !strings.HasPrefix(t.Shard, prefix) {
+				continue
 			}
+			time.AfterFunc(time.Until(at[len(tasks)]), func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				now := time.Now()
+				t.end = now.Add(-time.Millisecond)
+				w.advance(now)
+			})
+			tasks = append(tasks, t.Shard)
+			break
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, w := range f.Workers {
-		w.Cut = nil
-		if on {
-			w.Cut = func(node string) bool { return in[node] != (w.Yard == zone) }
-		}
-	}
+	return tasks
 }
