leaderelection: a renewal that is confirmed after the lease is over is logged

Change: a warning 'lease renewal late' with the incarnation and the time since the renewal was sent.

--- a/internal/leaderelection/renewal.go
+++ b/internal/leaderelection/renewal.go
@@ -33,6 +33,9 @@
 		e.renewalFailures = 0
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		if now := e.clock.Now(); !e.election.LeaseValid(now) {
+			e.log.Warn("lease renewal late", "incarnation", due.incarnation, "duration_ms", (now - due.decidedAt).Duration().Milliseconds())
+		}
 		e.election.ExtendLease(due.incarnation, e.leaseExpiry(due.decidedAt))
 		e.lastRenewal = max(e.lastRenewal, due.decidedAt)
 		return true
