leaderelection: an expired controller lease is final, so that no term starts twice

After a cut of 23.9 s from the key-value store and the peers a controller started the running tasks of its team again on other machines, under the same attempt numbers.

Cause: the lease is over by the controller's own clock 0.3 s before the store drops it. Scheduler, partitions and autoscaler drop what they know; then a renewal that was under way succeeds, ExtendLease makes the same incarnation valid again, and every part starts from nothing under a term that it has acted under already.

Change: Election.ExtendLease takes the time and refuses to extend a lease that is over; the elector then resigns the incarnation and registers another, whose terms are higher. This holds for partitions, teams and fleet alike, which all go by Election.Leading. A renewal that is answered after the incarnation has resigned ends the pass, which could campaign for that incarnation before.

Why it works: Leading depends on the time only through the end of the lease, which moves only while it lies ahead; the other ways to lose a leadership (resignation, transfer, the replica showing another leader) were final already.

--- a/internal/controller/cluster_faults_test.go
+++ b/internal/controller/cluster_faults_test.go
@@ -51,28 +51,44 @@
 }
 
 // pause pauses a controller for a duration. What the controller sends and what is sent to it waits until it resumes.
-func (c *cluster) pause(host string, d time.Duration) {
-	resumed := make(chan struct{})
+func (c *cluster) pause(host string, d time.Duration) { c.block(c.paused, host, d) }
+
+// cutFromStoreAndPeers cuts a controller from the store for a duration, and from its peers for peerCutExcess longer. What it sends to
+// them, and they to it, waits until the cut ends. Workers and users still reach it.
+func (c *cluster) cutFromStoreAndPeers(host string, d time.Duration) {
+	c.block(c.cutFromStore, host, d)
+	c.block(c.cutFromPeers, host, d+peerCutExcess)
+}
+
+// peerCutExcess lets an answer of the store reach a controller before the peers' heartbeats, which may end its incarnation.
+const peerCutExcess = 50 * time.Millisecond
+
+// block puts a channel into blocked for a host, and closes and removes it after a duration.
+func (c *cluster) block(blocked map[string]chan struct{}, host string, d time.Duration) {
+	passable := make(chan struct{})
 	c.mu.Lock()
-	c.paused[host] = resumed
+	blocked[host] = passable
 	c.mu.Unlock()
 	time.AfterFunc(d, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		close(resumed)
-		if c.paused[host] == resumed {
-			delete(c.paused, host)
+		close(passable)
+		if blocked[host] == passable {
+			delete(blocked, host)
 		}
 	})
 }
 
-// resumeSignal returns the channel that is closed when a paused controller resumes, or nil if the controller is not paused.
-func (c *cluster) resumeSignal(host string) chan struct{} {
+// signal returns the channel of a host in paused, cutFromStore or cutFromPeers, or nil if there is none.
+func (c *cluster) signal(blocked map[string]chan struct{}, host string) chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.paused[host]
+	return blocked[host]
 }
 
+// resumeSignal returns the channel that is closed when a paused controller resumes, or nil if the controller is not paused.
+func (c *cluster) resumeSignal(host string) chan struct{} { return c.signal(c.paused, host) }
+
 // awaitResume waits while a controller is paused.
 func (c *cluster) awaitResume(host string) {
 	if resumed := c.resumeSignal(host); resumed != nil {
@@ -80,6 +96,14 @@
 	}
 }
 
+// awaitStore waits while a controller is paused or cut from the store.
+func (c *cluster) awaitStore(host string) {
+	c.awaitResume(host)
+	if passable := c.signal(c.cutFromStore, host); passable != nil {
+		<-passable
+	}
+}
+
 // addOccurrence counts an event and returns how often it has occurred.
 func (c *cluster) addOccurrence(event string) int {
 	c.mu.Lock()
--- a/internal/controller/cluster_faulty_store_test.go
+++ b/internal/controller/cluster_faulty_store_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// faultyStore is a controller's client of the key-value store. Its calls wait while the controller is paused, changes may
+// faultyStore is a controller's client of the key-value store. Its calls wait while the controller is paused or cut off, changes may
 // reach the controller's replica late, and transactions may be carried out late or without an answer.
 type faultyStore struct {
 	*fakes.KVClient
@@ -97,25 +97,40 @@
 	host    string
 }
 
-// Get waits while the controller is paused.
+// Get waits while the controller is paused or cut off.
 func (s faultyStore) Get(ctx context.Context, key string) (wire.Item, bool, error) {
-	s.cluster.awaitResume(s.host)
+	s.cluster.awaitStore(s.host)
 	return s.KVClient.Get(ctx, key)
 }
 
-// GrantLease waits while the controller is paused, both before the call and before it returns the answer.
+// GrantLease waits while the controller is paused or cut off, both before the call and before it returns the answer.
 func (s faultyStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
-	s.cluster.awaitResume(s.host)
+	s.cluster.awaitStore(s.host)
 	id, err := s.KVClient.GrantLease(ctx, ttl)
-	s.cluster.awaitResume(s.host)
+	s.cluster.awaitStore(s.host)
 	return id, err
 }
 
-// KeepAlive waits while the controller is paused, both before the call and before it returns the answer.
+// KeepAlive waits while the controller is paused or cut off, both before the call and before it returns the answer. A renewal that
+// has timed out during a cut still reaches the store when the cut ends.
 func (s faultyStore) KeepAlive(ctx context.Context, id uint64, timeout time.Duration) error {
-	s.cluster.awaitResume(s.host)
+	if s.cluster.signal(s.cluster.cutFromStore, s.host) == nil {
+		return s.keepAlive(ctx, id, timeout)
+	}
+	answer := make(chan error, 1)
+	go func() { answer <- s.keepAlive(ctx, id, timeout) }()
+	select {
+	case err := <-answer:
+		return err
+	case <-time.After(timeout):
+		return fmt.Errorf("%w: cut off", kvstore.ErrOutcomeUnknown)
+	}
+}
+
+func (s faultyStore) keepAlive(ctx context.Context, id uint64, timeout time.Duration) error {
+	s.cluster.awaitStore(s.host)
 	err := s.KVClient.KeepAlive(ctx, id, timeout)
-	s.cluster.awaitResume(s.host)
+	s.cluster.awaitStore(s.host)
 	return err
 }
 
@@ -126,14 +141,14 @@
 	delay := s.cluster.replicaDelay[s.host]
 	s.cluster.mu.Unlock()
 	time.Sleep(delay)
-	s.cluster.awaitResume(s.host)
+	s.cluster.awaitStore(s.host)
 	return changes, err
 }
 
 // Commit gives a transaction the outcome that onCommit decides. Of the transactions that onCommit lets pass, it carries out
 // those that drawDelay chooses late and without an answer.
 func (s faultyStore) Commit(ctx context.Context, m wire.Txn) (uint64, error) {
-	s.cluster.awaitResume(s.host)
+	s.cluster.awaitStore(s.host)
 	switch s.cluster.commitOutcome(s.host, m) {
 	case responseLost:
 		s.KVClient.Commit(ctx, m) //nolint:errcheck // its answer is lost
@@ -153,7 +168,7 @@
 		return 0, fmt.Errorf("%w: delayed", kvstore.ErrOutcomeUnknown)
 	}
 	rev, err := s.KVClient.Commit(ctx, m)
-	s.cluster.awaitResume(s.host)
+	s.cluster.awaitStore(s.host)
 	return rev, err
 }
 
--- a/internal/controller/cluster_peers_test.go
+++ b/internal/controller/cluster_peers_test.go
@@ -18,22 +18,33 @@
 
 var errDisconnected = errors.New("disconnected")
 
-// Call calls a peer's method. While the caller is paused, the call waits. While the peer is paused, the call times out, and
-// reaches the peer when it resumes.
+// Call calls a peer's method. While the caller is paused, the call waits. While the peer is paused, or either side is cut from its
+// peers, the call times out, and reaches the peer later.
 func (p peerConnection) Call(method string, in, out any, timeout time.Duration) error {
 	p.cluster.awaitResume(p.from)
-	if resumed := p.cluster.resumeSignal(p.to); resumed != nil {
-		return p.deliverAfterResume(resumed, method, in, out, timeout)
+	if passable := p.passableAgain(); passable != nil {
+		return p.deliverLate(passable, method, in, out, timeout)
 	}
 	err := p.deliver(method, in, out)
 	p.cluster.awaitResume(p.from)
 	return err
 }
 
-// deliverAfterResume times out a call to a paused controller, and delivers it when the controller resumes.
-func (p peerConnection) deliverAfterResume(resumed chan struct{}, method string, in, out any, timeout time.Duration) error {
+// passableAgain returns a channel that is closed when the connection passes calls again, or nil if it passes them now.
+func (p peerConnection) passableAgain() chan struct{} {
+	if resumed := p.cluster.resumeSignal(p.to); resumed != nil {
+		return resumed
+	}
+	if ended := p.cluster.signal(p.cluster.cutFromPeers, p.to); ended != nil {
+		return ended
+	}
+	return p.cluster.signal(p.cluster.cutFromPeers, p.from)
+}
+
+// deliverLate times out a call, and delivers it when the connection passes calls again.
+func (p peerConnection) deliverLate(passable chan struct{}, method string, in, out any, timeout time.Duration) error {
 	go func() {
-		<-resumed
+		<-passable
 		p.deliver(method, in, reflect.New(reflect.TypeOf(out).Elem()).Interface()) //nolint:errcheck // the caller has given up
 	}()
 	time.Sleep(timeout)
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -111,6 +111,8 @@
 	processes         map[string]*process      // by host; nil while the host is down
 	disconnected      map[string]bool          // hosts that reach no peer and that no peer reaches
 	paused            map[string]chan struct{} // by host; closed when the paused controller resumes
+	cutFromStore      map[string]chan struct{} // by host; closed when its cut from the store ends
+	cutFromPeers      map[string]chan struct{} // by host; closed when its cut from its peers ends
 	peerLatency       time.Duration            // of every call between controllers, each way
 	replicaDelay      map[string]time.Duration // by host; delay of the changes that its replica receives
 	rng               *rand.Rand               // chooses the transactions that are delayed; if nil, none is
@@ -162,6 +164,8 @@
 		processes:             map[string]*process{},
 		disconnected:          map[string]bool{},
 		paused:                map[string]chan struct{}{},
+		cutFromStore:          map[string]chan struct{}{},
+		cutFromPeers:          map[string]chan struct{}{},
 		peerLatency:           options.peerLatency,
 		replicaDelay:          map[string]time.Duration{},
 		occurrences:           map[string]int{},
--- a/internal/leaderelection/contact.go
+++ b/internal/leaderelection/contact.go
@@ -12,6 +12,13 @@
 	e.log.Warn("leaderships resigned", "incarnation", e.lastResigned, "reason", reason)
 }
 
+// resignIfCurrent ends an incarnation, unless it has ended already. The caller holds e.mu.
+func (e *Elector) resignIfCurrent(incarnation, reason string) {
+	if current, _ := e.election.Incarnation(); current == incarnation {
+		e.resign(reason)
+	}
+}
+
 // StoreContact returns the age of the last contact with the key-value store, and the last incarnation that resigned. The age is
 // the time since the last confirmed renewal or registration was sent.
 func (e *Elector) StoreContact() (age clock.Micros, resigned string) {
--- a/internal/leaderelection/doc.go
+++ b/internal/leaderelection/doc.go
@@ -13,25 +13,27 @@
 //
 //	                 Elector.register: ml/n/HOST written, attached to a new lease
 //	+--------------+                                            +---------------------------------------+
-//	| unregistered | -----------------------------------------> | lease valid                           | <--+
-//	| (no          |                                            | may act, but leads nothing yet        |    |
-//	| incarnation) |                                            +---------------------------------------+    |
-//	+--------------+                                                        | the replica shows ml/n/HOST    |
-//	       ^                                                                v                                |
-//	       |                                                    +---------------------------------------+    |
-//	       |                                                    | registered, lease valid               |    | a renewal that was
-//	       |                                                    | campaigns, transfers, acts as leader; | <--+ under way succeeds:
-//	       |                                                    | each renewal: Election.ExtendLease    |    | Election.ExtendLease
-//	       |                                                    +---------------------------------------+    |
-//	       |                                                      |     | own clock: last confirmed renewal   |
-//	       |                                                      |     | was sent TTL less drift and margin  |
-//	       |                store dropped the lease;              |     | ago                                 |
-//	       |                store unreachable, a peer reaches it  |     v                                     |
-//	+--------------+ <--------------------------------------------+  +----------------------------------+     |
-//	| resigned     |                                                 | lease expired: acts on nothing   | ----+
+//	| unregistered | -----------------------------------------> | lease valid                           |
+//	| (no          |                                            | may act, but leads nothing yet        |
+//	| incarnation) |                                            +---------------------------------------+
+//	+--------------+                                                        | the replica shows ml/n/HOST
+//	       ^                                                                v
+//	       |                                                    +---------------------------------------+
+//	       |                                                    | registered, lease valid               |
+//	       |                                                    | campaigns, transfers, acts as leader; |
+//	       |                                                    | each renewal: Election.ExtendLease    |
+//	       |                                                    +---------------------------------------+
+//	       |                                                      |     | own clock: last confirmed renewal
+//	       |                                                      |     | was sent TTL less drift and margin
+//	       |                store dropped the lease;              |     | ago
+//	       |                store unreachable, a peer reaches it  |     v
+//	+--------------+ <--------------------------------------------+  +----------------------------------+
+//	| resigned     |                                                 | lease expired: acts on nothing   |
 //	| for good     | <---------------------------------------------- |                                  |
-//	+--------------+    next pass of Elector.Run                     +----------------------------------+
+//	+--------------+    next pass of Elector.Run, or the end of a    +----------------------------------+
+//	                    renewal under way, whether it succeeds or not
 //
+// An expired lease never becomes valid again, although the store may keep it for longer and confirm a renewal that was under way.
 // A resigned incarnation is never used again. The process registers a new one, whose leaderships have higher terms.
 //
 // # What a leadership starts and stops
@@ -62,6 +64,10 @@
 //     stops acting on it for good, and only then lets another acquire it (Elector.RecordPeerContact,
 //     Election.TransferLeadership). A new process of a controller replaces the registration of the former one, which has
 //     normally ended, at once.
+//   - A leadership that was lost is never held again under the same term, since the parts of the controller start the work of a
+//     term anew when they acquire it: fencing tokens (1) and attempt numbers (3) would repeat, and tasks that the same process
+//     has assigned would not count as those of a former leader (7). An expired lease is therefore final (Election.ExtendLease),
+//     as are a resignation and a transfer.
 //   - A leadership takes effect only when the replica shows it, so that the new leader has applied every record written before
 //     it (5, 6, 7).
 //   - Terms grow over all leaderships, including those of duties that no longer exist. Fencing tokens (1), attempt numbers (3)
--- a/internal/leaderelection/election.go
+++ b/internal/leaderelection/election.go
@@ -56,7 +56,9 @@
 // controller acquires and transfers. It is not safe for concurrent use: Elector guards it by a lock.
 //
 // Invariant: Leading reports true only while the lease of the current incarnation is valid, for a leadership that the replica
-// shows with this incarnation and that is not being transferred. Otherwise two controllers could act on one leadership.
+// shows with this incarnation and that is not being transferred. Otherwise two controllers could act on one leadership. Once it
+// has reported false for a leadership after true, it never reports true under that term again, since the work of a term starts
+// only once.
 type Election struct {
 	controller      string   // this controller
 	controllers     []string // all controllers, sorted
@@ -75,7 +77,7 @@
 
 	incarnation     string // current incarnation of this process; empty: none
 	leaseID         uint64
-	leaseValidUntil clock.Micros // the current incarnation acts only before this time
+	leaseValidUntil clock.Micros // the current incarnation acts only before this time, which moves only while it lies ahead
 }
 
 // NewElection makes the election state of one controller. controllers names all controllers, this one included; duties names
@@ -148,12 +150,16 @@
 	return incarnation
 }
 
-// ExtendLease records that the controller lease of an incarnation is confirmed until validUntil. It changes nothing if that is
-// not the current incarnation: a new one may have been registered while the renewal was under way.
-func (e *Election) ExtendLease(incarnation string, validUntil clock.Micros) {
-	if incarnation == e.incarnation && incarnation != "" {
-		e.leaseValidUntil = max(e.leaseValidUntil, validUntil)
+// ExtendLease records at now that the controller lease of an incarnation is confirmed until validUntil, and reports whether it did.
+// It changes nothing if that is not the current incarnation: a new one may have been registered while the renewal was under way.
+// Nor does it change anything if the lease has expired: that is final. The parts of this process have then dropped what they knew
+// under the incarnation's leaderships, or are about to, and would start anew under terms that they have acted under already.
+func (e *Election) ExtendLease(incarnation string, validUntil, now clock.Micros) (extended bool) {
+	if incarnation != e.incarnation || !e.LeaseValid(now) {
+		return false
 	}
+	e.leaseValidUntil = max(e.leaseValidUntil, validUntil)
+	return true
 }
 
 // Incarnation returns the current incarnation and the id of its controller lease, or zero values when there is none.
--- a/internal/leaderelection/election_test.go
+++ b/internal/leaderelection/election_test.go
@@ -99,10 +99,13 @@
 		"registered, lease valid": {func(*testing.T, *Election) {}, 999 * clock.Second, true},
 		"lease expired":           {func(*testing.T, *Election) {}, 1000 * clock.Second, false},
 		"lease extended": {func(_ *testing.T, e *Election) {
-			e.ExtendLease("i", 1001*clock.Second)
+			e.ExtendLease("i", 1001*clock.Second, 1000*clock.Second-1)
 		}, 1000 * clock.Second, true},
+		"lease extended after it expired": {func(_ *testing.T, e *Election) {
+			e.ExtendLease("i", 1001*clock.Second, 1000*clock.Second)
+		}, 1000 * clock.Second, false},
 		"lease of a former incarnation extended": {func(_ *testing.T, e *Election) {
-			e.ExtendLease("former", 1001*clock.Second)
+			e.ExtendLease("former", 1001*clock.Second, 999*clock.Second)
 		}, 1000 * clock.Second, false},
 		"resigned": {func(_ *testing.T, e *Election) { e.Resign() }, clock.Second, false},
 		"registration not shown yet": {func(_ *testing.T, e *Election) {
--- a/internal/leaderelection/helpers_test.go
+++ b/internal/leaderelection/helpers_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fakes"
 	"github.com/merlinlatch/merlinlatch/internal/kvstore"
+	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 var discardLog = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -68,6 +70,73 @@
 	return s.KVClient.KeepAlive(ctx, leaseID, timeout)
 }
 
+// cutStore is a client of a key-value store whose packets can be held up: renewals that are sent, or only the answers to them,
+// arrive when the cut ends, also those of renewals that have timed out. Other requests wait until then.
+type cutStore struct {
+	*fakes.KVClient
+	answersOnly bool // requests pass, and only the answers are held up
+
+	mu    sync.Mutex
+	ended chan struct{} // closed when the present cut ends; nil: no cut
+}
+
+// cut begins a cut and returns a function that ends it.
+func (s *cutStore) cut() (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := make(chan struct{})
+	s.ended = ended
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ended = nil
+		close(ended)
+	}
+}
+
+// await waits until no cut holds up packets.
+func (s *cutStore) await() {
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+func (s *cutStore) KeepAlive(ctx context.Context, leaseID uint64, timeout time.Duration) error {
+	answer := make(chan error, 1)
+	go func() {
+		if !s.answersOnly {
+			s.await()
+		}
+		err := s.KVClient.KeepAlive(ctx, leaseID, timeout)
+		s.await()
+		answer <- err
+	}()
+	select {
+	case err := <-answer:
+		return err
+	case <-time.After(timeout):
+		return kvstore.ErrOutcomeUnknown
+	}
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (wire.Item, bool, error) {
+	s.await()
+	return s.KVClient.Get(ctx, key)
+}
+
+func (s *cutStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	s.await()
+	return s.KVClient.GrantLease(ctx, ttl)
+}
+
+func (s *cutStore) Commit(ctx context.Context, txn wire.Txn) (uint64, error) {
+	s.await()
+	return s.KVClient.Commit(ctx, txn)
+}
+
 // startClusterAndStopA starts three controllers, waits until they share the duties, and stops a for longer than its lease. It
 // returns b.
 func startClusterAndStopA(t *testing.T, kv *fakes.KVStore) *process {
--- a/internal/leaderelection/lease_scenario_test.go
+++ b/internal/leaderelection/lease_scenario_test.go
@@ -35,6 +35,59 @@
 	})
 }
 
+// Guards against a leadership that is lost and then held again under the same term, whose work starts anew and runs tasks twice:
+// a cut from the store ends after the lease is over by the own clock, while a renewal is under way, and that renewal succeeds.
+func TestLateRenewalRevivesNoLeadership(t *testing.T) {
+	for _, answersOnly := range []bool{false, true} {
+		for cutFor := 23600 * time.Millisecond; cutFor < 25*time.Second; cutFor += 45 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				store := &cutStore{KVClient: &fakes.KVClient{KVStore: fakes.NewKVStore()}, answersOnly: answersOnly}
+				e := NewElector(NewElection("a", []string{"a", "b", "c"}, duties, 2), store, clock.NewMonotonic(), timing, discardLog)
+				r := kvstore.NewReplica(store, e.Apply, discardLog)
+				go e.Run(ctx)                      //nolint:errcheck // ends with the context
+				go r.Run(ctx, make(chan struct{})) //nolint:errcheck // ends with the context
+				time.Sleep(5 * time.Second)
+				awaitRenewal(e)
+				time.AfterFunc(cutFor, store.cut())
+				requireEachTermHeldOnce(t, e, cutFor+4*time.Second)
+				for _, duty := range duties {
+					_, leads := e.Leading(duty)
+					require.True(t, leads, "%s is not led 4 s after a cut of %v", duty, cutFor)
+				}
+				cancel()
+				time.Sleep(4 * time.Second) // wait for renewals under way to return
+			})
+		}
+	}
+}
+
+// observationStep is the time between two looks at an elector.
+const observationStep = 5 * time.Millisecond
+
+// awaitRenewal lets time pass until an elector has just renewed its lease.
+func awaitRenewal(e *Elector) {
+	for age, _ := e.StoreContact(); age > clock.FromDuration(observationStep); age, _ = e.StoreContact() {
+		time.Sleep(observationStep)
+	}
+}
+
+// requireEachTermHeldOnce lets time pass, and requires that no duty is led under a term that was lost before.
+func requireEachTermHeldOnce(t *testing.T, e *Elector, d time.Duration) {
+	t.Helper()
+	lowestTerms := map[string]uint64{} // by duty
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(observationStep) {
+		for _, duty := range duties {
+			leadership, leads := e.Leading(duty)
+			if !leads {
+				lowestTerms[duty] = leadership.Term + 1
+				continue
+			}
+			require.GreaterOrEqual(t, leadership.Term, lowestTerms[duty], "%s is led again under a term that was over", duty)
+		}
+	}
+}
+
 // A restarted process replaces its former incarnation immediately. The former process, if it still runs, leads nothing any
 // more.
 func TestRestartAcquiresLeadershipsUnderNewTerms(t *testing.T) {
--- a/internal/leaderelection/renewal.go
+++ b/internal/leaderelection/renewal.go
@@ -24,27 +24,19 @@
 	return sentAt + e.timing.TTL.LessDrift() - leaseMargin
 }
 
-// renew renews the controller lease and reports whether the store confirmed it. If the store has dropped the lease, the
-// incarnation resigns. After any other failure renew pauses before it returns.
+// renew renews the controller lease and reports whether the lease is valid for longer. If the store has dropped the lease, or has
+// confirmed it only after it was over by this process's clock, the incarnation resigns. After any other failure renew pauses
+// before it returns.
 func (e *Elector) renew(ctx context.Context, due actions) bool {
 	err := e.store.KeepAlive(ctx, due.leaseID, renewalTimeout)
 	switch {
 	case err == nil:
 		e.renewalFailures = 0
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if now := e.clock.Now(); !e.election.LeaseValid(now) {
-			e.log.Warn("lease renewal late", "incarnation", due.incarnation, "duration_ms", (now - due.decidedAt).Duration().Milliseconds())
-		}
-		e.election.ExtendLease(due.incarnation, e.leaseExpiry(due.decidedAt))
-		e.lastRenewal = max(e.lastRenewal, due.decidedAt)
-		return true
+		return e.confirmRenewal(due)
 	case errors.Is(err, kvstore.ErrLeaseNotFound):
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if current, _ := e.election.Incarnation(); current == due.incarnation {
-			e.resign("lease expired")
-		}
+		e.resignIfCurrent(due.incarnation, "lease expired")
 		return false
 	}
 	if e.renewalFailures++; loop.ShouldLogFailure(e.renewalFailures) {
@@ -53,3 +45,17 @@
 	loop.PauseOrWake(ctx, retryPause, e.wake)
 	return false
 }
+
+// confirmRenewal records that the store has confirmed a renewal, and reports whether the lease is valid for longer.
+func (e *Elector) confirmRenewal(due actions) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	e.lastRenewal = max(e.lastRenewal, due.decidedAt)
+	if e.election.ExtendLease(due.incarnation, e.leaseExpiry(due.decidedAt), now) {
+		return true
+	}
+	e.log.Warn("lease renewal late", "incarnation", due.incarnation, "duration_ms", (now - due.decidedAt).Duration().Milliseconds())
+	e.resignIfCurrent(due.incarnation, "lease not confirmed in time")
+	return false
+}
