scheduler: a job is marked as being written only while a write of its end is under way

Three jobs completed during a cut of 23.7 s; every question about them got 503 at every controller, also 75 s after the cut, until their team changed leaders.

Cause: finalStateWriter gives a write up when the team's leadership does not hold at the moment at which an attempt is sent, and left the jobs marked as being written, as the team would be dropped soon. Where it was not, nobody wrote them again, and as an earlier attempt had no answer, their users were asked to retry for ever.

Change: the mark is taken back when the write ends, in whatever way. Whether a job may have ended already is kept apart from it, as before.

Why it works: whatever ends a write, a job that is still active is found by CompletedJobs again; the transaction's conditions on leadership and record make a second one harmless, as between attempts of one write.

TestFinalStateGivenUpWithoutLeadershipIsWrittenLater fails without this change and passes with it. TestJobsThatEndInCutAsLongAsControllerLeaseAreAnswered, with whole controllers, fails on the sources before (503 for a completed job) and passes with either of the two changes alone. All tests of scheduler and controller pass.

--- a/internal/controller/cluster_faulty_store_test.go
+++ b/internal/controller/cluster_faulty_store_test.go
@@ -23,6 +23,9 @@
 // slowResponseDelay is the delay of the answer to a transaction with the outcome responseSlow.
 const slowResponseDelay = 700 * time.Millisecond
 
+// commitTimeout is how long a transaction waits for the end of a cut. One that times out is not carried out.
+const commitTimeout = 3 * time.Second
+
 // setOnCommit makes f decide the outcome of every transaction before it is carried out. If f is nil, all are served.
 func (c *cluster) setOnCommit(f func(host string, m wire.Txn) txnOutcome) {
 	c.mu.Lock()
@@ -148,7 +151,14 @@
 // Commit gives a transaction the outcome that onCommit decides. Of the transactions that onCommit lets pass, it carries out
 // those that drawDelay chooses late and without an answer.
 func (s faultyStore) Commit(ctx context.Context, m wire.Txn) (uint64, error) {
-	s.cluster.awaitStore(s.host)
+	s.cluster.awaitResume(s.host)
+	if passable := s.cluster.signal(s.cluster.cutFromStore, s.host); passable != nil {
+		select {
+		case <-passable:
+		case <-time.After(commitTimeout):
+			return 0, fmt.Errorf("%w: cut off", kvstore.ErrOutcomeUnknown)
+		}
+	}
 	switch s.cluster.commitOutcome(s.host, m) {
 	case responseLost:
 		s.KVClient.Commit(ctx, m) //nolint:errcheck // its answer is lost
--- a/internal/controller/lease_cut_test.go
+++ b/internal/controller/lease_cut_test.go
@@ -43,3 +43,55 @@
 		})
 	}
 }
+
+// Guards against completed jobs that no question is answered about (forgotten) after such a cut: tasks end during the cut, and an
+// attempt to write the end of their job meets the moment between the end of the lease and a renewal that succeeds late.
+func TestJobsThatEndInCutAsLongAsControllerLeaseAreAnswered(t *testing.T) {
+	const (
+		actsFor = 23676 * time.Millisecond // how long a controller acts after a renewal
+		attempt = commitTimeout + 300*time.Millisecond
+		jobs    = 12
+	)
+	for phase := time.Duration(0); phase < 200*time.Millisecond; phase += 20 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			c := newSettledCluster(t, jobs)
+			time.Sleep(phase) // the submissions wake the elector, which shifts its renewals
+			for i := range jobs {
+				require.Equal(t, 201, c.submitJob("a", wholeMachineSubmission(jobName(i), 1), jobName(i)))
+			}
+			c.runFor(4*time.Second, 0)
+			require.Equal(t, jobs, c.runningTasks())
+			leader := c.unlimitedTeamLeader()
+			c.awaitRenewal(leader)
+			over := time.Now().Add(actsFor)
+			c.cutFromStoreAndPeers(leader, actsFor+45*time.Millisecond)
+			c.runFor(actsFor-2*attempt-stepInterval, 0)
+			c.endTasksAt(leader, over.Add(-2*attempt), 10*time.Millisecond)
+			c.runFor(2*attempt+20*time.Second, 0)
+			for i := range jobs {
+				for _, h := range hosts {
+					phase := c.queryJob(h, jobName(i))
+					require.True(t, isPhase(phase), "%s at %s: %s", jobName(i), h, phase)
+				}
+			}
+		})
+	}
+}
+
+// endTasksAt ends the tasks on the workers that report to a controller, one after the other from a time on, and sends the heartbeats
+// that say so.
+func (c *cluster) endTasksAt(host string, from time.Time, interval time.Duration) {
+	ended := 0
+	for _, w := range c.workers {
+		if c.reportsTo[w.ID] != host {
+			continue
+		}
+		time.Sleep(time.Until(from) + time.Duration(ended)*interval)
+		for _, task := range w.SortedTasks() {
+			w.Finish(task.Task, wire.CauseDone)
+			ended++
+		}
+		c.sendHeartbeat(w)
+	}
+	require.NotZero(c.t, ended, "no task runs on a worker of %s", host)
+}
--- a/internal/scheduler/final_states.go
+++ b/internal/scheduler/final_states.go
@@ -55,12 +55,16 @@
 }
 
 // startPendingWrites starts writing the final states of jobs whose tasks are all done, with as many jobs in a transaction as
-// fit. Queries of a job are answered until immediately before its final state is sent.
+// fit. Queries of a job are answered until immediately before its final state is sent. A team whose leadership does not hold at this
+// moment is left out, as its writes would be given up at once.
 func (w *finalStateWriter) startPendingWrites(ctx context.Context) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	maxOperations := min(w.txnOps, maxFinalWriteOperations)
 	for _, tm := range w.scheduler.teams {
+		if _, err := w.leadershipCondition(tm); err != nil {
+			continue
+		}
 		ready := w.scheduler.CompletedJobs(tm)
 		// When more jobs are ready than fit into one transaction with two operations each, each job gets only one operation.
 		inPlace := maxOperations < 2 || len(ready) > maxOperations/2
@@ -94,11 +98,12 @@
 	return n
 }
 
-// start writes the final states of some of a team's jobs in a goroutine that the lifetime owns. The caller holds the lock.
+// start writes the final states of some of a team's jobs in a goroutine that the lifetime owns. The jobs are marked as being written
+// until the write ends. If it is given up while they are active, a later call of startPendingWrites starts another one. The caller
+// holds the lock.
 func (w *finalStateWriter) start(ctx context.Context, tm *team, f *finalWrite) {
-	for _, j := range f.jobs {
-		j.finalWriteInFlight = true
-	}
+	started := slices.Clone(f.jobs) // write removes jobs from f
+	setFinalWriteInFlight(started, true)
 	tm.finalWritesInFlight++
 	w.lifetime.start(func() {
 		defer w.writeWake.Notify()
@@ -107,10 +112,18 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		setFinalWriteInFlight(started, false)
 		tm.finalWritesInFlight--
 	})
 }
 
+// setFinalWriteInFlight marks jobs as being written or not. The caller holds the lock.
+func setFinalWriteInFlight(list []*job, inFlight bool) {
+	for _, j := range list {
+		j.finalWriteInFlight = inFlight
+	}
+}
+
 // write writes final states, and repeats the transaction until it is written. Jobs that are no longer active at an attempt are
 // left out of it. It gives up when the team's leadership is lost (errLeadershipLost) or the context ends. It also gives up the
 // write of a cancellation as soon as an attempt is rejected and all earlier ones were, or after maxUncertainCancelAttempts
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -40,7 +40,7 @@
 	finalWriteAfter      clock.Micros    // earliest time to write the final state of the cancellation
 	finalStateUncertain  bool            // the final state may have been written
 	finalWriteUnanswered bool            // some attempt to write the final state had no definite answer
-	finalWriteInFlight   bool
+	finalWriteInFlight   bool            // a goroutine is writing the final state
 
 	tasksPerChunk     int                    // number of tasks that a progress record of the job covers
 	dirtyChunks       map[int]bool           // progress records that have to be written
--- a/internal/scheduler/server_test.go
+++ b/internal/scheduler/server_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,16 @@
 	return a.Leadership, true
 }
 
+// lapsingElections are elections in which this process holds every leadership, except while lapsed is set.
+type lapsingElections struct {
+	alwaysLeading
+	lapsed atomic.Bool
+}
+
+func (l *lapsingElections) Leading(string) (leaderelection.Leadership, bool) {
+	return l.Leadership, !l.lapsed.Load()
+}
+
 // serverFixture is a server that leads the team red and has not been started with Run, and the store to which it writes.
 type serverFixture struct {
 	*Server
@@ -119,6 +130,37 @@
 	})
 }
 
+// Guards against completed jobs that no question is answered about (forgotten) until their team changes leaders: a write of their
+// final states gets no answer, the next attempt meets a moment without leadership, and the team is led on under the same term.
+func TestFinalStateGivenUpWithoutLeadershipIsWrittenLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &fakes.KVClient{KVStore: fakes.NewKVStore()}
+		f := newServerFixture(t, store, store)
+		elections := &lapsingElections{alwaysLeading: f.elections.(alwaysLeading)}
+		f.elections = elections
+		ids := []string{"job-000001", "job-000002", "job-000003"}
+		for _, id := range ids {
+			f.accept(id, 1).markDone(0)
+		}
+		store.SetCapture(true)
+		go f.writeLoop(ctx) //nolint:errcheck // ends with the context
+		time.Sleep(writeTick + finalWriteRetryInterval/2)
+		elections.lapsed.Store(true)
+		time.Sleep(finalWriteRetryInterval)
+		store.SetCapture(false)
+		elections.lapsed.Store(false)
+		for _, id := range ids {
+			require.True(t, f.Status(peer.JobRequest{Team: red, ID: id}).Retry, "the attempt without an answer may have ended %s", id)
+		}
+		time.Sleep(2 * writeTick)
+		for _, id := range ids {
+			require.Equal(t, wire.Done, f.Status(peer.JobRequest{Team: red, ID: id}).State.Phase, id)
+		}
+	})
+}
+
 // Guards against a late copy of a progress write that undoes newer ones. The first write has no answer, and the store executes it
 // only after the same scheduler has written more completed tasks, which the workers have forgotten: those must stay recorded.
 func TestLateProgressWriteChangesNothing(t *testing.T) {
