--- a/internal/controller/cluster_faulty_store_test.go
+++ b/internal/controller/cluster_faulty_store_test.go
@@ -23,7 +23,7 @@
 // slowResponseDelay is the delay of the answer to a transaction with the outcome responseSlow.
 const slowResponseDelay = 700 * time.Millisecond
 
-// commitTimeout is how long a transaction waits for the end of a cut. One that times out is not carried out.
+// commitTimeout is how long a transaction waits for the end of a cut. One that times out is carried out when the cut ends, or never.
 const commitTimeout = 3 * time.Second
 
 // setOnCommit makes f decide the outcome of every transaction before it is carried out. If f is nil, all are served.
@@ -69,6 +69,13 @@
 	return time.Duration(2000+c.rng.IntN(10000)) * time.Millisecond, true
 }
 
+// drawLateArrival decides at random whether a transaction that has timed out in a cut is carried out when the cut ends.
+func (c *cluster) drawLateArrival() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng != nil && c.rng.IntN(2) == 0
+}
+
 // holdBack adds a transaction to those that takeHeldTransactions returns.
 func (c *cluster) holdBack(commit func() error) {
 	c.mu.Lock()
@@ -156,6 +163,12 @@
 		select {
 		case <-passable:
 		case <-time.After(commitTimeout):
+			if s.cluster.drawLateArrival() {
+				go func() {
+					<-passable
+					s.KVClient.Commit(context.WithoutCancel(ctx), m) //nolint:errcheck // its sender has given up
+				}()
+			}
 			return 0, fmt.Errorf("%w: cut off", kvstore.ErrOutcomeUnknown)
 		}
 	}
--- a/internal/controller/cluster_run_test.go
+++ b/internal/controller/cluster_run_test.go
@@ -37,19 +37,22 @@
 	}
 }
 
-// stepWorkers makes each worker in turn run its tasks and send a heartbeat. Hung workers send none, and their tasks don't end
-// unless the worker lease has expired.
+// stepWorkers makes each worker in turn run its tasks and send a heartbeat, and requires that the answer starts no task that another
+// worker runs at this moment. Hung workers send none, and their tasks don't end unless the worker lease has expired.
 func (c *cluster) stepWorkers(seenAt map[string]clock.Micros, runTime time.Duration) {
 	now := c.clock.Now()
 	placed := placements{}
 	limitedCPUs := 0.0
+	for _, w := range c.workers {
+		w.ExpireLease(now)
+	}
 	for _, w := range c.workers {
 		if c.hungWorkers[w.ID] {
-			w.ExpireLease(now) // ends its tasks once its lease has expired
 			advanceTasks(w, seenAt, now, 0)
 		} else {
 			advanceTasks(w, seenAt, now, runTime)
 			c.sendHeartbeat(w)
+			c.requireNoOtherRuns(w)
 		}
 		placed.add(c.t, w)
 		limitedCPUs += c.limitedCPUs(w)
@@ -57,6 +60,18 @@
 	require.LessOrEqual(c.t, limitedCPUs, float64(limitedTeamCPUs), "the limited team exceeds its limit")
 }
 
+// requireNoOtherRuns requires that no other worker runs a task that a worker runs.
+func (c *cluster) requireNoOtherRuns(w *fakes.Worker) {
+	for _, task := range w.Tasks {
+		if task.Phase == wire.TaskExited {
+			continue
+		}
+		for _, other := range c.workers {
+			require.True(c.t, other == w || !other.Running(task.Task), "%s runs on %s and on %s", task.Task, w.ID, other.ID)
+		}
+	}
+}
+
 // advanceTasks records when each attempt on a worker is first seen, and ends the attempts that have run for runTime. If
 // runTime is zero, none ends.
 func advanceTasks(w *fakes.Worker, seenAt map[string]clock.Micros, now clock.Micros, runTime time.Duration) {
