controller: a scenario test that fails within a cut doesn't end the whole test program

Cause: a test that failed while a controller was cut off or paused left calls waiting for the end of the cut, and synctest then ended the program with 'deadlock: main bubble goroutine has exited', so that the tests after it were not run.

--- a/internal/controller/cluster_faults_test.go
+++ b/internal/controller/cluster_faults_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"sync"
 	"time"
 )
 
@@ -63,13 +64,13 @@
 // peerCutExcess lets an answer of the store reach a controller before the peers' heartbeats, which may end its incarnation.
 const peerCutExcess = 50 * time.Millisecond
 
-// block puts a channel into blocked for a host, and closes and removes it after a duration.
+// block puts a channel into blocked for a host, and closes and removes it after a duration, or when the test ends.
 func (c *cluster) block(blocked map[string]chan struct{}, host string, d time.Duration) {
 	passable := make(chan struct{})
 	c.mu.Lock()
 	blocked[host] = passable
 	c.mu.Unlock()
-	time.AfterFunc(d, func() {
+	unblock := sync.OnceFunc(func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		close(passable)
@@ -77,6 +78,8 @@
 			delete(blocked, host)
 		}
 	})
+	time.AfterFunc(d, unblock)
+	c.t.Cleanup(unblock)
 }
 
 // signal returns the channel of a host in paused, cutFromStore or cutFromPeers, or nil if there is none.
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -185,7 +185,7 @@
 				p.kill()
 			}
 		}
-		time.Sleep(time.Second) // until calls that wait for a host that is down have returned
+		time.Sleep(10 * time.Second) // until calls that wait for a host that is down or cut off have returned
 	})
 	return c
 }
