scheduler: the leadership is asked for only where a final state is to be written

Cause: asked for every team's leadership, with the lock of the elector and two strings made for it, each time writeLoop wakes, that is after every answer of a partition leader, although a team seldom has a completed job then.

Change: teams without completed jobs are passed over first. Nothing else changes: without such jobs nothing was started either.

All tests of scheduler and controller pass.

--- a/internal/scheduler/final_states.go
+++ b/internal/scheduler/final_states.go
@@ -62,10 +62,13 @@
 	defer w.mu.Unlock()
 	maxOperations := min(w.txnOps, maxFinalWriteOperations)
 	for _, tm := range w.scheduler.teams {
+		ready := w.scheduler.CompletedJobs(tm)
+		if len(ready) == 0 {
+			continue
+		}
 		if _, err := w.leadershipCondition(tm); err != nil {
 			continue
 		}
-		ready := w.scheduler.CompletedJobs(tm)
 		// When more jobs are ready than fit into one transaction with two operations each, each job gets only one operation.
 		inPlace := maxOperations < 2 || len(ready) > maxOperations/2
 		for len(ready) > 0 && tm.finalWritesInFlight < maxFinalWritesInFlight {
