partition, telemetry: log and count why a worker's lease is extended

Added, with no change of behaviour: log events for changes only (replica loaded, partition machines accounted for, tasks of ended jobs found, job cancellation received and stored; the revision and first token of an acquired partition), and counters by reason for everything that is too frequent to log, in GET /metrics (heartbeats by outcome, commands by route, deliveries, stops, machines by state). The registry library VictoriaMetrics/metrics writes the Prometheus text format.

--- a/internal/controller/http.go
+++ b/internal/controller/http.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"strings"
@@ -27,7 +28,7 @@
 	return r.Path == wire.PathHeartbeat || r.Path == wire.PathReady
 }
 
-// routeRequest passes a request to the handler of its path: heartbeats, readiness or jobs.
+// routeRequest passes a request to the handler of its path: heartbeats, readiness, metrics or jobs.
 func (c *Controller) routeRequest(ctx context.Context, r *httpx.Request) httpx.Response {
 	switch {
 	case r.Path == wire.PathHeartbeat:
@@ -40,6 +41,11 @@
 			return errorResponse(http.StatusMethodNotAllowed, "method not allowed")
 		}
 		return c.handleReady()
+	case r.Path == wire.PathMetrics:
+		if r.Method != http.MethodGet {
+			return errorResponse(http.StatusMethodNotAllowed, "method not allowed")
+		}
+		return c.handleMetrics()
 	case r.Path == wire.PathJobs || strings.HasPrefix(r.Path, wire.PathJobs+"/"):
 		return c.api.Handle(ctx, r, strings.TrimPrefix(r.Path, wire.PathJobs))
 	}
@@ -60,6 +66,13 @@
 	return httpx.Response{Status: http.StatusOK, Body: []byte(`{"ready":true}`)}
 }
 
+// handleMetrics returns the controller's counters in the Prometheus text format.
+func (c *Controller) handleMetrics() httpx.Response {
+	var out bytes.Buffer
+	c.telemetry.WriteMetrics(&out)
+	return httpx.Response{Status: http.StatusOK, Body: out.Bytes(), PlainText: true}
+}
+
 // notReadyReason returns the reason why the load balancer should not send users to this controller now, or "" if it should.
 // The texts are part of the HTTP response and must not change.
 func (c *Controller) notReadyReason() string {
--- a/internal/controller/serving_test.go
+++ b/internal/controller/serving_test.go
@@ -76,6 +76,7 @@
 			{"GET", "/", "", 404},
 			{"GET", "/api/jobsx", "", 404},
 			{"POST", wire.PathReady, "", 405},
+			{"POST", wire.PathMetrics, "", 405},
 			{"GET", wire.PathHeartbeat, "", 405},
 			{"POST", wire.PathHeartbeat, "{", 400},
 			{"POST", wire.PathHeartbeat, `{"host":""}`, 400},
--- a/internal/httpx/parse.go
+++ b/internal/httpx/parse.go
@@ -50,6 +50,7 @@
 	Body       []byte
 	RetryAfter int  // value of the Retry-After header in seconds; 0: no such header
 	Close      bool // the connection is closed after the response
+	PlainText  bool // the body is plain text rather than JSON
 }
 
 // JSON returns a response with v, encoded as JSON, as its body. If v can't be encoded, the response is a 503.
@@ -306,7 +307,11 @@
 	b = strconv.AppendInt(b, int64(r.Status), 10)
 	b = append(b, ' ')
 	b = append(b, reasonPhrases[r.Status]...)
-	b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	if r.PlainText {
+		b = append(b, "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "...)
+	} else {
+		b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	}
 	b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 	if r.RetryAfter > 0 {
 		b = append(b, "\r\nRetry-After: "...)
--- a/internal/kvstore/replica.go
+++ b/internal/kvstore/replica.go
@@ -67,6 +67,7 @@
 		if !r.loadWithRetry(ctx) {
 			break
 		}
+		r.log.Info("replica loaded", "revision", r.revision, "keys", len(r.modRevisions))
 		if loadedOnce != nil {
 			close(loadedOnce)
 			loadedOnce = nil
--- a/internal/partition/acquisition.go
+++ b/internal/partition/acquisition.go
@@ -12,6 +12,7 @@
 func (s *State) AcquirePartition(partition int, term uint64, recorded inventory.Group, now clock.Micros) {
 	s.ReleasePartition(partition)
 	s.terms[partition] = term
+	s.acquiredAt[partition] = now
 	for id, r := range recorded {
 		s.addMachine(id, partition, r, now).record = recordPresent
 	}
@@ -24,6 +25,7 @@
 		return
 	}
 	delete(s.terms, partition)
+	delete(s.acquiredAt, partition)
 	for _, m := range s.machines {
 		if m.partition == partition {
 			s.removeMachine(m)
--- a/internal/partition/batches.go
+++ b/internal/partition/batches.go
@@ -58,6 +58,7 @@
 func (s *State) applyStops(list []peer.StopTask) {
 	for _, stop := range list {
 		if m, t := s.findTask(stop.Machine, stop.ID); t != nil {
+			s.counters.stops[stopRequested].Inc()
 			s.stopTask(m, t, stop.GraceS)
 		}
 	}
--- a/internal/partition/cancellations.go
+++ b/internal/partition/cancellations.go
@@ -74,10 +74,14 @@
 		if !s.teamTerms.isCurrent(c.Team, term) {
 			continue
 		}
+		if !s.cancellations.has(c.Job) {
+			s.addNotice("job cancellation received", "job", c.Job, "team", c.Team, "term", term)
+		}
 		s.cancellations[c.Job] = cancellation{receivedAt: now, term: term}
 		for _, m := range s.machines {
 			for id, t := range m.tasks {
 				if id.Job == c.Job {
+					s.counters.stops[stopCancelled].Inc()
 					s.stopTask(m, t, 0)
 				}
 			}
--- a/internal/partition/commands.go
+++ b/internal/partition/commands.go
@@ -28,12 +28,14 @@
 	if via == viaHeartbeat {
 		out = prependForgetCommands(m, tasks, out)
 	}
+	s.counters.countCommands(via, out)
 	return out
 }
 
 // stopTasksOfEndedJobs decides to stop the tasks of ended jobs. Their exits count as acknowledged, so that the worker
 // can forget them without a scheduler's acknowledgement.
 func (s *State) stopTasksOfEndedJobs(m *machine, tasks []*task) {
+	found := 0
 	for _, t := range tasks {
 		if !s.jobEnded(t) {
 			continue
@@ -42,8 +44,13 @@
 		if !t.exited() && !t.stopping {
 			t.stopping, t.stopGraceS = true, 0
 			s.markTaskChanged(m, t)
+			s.counters.stops[stopEnded].Inc()
+			found++
 		}
 	}
+	if found > 0 {
+		s.addNotice("tasks of ended jobs found", "machine", m.id, "tasks", found, "token", m.delivery.token, "accounted", m.accounted)
+	}
 }
 
 // stopCommands returns the stop commands that are due.
--- /dev/null
+++ b/internal/partition/counters.go
@@ -0,0 +1,122 @@
+package partition
+
+import (
+	"fmt"
+
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
+	"github.com/merlinlatch/merlinlatch/wire"
+)
+
+// heartbeatOutcome says whether a heartbeat is answered with 200, which extends the worker's lease, and why.
+type heartbeatOutcome int
+
+const (
+	// Answered with 200:
+	outcomeAnswered    heartbeatOutcome = iota // the machine is accounted for
+	outcomeUnaccounted                         // the machine is not accounted for yet
+	outcomeOvertaken                           // the response to a delivery has arrived before the heartbeat
+	// Rejected:
+	outcomeOtherPartition    // it names a zone of another partition than the one that the machine is known in
+	outcomeGone              // the machine is gone for certain
+	outcomeFormerIncarnation // its tasks already count as gone
+	outcomeLaterTerm         // the worker has seen a later term: another process has acquired the partition since
+	outcomeCopy              // it is not newer than one that was already processed
+	heartbeatOutcomeCount
+)
+
+var heartbeatOutcomeNames = [heartbeatOutcomeCount]string{
+	"answered", "unaccounted", "overtaken", "other_partition", "gone", "former_incarnation", "later_term", "copy",
+}
+
+// extendsLease reports whether a heartbeat with this outcome is answered with 200.
+func (o heartbeatOutcome) extendsLease() bool { return o <= outcomeOvertaken }
+
+// stopReason says why a task is to stop.
+type stopReason int
+
+const (
+	stopRequested stopReason = iota // a scheduler stops or preempts it
+	stopCancelled                   // a scheduler has cancelled its job
+	stopEnded                       // the replica shows that its job has ended
+	stopReasonCount
+)
+
+var stopReasonNames = [stopReasonCount]string{"requested", "cancelled", "ended"}
+
+// deliveryOutcome says what became of a delivery to a worker's own address.
+type deliveryOutcome int
+
+const (
+	deliveryAnswered deliveryOutcome = iota
+	deliveryUnanswered
+	deliveryOtherMachine // another machine has the address
+	deliveryRestarted    // the worker has restarted without a new incarnation
+	deliveryOutcomeCount
+)
+
+var deliveryOutcomeNames = [deliveryOutcomeCount]string{"answered", "unanswered", "other_machine", "restarted"}
+
+var (
+	routeNames   = [...]string{viaHeartbeat: "heartbeat", viaDelivery: "delivery"}
+	commandVerbs = [...]string{wire.VerbRun, wire.VerbStop, wire.VerbForget}
+)
+
+// counters counts a State's decisions with their reasons. The zero value counts nothing.
+type counters struct {
+	heartbeats [heartbeatOutcomeCount]*telemetry.Counter
+	stops      [stopReasonCount]*telemetry.Counter
+	deliveries [deliveryOutcomeCount]*telemetry.Counter
+	commands   [len(routeNames)][len(commandVerbs)]*telemetry.Counter
+}
+
+func newCounters(reporter *telemetry.Reporter) counters {
+	var c counters
+	for outcome, name := range heartbeatOutcomeNames {
+		c.heartbeats[outcome] = reporter.Counter(fmt.Sprintf(`merlinlatch_heartbeats_total{outcome=%q}`, name))
+	}
+	for reason, name := range stopReasonNames {
+		c.stops[reason] = reporter.Counter(fmt.Sprintf(`merlinlatch_task_stops_total{reason=%q}`, name))
+	}
+	for outcome, name := range deliveryOutcomeNames {
+		c.deliveries[outcome] = reporter.Counter(fmt.Sprintf(`merlinlatch_deliveries_total{outcome=%q}`, name))
+	}
+	for via, route := range routeNames {
+		for i, verb := range commandVerbs {
+			c.commands[via][i] = reporter.Counter(fmt.Sprintf(`merlinlatch_worker_commands_total{via=%q,verb=%q}`, route, verb))
+		}
+	}
+	return c
+}
+
+// countCommands counts the commands of one message to a worker.
+func (c *counters) countCommands(via route, list []wire.Order) {
+	for i := range list {
+		for v, verb := range commandVerbs {
+			if list[i].Verb == verb {
+				c.commands[via][v].Inc()
+			}
+		}
+	}
+}
+
+// addMachineGauges adds the numbers of machines by what is known of them.
+func (s *Server) addMachineGauges(reporter *telemetry.Reporter) {
+	gauge := func(state string, in func(*machine) bool) {
+		reporter.Gauge(fmt.Sprintf(`merlinlatch_machines{state=%q}`, state), func() float64 { return float64(s.countMachines(in)) })
+	}
+	gauge("unaccounted", func(m *machine) bool { return !m.accounted && !m.worker.lost() })
+	gauge("overdue", func(m *machine) bool { return m.worker.overdue && !m.worker.lost() })
+	gauge("lost", func(m *machine) bool { return m.worker.lost() })
+	gauge("usable", func(m *machine) bool { return m.usable(s.clock.Now()) })
+}
+
+func (s *Server) countMachines(in func(*machine) bool) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.state.machines {
+		if in(m) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -135,12 +135,15 @@
 	}
 	if hb.Machine != id {
 		m.delivery.pausedUntil = now + wrongMachinePause
+		s.counters.deliveries[deliveryOtherMachine].Inc()
 		return
 	}
 	if m.worker.contacted && hb.Incarnation == m.worker.incarnation && hb.Tick <= m.delivery.sentTick {
 		s.handleUnannouncedRestart(m, now)
+		s.counters.deliveries[deliveryRestarted].Inc()
 		return
 	}
+	s.counters.deliveries[deliveryAnswered].Inc()
 	if !m.worker.contacted {
 		if m.worker.incarnation != hb.Incarnation {
 			m.worker.incarnation, m.delivery.probedAt = hb.Incarnation, 0 // probe again at once, addressed to the incarnation that answered
@@ -174,5 +177,6 @@
 	m.delivery.token++
 	m.delivery.pausedUntil = now + timeoutPause
 	m.delivery.unconfirmed = true
+	s.counters.deliveries[deliveryUnanswered].Inc()
 	s.markChanged(m)
 }
--- a/internal/partition/expiry.go
+++ b/internal/partition/expiry.go
@@ -27,6 +27,7 @@
 	}
 	s.batches.expire(now)
 	s.cancellations.expire(s.jobs, now)
+	s.noteAccounted(now)
 	return removals
 }
 
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -22,7 +22,9 @@
 	if m == nil {
 		m = s.addMachine(hb.Machine, partition, inventory.Record{Addr: hb.Addr, Type: hb.Type, Zone: hb.Zone, Spot: hb.Spot}, now)
 	}
-	if !s.mayAnswer(m, hb, partition) {
+	outcome := s.heartbeatOutcome(m, hb, partition)
+	s.counters.heartbeats[outcome].Inc()
+	if !outcome.extendsLease() {
 		return response, false
 	}
 	// The response to a delivery can overtake a heartbeat that was sent before it. The heartbeat then carries no
@@ -50,17 +52,25 @@
 	return response, true
 }
 
-// mayAnswer reports whether a heartbeat may be answered with 200, which extends the worker's lease.
-func (s *State) mayAnswer(m *machine, hb *wire.Heartbeat, partition int) bool {
+// heartbeatOutcome decides whether a heartbeat is answered with 200, which extends the worker's lease.
+func (s *State) heartbeatOutcome(m *machine, hb *wire.Heartbeat, partition int) heartbeatOutcome {
 	switch {
 	case m.partition != partition:
-		return false // it names a zone of another partition than the one that the machine is known in
-	case m.worker.gone, m.worker.isFormerIncarnation(hb):
-		return false
+		return outcomeOtherPartition
+	case m.worker.gone:
+		return outcomeGone
+	case m.worker.isFormerIncarnation(hb):
+		return outcomeFormerIncarnation
 	case hb.FencingToken > m.delivery.token && hb.FencingToken>>termShift > s.terms[partition]:
-		return false // the worker has seen a later term: another process has acquired the partition since
-	}
-	return !m.worker.isCopy(hb)
+		return outcomeLaterTerm
+	case m.worker.isCopy(hb):
+		return outcomeCopy
+	case !m.worker.isNewer(hb):
+		return outcomeOvertaken
+	case !m.accounted && hb.FencingToken < firstToken(s.terms[partition]):
+		return outcomeUnaccounted
+	}
+	return outcomeAnswered
 }
 
 // applyHeartbeat applies a worker's status to its machine. A status that is not newer than the newest one known
--- a/internal/partition/heartbeats_test.go
+++ b/internal/partition/heartbeats_test.go
@@ -1,12 +1,15 @@
 package partition
 
 import (
+	"log/slog"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/inventory"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -127,3 +130,23 @@
 	s.heartbeat()
 	require.Zero(t, idle())
 }
+
+// Guards against metrics that don't say why a worker's lease was extended: each heartbeat counts once, by its outcome.
+func TestHeartbeatsAreCountedByOutcome(t *testing.T) {
+	reporter := telemetry.NewReporter(slog.New(slog.DiscardHandler))
+	s := newFixture(t)
+	s.state.counters = newCounters(reporter)
+	count := func(outcome heartbeatOutcome) uint64 { return s.state.counters.heartbeats[outcome].Value() }
+	s.heartbeat()
+	require.EqualValues(t, 1, count(outcomeAnswered))
+	copied := s.worker.Heartbeat(s.now)
+	for range 2 {
+		s.state.HandleHeartbeat(&copied, 0, s.now)
+	}
+	require.EqualValues(t, 1, count(outcomeCopy))
+	s.state.AcquirePartition(0, 2, map[string]inventory.Record{"m-1": {Addr: "x", Type: "big"}}, s.now)
+	s.heartbeat()
+	s.heartbeat()
+	require.EqualValues(t, 1, count(outcomeUnaccounted))
+	require.EqualValues(t, 3, count(outcomeAnswered))
+}
--- a/internal/partition/leases.go
+++ b/internal/partition/leases.go
@@ -39,6 +39,7 @@
 		return rejected
 	}
 	for _, v := range victims {
+		s.counters.stops[stopRequested].Inc()
 		s.stopTask(m, v, s.stopGraceOf(v))
 	}
 	s.addLease(m, a, now)
--- a/internal/partition/server.go
+++ b/internal/partition/server.go
@@ -108,12 +108,15 @@
 		connections:    newWorkerConnections(opts.MaxWorkerConnections, opts.Telemetry.Traffic(telemetry.WorkerOrders)),
 	}
 	s.state.arbiter, s.state.history = opts.Arbiter, opts.History
+	s.state.counters = newCounters(opts.Telemetry)
+	s.addMachineGauges(opts.Telemetry)
 	s.publisher = newPublisher(&s.mu, s.state.Version, opts.Clock)
 	return s
 }
 
-// notifyChange schedules the publication of a change and wakes Run's loop. mu is held.
+// notifyChange schedules the publication of a change, logs the State's notices and wakes Run's loop. mu is held.
 func (s *Server) notifyChange() {
+	s.logNotices()
 	s.publisher.schedule(s.state.Version(), publicationInterval(s.state.MachineCount(), s.publisher.waitingPolls))
 	s.wake.Notify()
 }
@@ -139,7 +142,8 @@
 		case leading && (!held || term != leadership.Term):
 			recorded := s.recordedIn(partition)
 			s.state.AcquirePartition(partition, leadership.Term, recorded, now)
-			s.log.Info("partition leadership acquired", "partition", partition, "term", leadership.Term, "machines", len(recorded))
+			s.log.Info("partition leadership acquired", "partition", partition, "term", leadership.Term,
+				"first_token", firstToken(leadership.Term)+1, "revision", leadership.ModRevision, "machines", len(recorded))
 			changed = true
 		case !leading && held:
 			s.state.ReleasePartition(partition)
@@ -196,6 +200,7 @@
 	before := s.state.Version()
 	if expire {
 		removals = s.state.Tick(now)
+		s.logNotices()
 	}
 	s.connections.retain(func(id string) bool { _, known := s.state.PartitionOf(id); return known })
 	if s.state.Version() != before {
--- a/internal/partition/state.go
+++ b/internal/partition/state.go
@@ -75,6 +75,10 @@
 	cancellations cancellations
 	failingJobs   failingJobs
 	zoneGates     map[string]*zoneGate // gates of the zones that are lost or returning, by zone
+
+	counters   counters
+	notices    []notice
+	acquiredAt map[int]clock.Micros // by partition; when it was acquired, until its machines are accounted for
 }
 
 // NewState returns a State that leads no partition.
@@ -93,6 +97,7 @@
 		cancellations:      cancellations{},
 		failingJobs:        failingJobs{},
 		zoneGates:          map[string]*zoneGate{},
+		acquiredAt:         map[int]clock.Micros{},
 	}
 }
 
--- a/internal/scheduler/canceller.go
+++ b/internal/scheduler/canceller.go
@@ -143,6 +143,10 @@
 	}
 	c.mu.Unlock()
 	err := c.finalStates.write(ctx, write)
+	if err == nil {
+		c.log.Info("job cancellation stored", "job", j.ID, "team_term", j.team.term,
+			"conditions", len(write.conditions), "partition_terms", termsOf(partitions))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j.finalWriteInFlight = false
@@ -153,6 +157,15 @@
 	return err
 }
 
+// termsOf returns the terms of leaderships, in their order.
+func termsOf(partitions []PartitionLeadership) []uint64 {
+	terms := make([]uint64, len(partitions))
+	for i, p := range partitions {
+		terms[i] = p.Term
+	}
+	return terms
+}
+
 // partitionLeaderships returns the leadership of each partition as the replica shows it.
 func (c *canceller) partitionLeaderships() []PartitionLeadership {
 	out := make([]PartitionLeadership, 0, len(c.partitionDuties))
--- a/internal/telemetry/reporter.go
+++ b/internal/telemetry/reporter.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Interval is the time between two log events with the counters.
@@ -18,6 +20,7 @@
 	log     *slog.Logger
 	runtime *runtimeReader
 	traffic [kindCount]Traffic
+	metrics *metrics.Set
 
 	mu     sync.Mutex // guards duties
 	duties map[string]*Duty
@@ -25,7 +28,7 @@
 
 // NewReporter returns a reporter that logs to log.
 func NewReporter(log *slog.Logger) *Reporter {
-	return &Reporter{log: log, runtime: newRuntimeReader(), duties: map[string]*Duty{}}
+	return &Reporter{log: log, runtime: newRuntimeReader(), metrics: metrics.NewSet(), duties: map[string]*Duty{}}
 }
 
 // Traffic returns the counters of one kind of traffic, nil for a nil Reporter.
--- a/internal/telemetry/reporter_test.go
+++ b/internal/telemetry/reporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"testing"
@@ -49,6 +50,10 @@
 	r.Traffic(Peers).CountMessage(1, 1)
 	r.Duty("any").RecordRound(time.Second)
 	r.Duty("any").RecordDelay(time.Second)
+	r.Counter("any").Inc()
+	require.Zero(t, r.Counter("any").Value())
+	r.Gauge("any", func() float64 { panic("a nil Reporter reads no gauge") })
+	r.WriteMetrics(io.Discard)
 	a, b := net.Pipe()
 	defer b.Close()
 	require.Equal(t, a, r.Traffic(Peers).CountConn(a))
@@ -57,10 +62,23 @@
 // The counters are updated for every message, so an allocation in them would slow down all traffic.
 func TestCountingDoesNotAllocate(t *testing.T) {
 	r := NewReporter(slog.New(slog.DiscardHandler))
-	traffic, duty := r.Traffic(Users), r.Duty("d")
+	traffic, duty, counter := r.Traffic(Users), r.Duty("d"), r.Counter("c")
 	require.Zero(t, testing.AllocsPerRun(100, func() {
 		traffic.CountMessage(1, 2)
 		duty.RecordRound(3)
 		duty.RecordDelay(4)
+		counter.Inc()
 	}))
 }
+
+// Guards against metrics that monitoring can't read: WriteMetrics must write counters and gauges, with their labels, in
+// the Prometheus text format.
+func TestMetricsAreWrittenInPrometheusFormat(t *testing.T) {
+	r := NewReporter(slog.New(slog.DiscardHandler))
+	r.Counter(`events_total{kind="a"}`).Inc()
+	r.Counter(`events_total{kind="a"}`).Add(2)
+	r.Gauge(`machines`, func() float64 { return 7 })
+	var out bytes.Buffer
+	r.WriteMetrics(&out)
+	require.Equal(t, "events_total{kind=\"a\"} 3\nmachines 7\n", out.String())
+}
--- a/internal/telemetry/traffic.go
+++ b/internal/telemetry/traffic.go
@@ -1,7 +1,7 @@
 // Package telemetry counts what a controller process does: traffic by kind (Traffic), rounds of its loops (Duty),
-// and the Go runtime's processor time and memory (Runtime). Reporter holds the counters and logs them at intervals;
-// Distribution summarizes durations. Updating a counter takes a few atomic operations and does not allocate. No
-// decision of a controller depends on this package.
+// the Go runtime's processor time and memory (Runtime), and events by name (Counter). Reporter holds the counters: it logs
+// the first three at intervals and writes the last for GET /metrics. Distribution summarizes durations. Updating a
+// counter takes a few atomic operations and does not allocate. No decision of a controller depends on this package.
 package telemetry
 
 import (
--- a/wire/users.go
+++ b/wire/users.go
@@ -3,10 +3,12 @@
 import "strings"
 
 // Paths for users and the load balancer. Users submit jobs to PathJobs, read a job's state at PathJobs +
-// "/ID" and cancel the job at PathJobs + "/ID/withdraw". The load balancer probes PathReady.
+// "/ID" and cancel the job at PathJobs + "/ID/withdraw". The load balancer probes PathReady. Operators' monitoring reads
+// PathMetrics, in the Prometheus text format.
 const (
-	PathJobs  = "/api/jobs"
-	PathReady = "/ready"
+	PathJobs    = "/api/jobs"
+	PathReady   = "/ready"
+	PathMetrics = "/metrics"
 )
 
 // MaxTasks is the maximum number of tasks of a job.
