--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -43,6 +43,9 @@
 // Renew renews the worker's lease, which then lasts for its full duration from now.
 func (w *Worker) Renew(now clock.Micros) { w.renewedAt = now }
 
+// RenewedAt returns when the heartbeat was sent that last renewed the worker's lease, or when the incarnation began.
+func (w *Worker) RenewedAt() clock.Micros { return w.renewedAt }
+
 // Heartbeat returns the worker's next heartbeat. If the worker's lease has expired, Heartbeat first drops the tasks
 // (ExpireLease).
 func (w *Worker) Heartbeat(now clock.Micros) wire.Heartbeat {
