partition: every answer that extends a worker's lease stops the tasks of ended jobs

Cause: State.HandleHeartbeat answered the first heartbeat of a machine at a new leader, and a heartbeat that the response to a delivery had overtaken, with 200 and no commands at all. The 200 extends the worker's lease (27 s). A machine that was cut off when its job was cancelled, heard a new leader once and was cut off again kept the job's tasks until a second worker lease was over: 27 s from the answer, which came up to 27 s after the confirmation, is more than cancel_s. Class: a right (the worker lease) was extended on a path that left out the check that bounds what the right is used for; run, stop and forget commands were withheld together, though only run and forget need the machine to be accounted for.

Fix: dueCommands composes every response to a heartbeat. Stops are always among its commands; run and forget only where the machine is accounted for and the heartbeat isn't overtaken. Why it works: the partition's leader knows of every cancellation before it is confirmed (it acknowledged it, or its replica shows it), so a lease that is extended after the confirmation carries the stop of every listed task; a task that the heartbeat doesn't list started after it was sent, and the lease runs from the sending. It uses no time between controllers. A stop under the new token can do no harm: the worker ignores it for an attempt that it doesn't hold.

TestStopInFlightIsRejectedUnderNextTerm required that the first response of the successor brings no commands and leaves the cancelled task running: that is the fault. It now requires that this response stops the task and brings nothing but that stop.

--- a/internal/partition/cancellations_test.go
+++ b/internal/partition/cancellations_test.go
@@ -112,8 +112,10 @@
 	successor := newTestState(s.jobs)
 	successor.AcquirePartition(0, 2, map[string]inventory.Record{"m-1": {Addr: "x", Type: "big"}}, s.now)
 	s.now += sec
-	s.heartbeatTo(successor)
-	require.True(t, s.worker.Running("job-1/0"), "the first response brings the new token and no commands")
+	response := s.heartbeatTo(successor)
+	require.False(t, s.worker.Running("job-1/0"), "the first response brings the new token and the successor's own stop")
+	require.Len(t, response.Orders, 1, "the first response brings neither run nor forget commands")
+	require.Equal(t, wire.VerbStop, response.Orders[0].Verb)
 	s.now += sec
 	s.heartbeatTo(successor)
 	require.False(t, s.worker.Running("job-1/0"))
--- a/internal/partition/commands.go
+++ b/internal/partition/commands.go
@@ -17,15 +17,16 @@
 }
 
 // dueCommands returns the commands that the worker should execute now, maxCommands at most, and records that they are
-// sent.
-func (s *State) dueCommands(m *machine, via route, now clock.Micros) []wire.Order {
+// sent. Stop commands are always among them, since a stop can do no harm; run and forget commands only if current is
+// set: the machine is accounted for, and no newer status of its worker is known than the one that is answered.
+func (s *State) dueCommands(m *machine, current bool, via route, now clock.Micros) []wire.Order {
 	tasks := m.tasksByAge(0)
 	s.stopTasksOfEndedJobs(m, tasks)
 	out := stopCommands(tasks, via, now)
-	if !m.worker.lost() && m.record == recordPresent {
+	if current && !m.worker.lost() && m.record == recordPresent {
 		out = appendRunCommands(m, tasks, out, via, now)
 	}
-	if via == viaHeartbeat {
+	if current && via == viaHeartbeat {
 		out = prependForgetCommands(m, tasks, out)
 	}
 	s.counters.countCommands(via, out)
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -16,7 +16,9 @@
 )
 
 // HandleHeartbeat processes a worker's heartbeat and returns the response. ok is false when the heartbeat must not be
-// answered with 200, because that would extend the worker's lease.
+// answered with 200, because that would extend the worker's lease. A response that extends it stops every task on the
+// machine whose job has ended; otherwise a cancelled task could go on for another worker lease (docs/design.md,
+// "Why the rules hold", number 11).
 func (s *State) HandleHeartbeat(hb *wire.Heartbeat, partition int, now clock.Micros) (response wire.HeartbeatResponse, ok bool) {
 	m := s.machines[hb.Machine]
 	if m == nil {
@@ -29,9 +31,8 @@
 	}
 	// The response to a delivery can overtake a heartbeat that was sent before it. The heartbeat then carries no
 	// news, but is answered so that the worker's lease is extended.
-	newer := m.worker.isNewer(hb)
 	m.worker.lastHeartbeat = heartbeatID{hb.Incarnation, hb.Tick}
-	if newer {
+	if outcome != outcomeOvertaken {
 		m.Addr = hb.Addr
 		s.applyHeartbeat(m, hb, viaHeartbeat, now)
 		m.delivery.pausedUntil = 0
@@ -45,10 +46,7 @@
 		s.resetIdle(m, now)
 	}
 	response.FencingToken = m.delivery.token
-	response.Orders = []wire.Order{}
-	if newer && m.accounted {
-		response.Orders = s.dueCommands(m, viaHeartbeat, now)
-	}
+	response.Orders = s.dueCommands(m, outcome == outcomeAnswered, viaHeartbeat, now)
 	return response, true
 }
 
