partition: a heartbeat is not answered while the stops of ended jobs don't fit into one answer

What callers would see: a cancelled task on a machine for longer than cancel_s.

Cause: an answer carries 400 commands at most. On a machine with more tasks of ended jobs it extended the lease of all and stopped the first 400; if the machine then heard nothing more, the others went on for another worker lease. Same class: a right is extended without the whole check that bounds it.

Fix: stops of ended jobs come first, and a heartbeat whose answer can't hold all of them is answered with 503, which extends no lease. Deliveries, which extend none either, bring the stops, 400 at a time, until the rest fits. A worker without a reachable address of its own loses its lease instead, and with it the tasks.

Counted as outcome stops_pending in GET /metrics.

--- a/internal/partition/commands.go
+++ b/internal/partition/commands.go
@@ -19,10 +19,14 @@
 // dueCommands returns the commands that the worker should execute now, maxCommands at most, and records that they are
 // sent. Stop commands are always among them, since a stop can do no harm; run and forget commands only if current is
 // set: the machine is accounted for, and no newer status of its worker is known than the one that is answered.
-func (s *State) dueCommands(m *machine, current bool, via route, now clock.Micros) []wire.Order {
+// complete is false if a response to a heartbeat can't hold the stop commands for all tasks of ended jobs; no command
+// counts as sent then.
+func (s *State) dueCommands(m *machine, current bool, via route, now clock.Micros) (out []wire.Order, complete bool) {
 	tasks := m.tasksByAge(0)
-	s.stopTasksOfEndedJobs(m, tasks)
-	out := stopCommands(tasks, via, now)
+	if ended := s.stopTasksOfEndedJobs(m, tasks); ended > maxCommands && via == viaHeartbeat {
+		return nil, false
+	}
+	out = stopCommands(tasks, via, now)
 	if current && !m.worker.lost() && m.record == recordPresent {
 		out = appendRunCommands(m, tasks, out, via, now)
 	}
@@ -30,18 +34,22 @@
 		out = prependForgetCommands(m, tasks, out)
 	}
 	s.counters.countCommands(via, out)
-	return out
+	return out, true
 }
 
-// stopTasksOfEndedJobs decides to stop the tasks of ended jobs. Their exits count as acknowledged, so that the worker
-// can forget them without a scheduler's acknowledgement.
-func (s *State) stopTasksOfEndedJobs(m *machine, tasks []*task) {
+// stopTasksOfEndedJobs decides to stop the tasks of ended jobs, and returns how many of them have not exited. Their exits
+// count as acknowledged, so that the worker can forget them without a scheduler's acknowledgement.
+func (s *State) stopTasksOfEndedJobs(m *machine, tasks []*task) (running int) {
 	found := 0
 	for _, t := range tasks {
-		if !s.jobEnded(t) {
+		t.jobEnded = s.jobEnded(t)
+		if !t.jobEnded {
 			continue
 		}
 		t.acknowledged = true
+		if !t.exited() {
+			running++
+		}
 		if !t.exited() && !t.stopping {
 			t.stopping, t.stopGraceS = true, 0
 			s.markTaskChanged(m, t)
@@ -52,16 +60,25 @@
 	if found > 0 {
 		s.addNotice("tasks of ended jobs found", "machine", m.id, "tasks", found, "token", m.delivery.token, "accounted", m.accounted)
 	}
+	return running
 }
 
-// stopCommands returns the stop commands that are due.
+// stopCommands returns the stop commands that are due, first those for tasks of ended jobs.
 func stopCommands(tasks []*task, via route, now clock.Micros) []wire.Order {
 	out := []wire.Order{}
+	for _, jobEnded := range []bool{true, false} {
+		out = appendStopCommands(out, tasks, jobEnded, via, now)
+	}
+	return out
+}
+
+// appendStopCommands appends the stop commands that are due for tasks of ended jobs, or of others.
+func appendStopCommands(out []wire.Order, tasks []*task, jobEnded bool, via route, now clock.Micros) []wire.Order {
 	for _, t := range tasks {
 		if len(out) >= maxCommands {
 			return out
 		}
-		if !t.stopping || t.exited() {
+		if t.jobEnded != jobEnded || !t.stopping || t.exited() {
 			continue
 		}
 		grace := t.stopGraceS
--- a/internal/partition/counters.go
+++ b/internal/partition/counters.go
@@ -21,11 +21,12 @@
 	outcomeFormerIncarnation // its tasks already count as gone
 	outcomeLaterTerm         // the worker has seen a later term: another process has acquired the partition since
 	outcomeCopy              // it is not newer than one that was already processed
+	outcomeStopsPending      // an answer can't hold the stop commands for all tasks of ended jobs; they are delivered
 	heartbeatOutcomeCount
 )
 
 var heartbeatOutcomeNames = [heartbeatOutcomeCount]string{
-	"answered", "unaccounted", "overtaken", "other_partition", "gone", "former_incarnation", "later_term", "copy",
+	"answered", "unaccounted", "overtaken", "other_partition", "gone", "former_incarnation", "later_term", "copy", "stops_pending",
 }
 
 // extendsLease reports whether a heartbeat with this outcome is answered with 200.
--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -93,7 +93,7 @@
 	}
 	orders = &wire.Orders{FencingToken: m.delivery.token, Incarnation: m.worker.incarnation, Orders: []wire.Order{}}
 	if m.accounted {
-		orders.Orders = s.dueCommands(m, true, viaDelivery, now)
+		orders.Orders, _ = s.dueCommands(m, true, viaDelivery, now)
 		if len(orders.Orders) == 0 {
 			return "", nil
 		}
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -24,10 +24,18 @@
 	if m == nil {
 		m = s.addMachine(hb.Machine, partition, inventory.Record{Addr: hb.Addr, Type: hb.Type, Zone: hb.Zone, Spot: hb.Spot}, now)
 	}
-	outcome := s.heartbeatOutcome(m, hb, partition)
+	response, outcome := s.answerHeartbeat(m, hb, partition, now)
 	s.counters.heartbeats[outcome].Inc()
+	return response, outcome.extendsLease()
+}
+
+// answerHeartbeat decides whether a heartbeat is answered, applies it if it may be, and returns the response.
+func (s *State) answerHeartbeat(
+	m *machine, hb *wire.Heartbeat, partition int, now clock.Micros,
+) (response wire.HeartbeatResponse, outcome heartbeatOutcome) {
+	outcome = s.heartbeatOutcome(m, hb, partition)
 	if !outcome.extendsLease() {
-		return response, false
+		return response, outcome
 	}
 	// The response to a delivery can overtake a heartbeat that was sent before it. The heartbeat then carries no
 	// news, but is answered so that the worker's lease is extended.
@@ -37,6 +45,16 @@
 		s.applyHeartbeat(m, hb, viaHeartbeat, now)
 		m.delivery.pausedUntil = 0
 	}
+	commands, complete := s.dueCommands(m, outcome == outcomeAnswered, viaHeartbeat, now)
+	if !complete {
+		return response, outcomeStopsPending
+	}
+	s.recordAnswer(m, now)
+	return wire.HeartbeatResponse{FencingToken: m.delivery.token, Orders: commands}, outcome
+}
+
+// recordAnswer records that a heartbeat is answered with 200, so that the worker's lease is extended.
+func (s *State) recordAnswer(m *machine, now clock.Micros) {
 	m.worker.answeredAt = now
 	if gate := s.zoneGates[m.Zone]; gate != nil {
 		gate.RecordHeartbeat(now)
@@ -45,9 +63,6 @@
 		m.worker.overdue = false
 		s.resetIdle(m, now)
 	}
-	response.FencingToken = m.delivery.token
-	response.Orders = s.dueCommands(m, outcome == outcomeAnswered, viaHeartbeat, now)
-	return response, true
 }
 
 // heartbeatOutcome decides whether a heartbeat is answered with 200, which extends the worker's lease.
--- a/internal/partition/tasks.go
+++ b/internal/partition/tasks.go
@@ -55,6 +55,7 @@
 	withinGuarantee bool // its job is within its team's guarantee
 	held            bool // it has a held lease: no run command is sent before a peer.StartTask
 	stopping        bool // it is to stop, with stopGraceS to checkpoint
+	jobEnded        bool // its job had ended when commands were last due
 	acknowledged    bool // its exit is recorded, or its job has ended: the worker may forget it
 
 	addedAt    clock.Micros // when the lease was accepted, the held lease was started, or the attempt was found
