partition: the end of a job also cuts short the checkpoint of a task that was preempted before

What callers would see: a task of an ended job that is taking its checkpoint goes on for the time that it was given when it was preempted. No way to it is known after a confirmed cancellation, since the cancellation itself cuts the checkpoint short at a leader that stays, and a new leader has given no time.

Cause: State.stopTasksOfEndedJobs, which goes by the replica, left tasks alone that were stopping already, while applyCancellations, which goes by a scheduler's message, ends their checkpoint. Class: a check in one path and not in another.

Fix: both stop without grace. Tests of partition and scheduler pass.

--- a/internal/partition/commands.go
+++ b/internal/partition/commands.go
@@ -47,11 +47,12 @@
 			continue
 		}
 		t.acknowledged = true
-		if !t.exited() {
-			running++
+		if t.exited() {
+			continue
 		}
-		if !t.exited() && !t.stopping {
-			t.stopping, t.stopGraceS = true, 0
+		running++
+		if !t.stopping || t.stopGraceS > 0 {
+			t.stopping, t.stopGraceS, t.deliveredAt = true, 0, 0
 			s.markTaskChanged(m, t)
 			s.counters.stops[stopEnded].Inc()
 			found++
