controller, partition: the cut fleet at 4,000 machines, and what first answers cost

TestCancelledTasksEndInTimeInFleetOf4000Machines plays the incident in the cluster simulation: 3,200 tasks of eight jobs on 4,000 machines are cancelled while all machines are cut off, all controllers restart, each machine hears one answer, and is cut off again.

--- a/internal/controller/machine_cut_test.go
+++ b/internal/controller/machine_cut_test.go
@@ -74,6 +74,56 @@
 	})
 }
 
+// sleepWithMachinesCut lets time pass while no machine reaches a controller.
+func (c *cluster) sleepWithMachinesCut(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(stepInterval)
+		for _, w := range c.workers {
+			w.ExpireLease(c.clock.Now())
+		}
+	}
+}
+
+// answerEachMachineOnce has each worker send heartbeats, one in each step, until one of them is answered.
+func (c *cluster) answerEachMachineOnce() {
+	unanswered := c.workers
+	for step := 0; len(unanswered) > 0 && step < 10; step++ {
+		var remaining []*fakes.Worker
+		for _, w := range unanswered {
+			if !c.sendHeartbeat(w) {
+				remaining = append(remaining, w)
+			}
+		}
+		unanswered = remaining
+		time.Sleep(stepInterval)
+	}
+	require.Empty(c.t, unanswered)
+}
+
+// Guards against ran_cancelled in a large fleet, whose machines all hear one answer of new leaders between two cuts.
+func TestCancelledTasksEndInTimeInFleetOf4000Machines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const machines, jobs, tasksPerJob = 4000, 8, 400
+		c := newClusterWithOptions(t, machines, clusterOptions{heartbeatS: 5, workerLease: lateWorkerLease})
+		c.runFleetFor(8*time.Second, 0)
+		for i := range jobs {
+			require.Equal(t, 201, c.submitJob(hosts[i%3], unlimitedSubmission(jobName(i), tasksPerJob), jobName(i)))
+		}
+		c.runFleetFor(8*time.Second, 0)
+		require.Equal(t, jobs*tasksPerJob, c.runningTasks())
+		for i := range jobs {
+			require.Equal(t, wire.Cancelled, c.cancelJob(hosts[i%3], jobName(i)))
+		}
+		c.restartAll()
+		c.sleepWithMachinesCut(21500 * time.Millisecond)
+		require.Equal(t, jobs*tasksPerJob, c.runningTasks())
+		c.answerEachMachineOnce()
+		c.sleepWithMachinesCut(26 * time.Second)
+		c.requireCancelledStopped()
+		require.Zero(t, c.runningTasks())
+	})
+}
+
 // Seeds of TestCancelledTasksEndInTimeUnderRandomMachineCuts, from the first one on. A long run takes more of them.
 var (
 	firstMachineCutSeed = flag.Uint64("first-machine-cut-seed", 0, "first seed of the random cuts of machines")
--- a/internal/partition/cost_test.go
+++ b/internal/partition/cost_test.go
@@ -1,10 +1,13 @@
 package partition
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/segmentio/encoding/json"
 	"github.com/stretchr/testify/require"
+
+	"github.com/merlinlatch/merlinlatch/internal/jobs"
 )
 
 func BenchmarkHeartbeatUnchanged(b *testing.B) {
@@ -87,3 +90,40 @@
 	require.Equal(t, costs[30], costs[600])
 	require.NotZero(t, costs[30].heartbeat)
 }
+
+// BenchmarkFirstAnswers measures the first answers of a new leader to a fleet whose machines run tasks of an ended job: its
+// processor time, and the size of an answer.
+func BenchmarkFirstAnswers(b *testing.B) {
+	for _, machines := range []int{1000, 4000} {
+		for _, ended := range []bool{false, true} {
+			b.Run(fmt.Sprintf("machines=%d/ended=%v", machines, ended), func(b *testing.B) { benchmarkFirstAnswers(b, machines, ended) })
+		}
+	}
+}
+
+func benchmarkFirstAnswers(b *testing.B, machines int, ended bool) {
+	l := newLoadedServer(b, machines)
+	lookup := l.server.state.jobs.(*fakeJobLookup)
+	if ended {
+		lookup.active = map[string]*jobs.Job{}
+	}
+	for i := range l.heartbeats {
+		l.heartbeats[i].FencingToken = 1 // of a former leader
+	}
+	answerBytes := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		l.releasePartition()
+		l.server.Reconcile()
+		answerBytes = 0
+		for i := range l.heartbeats {
+			hb := &l.heartbeats[i]
+			hb.Tick++
+			body, err := json.Marshal(hb)
+			require.NoError(b, err)
+			answerBytes += len(l.server.HandleHeartbeat(body).Body)
+		}
+	}
+	b.ReportMetric(float64(answerBytes)/float64(machines), "B/answer")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(machines), "ns/answer")
+}
