telemetry: the test's buffer has a lock, since the race detector reports its fixture

TestReporterLogsOnlyCountsOfLastInterval failed under -race, on the untouched sources as well: the test resets the buffer that the reporter's goroutine writes to, and virtual time orders the two only for people. The buffer takes a lock; no assertion is changed. go test -race ./internal/telemetry passes.

--- a/internal/telemetry/reporter_test.go
+++ b/internal/telemetry/reporter_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,7 @@
 // of its counters, or did not reset the duties, earlier counts would be logged again.
 func TestReporterLogsOnlyCountsOfLastInterval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var out bytes.Buffer
+		var out lockedBuffer
 		r := NewReporter(slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug})))
 		ctx, stop := context.WithCancel(t.Context())
 		go r.Run(ctx) //nolint:errcheck // ends with the context
@@ -43,6 +44,30 @@
 	})
 }
 
+// lockedBuffer is a buffer that the reporter's goroutine writes to and the test reads and resets.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func (b *lockedBuffer) Reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.buffer.Reset()
+}
+
 // Callers pass nil counters where nothing is measured, and do not check for nil themselves. Counting with a nil
 // Reporter, Traffic or Duty must not panic, and a connection must stay as it is.
 func TestNilCountersCountNothing(t *testing.T) {
