--- a/internal/controller/lease_cut_random_test.go
+++ b/internal/controller/lease_cut_random_test.go
@@ -1,30 +1,19 @@
 package controller
 
 import (
-	"flag"
-	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 )
 
-// Seeds of TestRulesHoldUnderRandomCutsAsLongAsControllerLease, from the first one on. A long run takes more of them.
-var (
-	firstCutSeed = flag.Uint64("first-cut-seed", 0, "first seed of the random cuts")
-	cutSeeds     = flag.Uint64("cut-seeds", 12, "number of seeds of the random cuts")
-)
+var leaseCutSeeds = newSeedRange("cut", 12)
 
 // Guards against rules that break when a controller is cut from the store and its peers for about as long as its controller lease,
 // while tasks end, users cancel, and other controllers are cut off or crash. The rules and the limits of the time after the faults
 // are those of TestRulesHoldUnderRandomFailureCombinations.
 func TestRulesHoldUnderRandomCutsAsLongAsControllerLease(t *testing.T) {
-	for seed := *firstCutSeed; seed < *firstCutSeed+*cutSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runRandomCuts(t, seed) })
-		})
-	}
+	leaseCutSeeds.run(t, runRandomCuts)
 }
 
 func runRandomCuts(t *testing.T, seed uint64) {
--- a/internal/controller/machine_cut_test.go
+++ b/internal/controller/machine_cut_test.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"flag"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -15,9 +13,9 @@
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
-// lateWorkerLease is a worker lease that is longer than cancellationMargin: a worker whose lease is extended shortly before it expires
+// longWorkerLease is a worker lease that is longer than cancellationMargin: a worker whose lease is extended shortly before it expires
 // keeps its tasks for longer than cancellationLimit.
-const lateWorkerLease = 27 * clock.Second
+const longWorkerLease = 27 * clock.Second
 
 // setMachinesCut cuts all machines off from the controllers, or reconnects them.
 func (c *cluster) setMachinesCut(cut bool) {
@@ -62,7 +60,7 @@
 // Guards against ran_cancelled: a machine hears nothing but the first answer of a new leader between two cuts.
 func TestCancelledTasksEndInTimeWhenMachineGetsOneAnswerOfNewLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newBusyClusterWithOptions(t, clusterOptions{workerLease: lateWorkerLease})
+		c := newBusyClusterWithOptions(t, clusterOptions{workerLease: longWorkerLease})
 		c.setMachinesCut(true)
 		require.Equal(t, wire.Cancelled, c.cancelJob("a", "job-1"))
 		c.restartAll()
@@ -104,7 +102,7 @@
 func TestCancelledTasksEndInTimeInFleetOf4000Machines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const machines, jobs, tasksPerJob = 4000, 8, 400
-		c := newClusterWithOptions(t, machines, clusterOptions{heartbeatS: 5, workerLease: lateWorkerLease})
+		c := newClusterWithOptions(t, machines, clusterOptions{heartbeatS: 5, workerLease: longWorkerLease})
 		c.runFleetFor(8*time.Second, 0)
 		for i := range jobs {
 			require.Equal(t, 201, c.submitJob(hosts[i%3], unlimitedSubmission(jobName(i), tasksPerJob), jobName(i)))
@@ -124,25 +122,17 @@
 	})
 }
 
-// Seeds of TestCancelledTasksEndInTimeUnderRandomMachineCuts, from the first one on. A long run takes more of them.
-var (
-	firstMachineCutSeed = flag.Uint64("first-machine-cut-seed", 0, "first seed of the random cuts of machines")
-	machineCutSeeds     = flag.Uint64("machine-cut-seeds", 16, "number of seeds of the random cuts of machines")
-)
+var machineCutSeeds = newSeedRange("machine-cut", 16)
 
 // Guards against ran_cancelled under cuts of machines and changes of leaders at random moments.
 func TestCancelledTasksEndInTimeUnderRandomMachineCuts(t *testing.T) {
-	for seed := *firstMachineCutSeed; seed < *firstMachineCutSeed+*machineCutSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runRandomMachineCuts(t, seed) })
-		})
-	}
+	machineCutSeeds.run(t, runRandomMachineCuts)
 }
 
 // runRandomMachineCuts plays two rounds. In each, jobs are submitted and cancelled while every machine alternates between long cuts and
 // short connections, and controllers restart.
 func runRandomMachineCuts(t *testing.T, seed uint64) {
-	c := newClusterWithOptions(t, 12, clusterOptions{workerLease: lateWorkerLease})
+	c := newClusterWithOptions(t, 12, clusterOptions{workerLease: longWorkerLease})
 	c.runFor(8*time.Second, 0)
 	rng := rand.New(rand.NewPCG(seed, 46))
 	for round := range 2 {
