--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -16,9 +16,8 @@
 )
 
 // HandleHeartbeat processes a worker's heartbeat and returns the response. ok is false when the heartbeat must not be
-// answered with 200, because that would extend the worker's lease. A response that extends it stops every task on the
-// machine whose job has ended; otherwise a cancelled task could go on for another worker lease (docs/design.md,
-// "Why the rules hold", number 11).
+// answered with 200, because that would extend the worker's lease. A response that extends it stops every task whose job
+// has ended (docs/design.md, "Why the rules hold", number 11).
 func (s *State) HandleHeartbeat(hb *wire.Heartbeat, partition int, now clock.Micros) (response wire.HeartbeatResponse, ok bool) {
 	m := s.machines[hb.Machine]
 	if m == nil {
@@ -33,7 +32,7 @@
 func (s *State) answerHeartbeat(
 	m *machine, hb *wire.Heartbeat, partition int, now clock.Micros,
 ) (response wire.HeartbeatResponse, outcome heartbeatOutcome) {
-	outcome = s.heartbeatOutcome(m, hb, partition)
+	outcome = s.classifyHeartbeat(m, hb, partition)
 	if !outcome.extendsLease() {
 		return response, outcome
 	}
@@ -65,8 +64,8 @@
 	}
 }
 
-// heartbeatOutcome decides whether a heartbeat is answered with 200, which extends the worker's lease.
-func (s *State) heartbeatOutcome(m *machine, hb *wire.Heartbeat, partition int) heartbeatOutcome {
+// classifyHeartbeat decides whether a heartbeat is answered with 200, which extends the worker's lease.
+func (s *State) classifyHeartbeat(m *machine, hb *wire.Heartbeat, partition int) heartbeatOutcome {
 	switch {
 	case m.partition != partition:
 		return outcomeOtherPartition
--- a/internal/partition/state.go
+++ b/internal/partition/state.go
@@ -25,7 +25,7 @@
 //     machine.accounted, State.AcquirePartition
 //   - 7: requests of former team leaders are rejected: teamTerms
 //   - 11: no task of a cancelled job starts, even while this controller's replica is behind: cancellations,
-//     State.jobEnded
+//     State.jobEnded. No worker's lease is extended without stopping the tasks of ended jobs: State.dueCommands
 //   - 13: copies of heartbeats extend no worker lease: workerState.isCopy
 package partition
 
