controller: tests share how they end or start all controllers, and ask all for a job's phase

Where a loop asked with jobPhase, it now asks with queryJob, which also requires that no answer contradicts an earlier one: stricter, never weaker.

--- a/internal/controller/cancellation_failover_test.go
+++ b/internal/controller/cancellation_failover_test.go
@@ -133,9 +133,7 @@
 				r.store.SetDown(false)
 				r.setStoreDisconnected(r.partitionLeader, false)
 				r.runFor(30*time.Second, 0)
-				for _, h := range hosts {
-					require.Equal(t, wire.Cancelled, r.jobPhase(h, "job-1"))
-				}
+				r.requirePhaseEverywhere(wire.Cancelled, "job-1")
 			})
 		})
 	}
@@ -173,9 +171,7 @@
 				c.runFor(8*time.Second, 0)
 				if tc.outcome == responseLost {
 					require.Zero(t, c.runningTasks())
-					for _, h := range hosts {
-						require.Equal(t, wire.Cancelled, c.queryJob(h, "job-1"))
-					}
+					c.requirePhaseEverywhere(wire.Cancelled, "job-1")
 					return
 				}
 				require.Equal(t, 6, c.runningTasks(), "the next leader must continue the job")
@@ -183,9 +179,7 @@
 					require.ErrorIs(t, commit(), kvstore.ErrConflict)
 				}
 				c.runFor(15*time.Second, 3*time.Second)
-				for _, h := range hosts {
-					require.Equal(t, wire.Done, c.queryJob(h, "job-1"))
-				}
+				c.requirePhaseEverywhere(wire.Done, "job-1")
 			})
 		})
 	}
--- a/internal/controller/cancellation_test.go
+++ b/internal/controller/cancellation_test.go
@@ -127,9 +127,7 @@
 		require.GreaterOrEqual(t, returned, partitionsPerController, "too few leaderships have moved and returned")
 		for i := range submitted {
 			c.cancelJob("a", jobName(i))
-			for _, h := range hosts {
-				require.Equal(t, wire.Cancelled, c.queryJob(h, jobName(i)))
-			}
+			c.requirePhaseEverywhere(wire.Cancelled, jobName(i))
 		}
 		c.runFor(3*time.Second, 0)
 		require.Greater(t, submitted, 30)
@@ -189,8 +187,6 @@
 		require.Equal(t, 200, r.Status, string(r.Body))
 		c.runFor(2*time.Second, 0)
 		require.Zero(t, c.runningTasks())
-		for _, h := range hosts {
-			require.Equal(t, wire.Cancelled, c.jobPhase(h, "job-1"))
-		}
+		c.requirePhaseEverywhere(wire.Cancelled, "job-1")
 	})
 }
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -179,9 +179,7 @@
 	catalog := wire.Catalog{Types: []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Zones: []string{"a", "b"}}}}
 	_, err := c.directClient().Commit(t.Context(), wire.Txn{Operations: []wire.Operation{{Put: kvstore.CatalogKey, Value: catalog}}})
 	require.NoError(t, err)
-	for _, h := range hosts {
-		c.start(h)
-	}
+	c.startAll()
 	for i := range workers {
 		c.addWorker(i)
 	}
@@ -276,6 +274,20 @@
 	c.processes[host] = nil
 }
 
+// startAll starts the controllers on all hosts.
+func (c *cluster) startAll() {
+	for _, h := range hosts {
+		c.start(h)
+	}
+}
+
+// crashAll ends the processes on all hosts immediately.
+func (c *cluster) crashAll() {
+	for _, h := range hosts {
+		c.crash(h)
+	}
+}
+
 // replaceProcess ends the process on a host, starts another one and waits until that one leads partitionsPerController
 // partitions.
 func (c *cluster) replaceProcess(host string) {
--- a/internal/controller/cluster_users_test.go
+++ b/internal/controller/cluster_users_test.go
@@ -72,6 +72,14 @@
 	return answer
 }
 
+// requirePhaseEverywhere requires that every controller answers a query of a job with a phase.
+func (c *cluster) requirePhaseEverywhere(phase, id string) {
+	c.t.Helper()
+	for _, h := range hosts {
+		require.Equal(c.t, phase, c.queryJob(h, id), "%s at %s", id, h)
+	}
+}
+
 // submitJob submits a job, for the first time or again, and returns the HTTP status. It checks the answer against all that users
 // were told before.
 func (c *cluster) submitJob(host, body, id string) (status int) {
--- a/internal/controller/controller_failures_test.go
+++ b/internal/controller/controller_failures_test.go
@@ -21,14 +21,10 @@
 		c.post("a", wire.PathJobs, submission("job-1", 10))
 		c.runFor(3*time.Second, 0)
 		require.Equal(t, 6, c.runningTasks())
-		for _, h := range hosts {
-			c.crash(h)
-		}
+		c.crashAll()
 		c.runFor(5*time.Second, 0)
 		require.Equal(t, 6, c.runningTasks(), "tasks have ended before the worker leases expire")
-		for _, h := range hosts {
-			c.start(h)
-		}
+		c.startAll()
 		c.runFor(8*time.Second, 0)
 		require.Equal(t, 6, c.runningTasks())
 		c.requireStartedOnce()
--- a/internal/controller/failover_test.go
+++ b/internal/controller/failover_test.go
@@ -32,9 +32,7 @@
 		}
 		c.setIsolated(isolated, false)
 		c.runFor(30*time.Second, 4*time.Second)
-		for _, h := range hosts {
-			require.Equal(t, wire.Done, c.queryJob(h, "job-1"))
-		}
+		c.requirePhaseEverywhere(wire.Done, "job-1")
 	})
 }
 
@@ -43,14 +41,10 @@
 func TestTasksRestartAfterAllControllersDownBeyondLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newBusyCluster(t)
-		for _, h := range hosts {
-			c.crash(h)
-		}
+		c.crashAll()
 		c.runFor(20*time.Second, 0)
 		require.Zero(t, c.runningTasks(), "tasks run after the worker leases have expired")
-		for _, h := range hosts {
-			c.start(h)
-		}
+		c.startAll()
 		c.runFor(8*time.Second, 0)
 		require.Equal(t, 6, c.runningTasks())
 		c.runFor(15*time.Second, 3*time.Second)
@@ -153,10 +147,8 @@
 		require.Equal(t, 6, c.runningTasks(), "running tasks must continue")
 		c.requireStartedOnce()
 		c.runForEach(10*time.Second, 3*time.Second, replay)
-		for _, h := range hosts {
-			require.Equal(t, wire.Done, c.queryJob(h, "job-1"))
-			require.Equal(t, wire.Done, c.queryJob(h, "job-2"))
-		}
+		c.requirePhaseEverywhere(wire.Done, "job-1")
+		c.requirePhaseEverywhere(wire.Done, "job-2")
 		c.requireStartedOnce()
 	})
 }
@@ -255,9 +247,7 @@
 		l.runUsers(3 * time.Second)
 		l.store.SetDown(false)
 	case 3: // all controllers crash, and the leader restarts before the others
-		for _, h := range hosts {
-			l.crash(h)
-		}
+		l.crashAll()
 		time.Sleep(700 * time.Millisecond)
 		l.start(leader)
 		l.runUsers(2 * time.Second)
@@ -335,9 +325,7 @@
 		c.setOnCommit(nil)
 		c.finishTask("job-1/2")
 		c.runFor(4*time.Second, 0)
-		for _, h := range hosts {
-			require.Equal(t, wire.Done, c.queryJob(h, "job-1"))
-		}
+		c.requirePhaseEverywhere(wire.Done, "job-1")
 		c.requireStartedOnce()
 	})
 }
--- a/internal/controller/fleet_scale_test.go
+++ b/internal/controller/fleet_scale_test.go
@@ -57,9 +57,7 @@
 		c.runFleetFor(8*time.Second, 0)
 		tasks := jobs*100 + jobs*(jobs-1)/2
 		require.Equal(t, tasks, c.runningTasks())
-		for _, h := range hosts {
-			c.crash(h)
-		}
+		c.crashAll()
 		c.runFleetFor(3*time.Second, 0)
 		for i, h := range hosts {
 			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
--- a/internal/controller/machine_cut_test.go
+++ b/internal/controller/machine_cut_test.go
@@ -49,12 +49,8 @@
 
 // restartAll ends all controllers at the same time and starts them again.
 func (c *cluster) restartAll() {
-	for _, h := range hosts {
-		c.crash(h)
-	}
-	for _, h := range hosts {
-		c.start(h)
-	}
+	c.crashAll()
+	c.startAll()
 }
 
 // Guards against ran_cancelled: a machine hears nothing but the first answer of a new leader between two cuts.
--- a/internal/controller/serving_test.go
+++ b/internal/controller/serving_test.go
@@ -24,9 +24,7 @@
 		require.Equal(t, 6, c.runningTasks(), "the team's limit allows six tasks")
 		require.Equal(t, wire.Running, c.jobPhase("b", "job-1"))
 		c.runFor(20*time.Second, 4*time.Second)
-		for _, h := range hosts {
-			require.Equal(t, wire.Done, c.jobPhase(h, "job-1"))
-		}
+		c.requirePhaseEverywhere(wire.Done, "job-1")
 		require.Zero(t, c.runningTasks())
 		for _, w := range c.workers {
 			require.Empty(t, w.Tasks, "the worker must forget ended tasks")
@@ -50,11 +48,9 @@
 		require.Equal(t, 200, c.post("b", withdrawPath("job-2"), "").Status)
 		c.runFor(30*time.Second, 4*time.Second)
 		for range 2 {
-			for _, h := range hosts {
-				require.Equal(t, wire.Done, c.jobPhase(h, "job-0"))
-				require.Equal(t, wire.Done, c.jobPhase(h, "job-1"))
-				require.Equal(t, wire.Cancelled, c.jobPhase(h, "job-2"))
-			}
+			c.requirePhaseEverywhere(wire.Done, "job-0")
+			c.requirePhaseEverywhere(wire.Done, "job-1")
+			c.requirePhaseEverywhere(wire.Cancelled, "job-2")
 			for _, h := range hosts {
 				c.crash(h)
 				c.start(h)
@@ -108,9 +104,7 @@
 		require.Equal(t, 4, c.runningTasks())
 		c.setStoreDisconnected("a", false)
 		c.runFor(20*time.Second, 4*time.Second)
-		for _, h := range hosts {
-			require.Equal(t, wire.Done, c.jobPhase(h, "job-1"))
-			require.Equal(t, wire.Done, c.jobPhase(h, "job-2"))
-		}
+		c.requirePhaseEverywhere(wire.Done, "job-1")
+		c.requirePhaseEverywhere(wire.Done, "job-2")
 	})
 }
--- a/internal/controller/zone_return_test.go
+++ b/internal/controller/zone_return_test.go
@@ -130,9 +130,7 @@
 // leader of the job's team gives.
 func (c *cluster) requireDoneOnce(ids ...string) {
 	for _, id := range ids {
-		for _, h := range hosts {
-			require.Equal(c.t, wire.Done, c.jobPhase(h, id), "%s at %s", id, h)
-		}
+		c.requirePhaseEverywhere(wire.Done, id)
 	}
 	finals := map[string]map[string]int{} // by job and controller
 	events := c.historyEvents()
@@ -262,9 +260,7 @@
 					c.runForEach(60*time.Second, 25*time.Second, later.run)
 					c.runFor(150*time.Second, 6*time.Second)
 					for _, id := range []string{"job-1", "job-2", "job-3"} {
-						for _, h := range hosts {
-							require.Equal(t, wire.Done, c.jobPhase(h, id), "%s at %s", id, h)
-						}
+						c.requirePhaseEverywhere(wire.Done, id)
 					}
 					require.Empty(t, history.Check(c.historyEvents(), 0))
 				})
