scheduler: a test for a start by a former partition leader that arrives between a heartbeat and its answer

A path that the postmortem's argument relies on and that no test took: the new leader's first answer extends the lease and doesn't know the task, since the heartbeat was sent before the held-up command was carried out. It holds, as the cancellation is not confirmed while an assigned task isn't seen to run, and an assignment is released only by a view of a machine that is accounted for.

--- a/internal/scheduler/cancellation_scenario_test.go
+++ b/internal/scheduler/cancellation_scenario_test.go
@@ -116,6 +116,10 @@
 			sim.workers[machine].HandleCommands(sim.lateCommands[0].commands, sim.now)
 			sim.runSteps(4)
 		}},
+		{"a start by a former partition leader is on its way", func(sim *simulation, machine string) {
+			delayStart(sim, machine)
+			sim.restart(sim.leaderOfMachine(machine))
+		}, startBetweenHeartbeatAndAnswer},
 		{"the image is being fetched", startFetching, func(sim *simulation, _ string) { sim.runSteps(4) }},
 		{"a former scheduler's machine hangs", failOver, func(sim *simulation, _ string) { sim.runSteps(8) }},
 	} {
@@ -152,6 +156,21 @@
 
 func delayStart(sim *simulation, machine string) { sim.deliverCommands(machine, true, false) }
 
+// startBetweenHeartbeatAndAnswer lets a delayed start reach the worker while a heartbeat that doesn't list the task is on its way to the
+// next partition leader.
+func startBetweenHeartbeatAndAnswer(sim *simulation, machine string) {
+	sim.now += 3 * sec
+	worker := sim.workers[machine]
+	heartbeat := worker.Heartbeat(sim.now)
+	worker.HandleCommands(sim.lateCommands[0].commands, sim.now)
+	require.Equal(sim.t, 1, sim.runningTasks(), "the delayed start is carried out")
+	response, ok := sim.stateOf(machine).HandleHeartbeat(&heartbeat, sim.partitionOf(machine), sim.now)
+	require.True(sim.t, ok)
+	worker.HandleHeartbeatResponse(response, sim.now)
+	require.False(sim.t, sim.ended["job-1"])
+	sim.runSteps(8)
+}
+
 func startFetching(sim *simulation, machine string) {
 	sim.deliverCommands(machine, false, true)
 	for _, task := range sim.workers[machine].SortedTasks() {
@@ -165,7 +184,7 @@
 	sim.deliverCommands(machine, false, true)
 	sim.heartbeat(machine, true)
 	sim.newScheduler()
-	sim.restart(sim.controllers[sim.leaderOf[sim.partitionOf(machine)]])
+	sim.restart(sim.leaderOfMachine(machine))
 }
 
 // runWithSilentMachine runs the cluster for 200 ms while one machine sends no heartbeats.
--- a/internal/scheduler/moves_scenario_test.go
+++ b/internal/scheduler/moves_scenario_test.go
@@ -186,7 +186,7 @@
 
 // restartLeaderOf restarts the controller that leads a machine's partition.
 func (s *simulation) restartLeaderOf(machine string) {
-	s.restart(s.controllers[s.leaderOf[s.partitionOf(machine)]])
+	s.restart(s.leaderOfMachine(machine))
 }
 
 // replaceSchedulerWithLateBatch replaces the scheduler. The former scheduler's last batches arrive after the new one has started.
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -284,11 +284,14 @@
 	}
 }
 
-// stateOf returns the state of a machine's partition leader.
-func (s *simulation) stateOf(id string) *partition.State {
-	return s.controllers[s.leaderOf[s.partitionOf(id)]].partitionState
+// leaderOfMachine returns a machine's partition leader.
+func (s *simulation) leaderOfMachine(id string) *controller {
+	return s.controllers[s.leaderOf[s.partitionOf(id)]]
 }
 
+// stateOf returns the state of a machine's partition leader.
+func (s *simulation) stateOf(id string) *partition.State { return s.leaderOfMachine(id).partitionState }
+
 // advance processes expired leases, changes of machine records, and the final states of jobs.
 func (s *simulation) advance() {
 	for _, c := range s.controllers {
