controller: random failure combinations also with a worker lease that two in a row outlast the cancellation limit

Seeds 8 to 15 are new and have a lease of 27 s with its limit of 47 s; seeds 0 to 7 are as they were. The seeds' loop is the shared one, so that a long run takes more of them by flags.

--- a/internal/controller/failure_combinations_test.go
+++ b/internal/controller/failure_combinations_test.go
@@ -1,10 +1,8 @@
 package controller
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -19,11 +17,21 @@
 // hold, and answers to users must not contradict earlier ones. Within 75 s after the last fault every controller must answer
 // for every job, and after another 120 s every accepted job must have ended.
 func TestRulesHoldUnderRandomFailureCombinations(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runRandomFailures(t, seed) })
-		})
+	failureSeeds.run(t, runRandomFailures)
+}
+
+var failureSeeds = newSeedRange("failure", 16)
+
+// firstLongLeaseSeed is the first seed whose workers have the long lease: a lease that is extended once too often then outlasts
+// cancellationLimit.
+const firstLongLeaseSeed = 8
+
+// failureClusterOptions returns the options of a seed's cluster.
+func failureClusterOptions(seed uint64) clusterOptions {
+	if seed < firstLongLeaseSeed {
+		return clusterOptions{}
 	}
+	return clusterOptions{workerLease: longWorkerLease}
 }
 
 // Kinds of faults that endFaults ends.
@@ -56,7 +64,7 @@
 }
 
 func runRandomFailures(t *testing.T, seed uint64) {
-	r := newRandomFailures(newCluster(t, 6), seed, seed+100)
+	r := newRandomFailures(newClusterWithOptions(t, 6, failureClusterOptions(seed)), seed, seed+100)
 	r.runFor(5*time.Second, 0)
 	runTime := []time.Duration{6 * time.Second, 25 * time.Second, 90 * time.Second}[seed%3]
 	for step := range 40 {
