--- a/internal/partition/commands.go
+++ b/internal/partition/commands.go
@@ -51,9 +51,7 @@
 			continue
 		}
 		running++
-		if !t.stopping || t.stopGraceS > 0 {
-			t.stopping, t.stopGraceS, t.deliveredAt = true, 0, 0
-			s.markTaskChanged(m, t)
+		if s.markStopping(m, t, 0) {
 			s.counters.stops[stopEnded].Inc()
 			found++
 		}
--- a/internal/partition/leases.go
+++ b/internal/partition/leases.go
@@ -161,12 +161,22 @@
 	case t.state == taskLeased:
 		s.removeTask(m, t)
 	case t.exited():
-	case !t.stopping || graceS < t.stopGraceS:
-		t.stopping, t.stopGraceS, t.deliveredAt = true, graceS, 0
-		s.markTaskChanged(m, t)
+	default:
+		s.markStopping(m, t, graceS)
 	}
 }
 
+// markStopping marks a task as stopping with graceS seconds to checkpoint, and reports whether that is new: the task was
+// not stopping, or had more time.
+func (s *State) markStopping(m *machine, t *task, graceS float64) bool {
+	if t.stopping && graceS >= t.stopGraceS {
+		return false
+	}
+	t.stopping, t.stopGraceS, t.deliveredAt = true, graceS, 0
+	s.markTaskChanged(m, t)
+	return true
+}
+
 // stopGraceOf returns the time in seconds that a preempted task has to checkpoint.
 func (s *State) stopGraceOf(t *task) float64 {
 	if j, ok := s.jobs.Active(t.id.Job); ok {
