controller: tests make a settled cluster with options in one place

newSettledClusterWithOptions replaces the wait of 8 s that a busy cluster and the random machine cuts wrote out again.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -132,7 +132,12 @@
 
 // newSettledCluster makes a cluster with default options, and lets 8 s pass, after which the store has records of all machines.
 func newSettledCluster(t *testing.T, workers int) *cluster {
-	c := newCluster(t, workers)
+	return newSettledClusterWithOptions(t, workers, clusterOptions{})
+}
+
+// newSettledClusterWithOptions does what newSettledCluster does, with options.
+func newSettledClusterWithOptions(t *testing.T, workers int, options clusterOptions) *cluster {
+	c := newClusterWithOptions(t, workers, options)
 	c.runFor(8*time.Second, 0)
 	return c
 }
@@ -142,8 +147,7 @@
 
 // newBusyClusterWithOptions does what newBusyCluster does, with options.
 func newBusyClusterWithOptions(t *testing.T, options clusterOptions) *cluster {
-	c := newClusterWithOptions(t, 6, options)
-	c.runFor(8*time.Second, 0)
+	c := newSettledClusterWithOptions(t, 6, options)
 	require.Equal(t, 201, c.submitJob("a", wholeMachineSubmission("job-1", 6), "job-1"))
 	c.runFor(4*time.Second, 0)
 	require.Equal(t, 6, c.runningTasks())
--- a/internal/controller/machine_cut_test.go
+++ b/internal/controller/machine_cut_test.go
@@ -128,8 +128,7 @@
 // runRandomMachineCuts plays two rounds. In each, jobs are submitted and cancelled while every machine alternates between long cuts and
 // short connections, and controllers restart.
 func runRandomMachineCuts(t *testing.T, seed uint64) {
-	c := newClusterWithOptions(t, 12, clusterOptions{workerLease: longWorkerLease})
-	c.runFor(8*time.Second, 0)
+	c := newSettledClusterWithOptions(t, 12, clusterOptions{workerLease: longWorkerLease})
 	rng := rand.New(rand.NewPCG(seed, 46))
 	for round := range 2 {
 		var submitted []string
