partition, telemetry: count and log attempts that no leader has started, rejected deliveries and the time to a start

Now an attempt that is found on a machine that was accounted for is logged with the tokens, and counted; deliveries that the worker answered with 409 are counted apart from executed ones; and a summary shows the time from a lease to the worker's list, so that a fix can be compared. No decision changes.

--- a/internal/partition/counters.go
+++ b/internal/partition/counters.go
@@ -50,12 +50,24 @@
 const (
 	deliveryAnswered deliveryOutcome = iota
 	deliveryUnanswered
+	deliveryRejected     // nothing executed: the worker has seen a higher token, or is in another incarnation
 	deliveryOtherMachine // another machine has the address
 	deliveryRestarted    // the worker has restarted without a new incarnation
 	deliveryOutcomeCount
 )
 
-var deliveryOutcomeNames = [deliveryOutcomeCount]string{"answered", "unanswered", "other_machine", "restarted"}
+var deliveryOutcomeNames = [deliveryOutcomeCount]string{"answered", "unanswered", "rejected", "other_machine", "restarted"}
+
+// findState says what was known of the machine on which an attempt was found that this leader has not assigned.
+type findState int
+
+const (
+	foundUnaccounted findState = iota // the machine was not accounted for: a former leader has started the attempt
+	foundAccounted                    // the machine was accounted for: no command for the attempt should have been executed
+	findStateCount
+)
+
+var findStateNames = [findStateCount]string{"unaccounted", "accounted"}
 
 var (
 	routeNames   = [...]string{viaHeartbeat: "heartbeat", viaDelivery: "delivery"}
@@ -67,7 +79,10 @@
 	heartbeats [heartbeatOutcomeCount]*telemetry.Counter
 	stops      [stopReasonCount]*telemetry.Counter
 	deliveries [deliveryOutcomeCount]*telemetry.Counter
+	found      [findStateCount]*telemetry.Counter
 	commands   [len(routeNames)][len(commandVerbs)]*telemetry.Counter
+	// leaseToStart is the time from an accepted lease, or the start of a held one, until the worker lists the attempt.
+	leaseToStart *telemetry.Summary
 }
 
 func newCounters(reporter *telemetry.Reporter) counters {
@@ -81,6 +96,10 @@
 	for outcome, name := range deliveryOutcomeNames {
 		c.deliveries[outcome] = reporter.Counter(fmt.Sprintf(`merlinlatch_deliveries_total{outcome=%q}`, name))
 	}
+	for state, name := range findStateNames {
+		c.found[state] = reporter.Counter(fmt.Sprintf(`merlinlatch_found_attempts_total{machine=%q}`, name))
+	}
+	c.leaseToStart = reporter.Summary("merlinlatch_lease_to_start_seconds")
 	for via, route := range routeNames {
 		for i, verb := range commandVerbs {
 			c.commands[via][i] = reporter.Counter(fmt.Sprintf(`merlinlatch_worker_commands_total{via=%q,verb=%q}`, route, verb))
--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -143,7 +143,11 @@
 		s.counters.deliveries[deliveryRestarted].Inc()
 		return
 	}
-	s.counters.deliveries[deliveryAnswered].Inc()
+	outcome := deliveryAnswered
+	if isRejected(sent, hb) {
+		outcome = deliveryRejected
+	}
+	s.counters.deliveries[outcome].Inc()
 	if !m.worker.contacted {
 		if m.worker.incarnation != hb.Incarnation {
 			m.worker.incarnation, m.delivery.probedAt = hb.Incarnation, 0 // probe again at once, addressed to the incarnation that answered
@@ -155,6 +159,12 @@
 	s.applyHeartbeat(m, hb, viaDelivery, now)
 }
 
+// isRejected reports whether the response to a delivery says that the worker has executed nothing. It has seen a higher
+// token than that of the delivery then, or is in another incarnation.
+func isRejected(sent *wire.Orders, hb *wire.Heartbeat) bool {
+	return hb.FencingToken != sent.FencingToken || hb.Incarnation != sent.Incarnation
+}
+
 // handleUnannouncedRestart handles a response whose tick is no higher than one that was already known when the
 // delivery was sent: the worker has restarted without a new incarnation. The commands that were just delivered may
 // run there, for one worker lease from now at most, since the worker's heartbeats count as copies and are not
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -91,9 +91,10 @@
 	if !m.worker.isNewer(hb) {
 		return
 	}
+	wasAccounted := m.accounted
 	changed := s.applyIncarnation(m, hb, now)
 	changed = s.applyWorkerState(m, hb, now) || changed
-	listed := s.applyTasks(m, hb, now)
+	listed := s.applyTasks(m, hb, wasAccounted, now)
 	if len(listed) < len(m.tasks) {
 		s.removeUnlistedTasks(m, hb, listed, via)
 	}
@@ -156,8 +157,9 @@
 	return changed
 }
 
-// applyTasks records the phases of the tasks that a worker lists, and returns their ids.
-func (s *State) applyTasks(m *machine, hb *wire.Heartbeat, now clock.Micros) (listed map[peer.TaskID]bool) {
+// applyTasks records the phases of the tasks that a worker lists, and returns their ids. wasAccounted says whether the
+// machine was accounted for before this status.
+func (s *State) applyTasks(m *machine, hb *wire.Heartbeat, wasAccounted bool, now clock.Micros) (listed map[peer.TaskID]bool) {
 	listed = make(map[peer.TaskID]bool, len(hb.Tasks))
 	for _, status := range hb.Tasks {
 		job, n, ok := wire.SplitTask(status.Task)
@@ -169,6 +171,10 @@
 		t := m.tasks[id]
 		if t == nil {
 			t = s.addFoundTask(m, id, now)
+			s.reportFoundTask(m, t, status.Phase, wasAccounted)
+		}
+		if t.state == taskSent {
+			s.counters.leaseToStart.Record(now - t.addedAt)
 		}
 		if t.state < taskReported || t.phase != status.Phase {
 			s.markTaskChanged(m, t)
@@ -196,6 +202,19 @@
 	return t
 }
 
+// reportFoundTask counts an attempt that this leader has not assigned. On a machine that was accounted for it is unexpected:
+// all commands of former leaders are rejected there, and this leader's attempts are known.
+func (s *State) reportFoundTask(m *machine, t *task, phase string, wasAccounted bool) {
+	if !wasAccounted {
+		s.counters.found[foundUnaccounted].Inc()
+		return
+	}
+	s.counters.found[foundAccounted].Inc()
+	s.addNotice("unassigned attempt found", "machine", m.id, "task", wire.TaskName(t.id.Job, t.id.N), "attempt", t.id.Attempt,
+		"phase", phase, "token", m.delivery.token, "reported_token", m.delivery.reportedToken,
+		"incarnation", m.worker.incarnation, "tick", m.worker.tick)
+}
+
 // removeUnlistedTasks removes the tasks that a worker has listed before and does not list any more, and those that were
 // stopped before they started and can't start any more. The latter is certain only from a heartbeat that was sent after
 // the one whose response carried the last run command, and when no unanswered delivery can still bring a run command
