partition: the client of a worker's own address is an interface

Tests of whole controllers ran without deliveries, since these went over TCP only, which a synctest bubble can't have. An option makes the clients now; the default is HTTP as before.

--- a/internal/controller/options.go
+++ b/internal/controller/options.go
@@ -77,6 +77,7 @@
 		Log:                  w.log,
 		History:              c.history,
 		Telemetry:            w.telemetry,
+		DialWorker:           w.dialWorker,
 	}
 	if w.parameters.FairShares {
 		o.Arbiter = fairshare.NewArbiter(fairShareSettings(w.parameters))
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -24,10 +24,11 @@
 	store      Store
 	// priorityStore is the client for writes that users or other controllers wait for, such as accepted jobs and leaderships.
 	priorityStore Store
-	userStore     api.Store             // for requests that the API handler makes for users
-	peers         map[string]PeerClient // by host; this controller is not in it
-	seed          uint64                // of the random sampling of machines by the scheduler
-	telemetry     *telemetry.Reporter   // nil if telemetry is disabled
+	userStore     api.Store                                // for requests that the API handler makes for users
+	peers         map[string]PeerClient                    // by host; this controller is not in it
+	dialWorker    func(addr string) partition.WorkerClient // nil: over HTTP
+	seed          uint64                                   // of the random sampling of machines by the scheduler
+	telemetry     *telemetry.Reporter                      // nil if telemetry is disabled
 	log           *slog.Logger
 }
 
--- a/internal/partition/connections_test.go
+++ b/internal/partition/connections_test.go
@@ -5,15 +5,13 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/merlinlatch/merlinlatch/internal/httpx"
 )
 
 // A controller that alone leads 1,800 machines delivers to all of them and must never exceed its limit of
 // connections. Deliveries that find no connection wait until one is released.
 func TestWorkerConnectionsOfLargeFleetStayWithinLimit(t *testing.T) {
-	conns := newWorkerConnections(40, nil)
-	inUse := map[string]*httpx.Client{}
+	conns := newWorkerConnections(40, dialHTTP(nil))
+	inUse := map[string]WorkerClient{}
 	sent, waits := 0, 0
 	for i := 0; sent < 1800; i++ {
 		id := fmt.Sprintf("m-%d", i%1800)
--- a/internal/partition/delivery.go
+++ b/internal/partition/delivery.go
@@ -8,7 +8,6 @@
 
 	"github.com/segmentio/encoding/json"
 
-	"github.com/merlinlatch/merlinlatch/internal/httpx"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -51,7 +50,7 @@
 }
 
 // deliver sends commands to one worker's own address and passes its response, or the lack of one, to the State.
-func (s *Server) deliver(ctx context.Context, id string, partition int, client *httpx.Client, orders *wire.Orders) {
+func (s *Server) deliver(ctx context.Context, id string, partition int, client WorkerClient, orders *wire.Orders) {
 	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
 	defer cancel()
 	status, err := s.postCommands(ctx, partition, client, orders)
@@ -73,7 +72,7 @@
 // postCommands sends commands and returns the worker's status from the response. It sends nothing, and returns
 // errNotLeader, if this process no longer leads the partition under the term of the commands' token. After any other
 // error the worker may have executed the commands, or may still do so.
-func (s *Server) postCommands(ctx context.Context, partition int, client *httpx.Client, orders *wire.Orders) (*wire.Heartbeat, error) {
+func (s *Server) postCommands(ctx context.Context, partition int, client WorkerClient, orders *wire.Orders) (*wire.Heartbeat, error) {
 	body, err := json.Marshal(orders)
 	if err != nil {
 		return nil, fmt.Errorf("encode commands for a worker: %w", err)
--- a/internal/partition/server.go
+++ b/internal/partition/server.go
@@ -82,10 +82,16 @@
 	Arbiter   *fairshare.Arbiter  // divides contended resources among teams; nil: the first assignment gets them
 	History   *history.Ring       // nil: no history is kept
 	Telemetry *telemetry.Reporter // nil: nothing is counted
+	// DialWorker makes a client of the worker at an address; nil: over HTTP.
+	DialWorker func(addr string) WorkerClient
 }
 
 // New returns a server that leads no partition yet.
 func New(opts Options) *Server {
+	dial := opts.DialWorker
+	if dial == nil {
+		dial = dialHTTP(opts.Telemetry.Traffic(telemetry.WorkerOrders))
+	}
 	s := &Server{
 		controller:     opts.Controller,
 		processID:      opts.ProcessID,
@@ -105,7 +111,7 @@
 		stopped:        make(chan struct{}),
 		state:          NewState(opts.Timing, opts.Jobs),
 		records:        inventory.NewRecords(),
-		connections:    newWorkerConnections(opts.MaxWorkerConnections, opts.Telemetry.Traffic(telemetry.WorkerOrders)),
+		connections:    newWorkerConnections(opts.MaxWorkerConnections, dial),
 	}
 	s.state.arbiter, s.state.history = opts.Arbiter, opts.History
 	s.state.counters = newCounters(opts.Telemetry)
