--- a/cmd/loopback/main.go
+++ b/cmd/loopback/main.go
@@ -33,7 +33,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(hotTeamsCommand(), zoneReturnCommand())
+	cmd.AddCommand(hotTeamsCommand(), zoneReturnCommand(), copiesCommand())
 	return cmd
 }
 
@@ -55,6 +55,19 @@
 	return cmd
 }
 
+func copiesCommand() *cobra.Command {
+	run := loopback.CopiedMessages{}
+	cmd := &cobra.Command{
+		Use:   "copies",
+		Short: "Runs in which answered messages arrive once more, while controllers end and return at once",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return run.Run(cmd.Context(), cmd.OutOrStdout()) },
+	}
+	cmd.Flags().StringVar(&run.Program, "program", defaultProgram, "the built program")
+	cmd.Flags().IntVar(&run.Seeds, "seeds", 1, "how many seeds; each takes some two minutes")
+	return cmd
+}
+
 func zoneReturnCommand() *cobra.Command {
 	run := loopback.ZoneReturn{}
 	cmd := &cobra.Command{
--- a/internal/controller/cluster_peers_test.go
+++ b/internal/controller/cluster_peers_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"time"
 
+	"github.com/merlinlatch/merlinlatch/internal/fakes"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 )
 
@@ -26,6 +27,9 @@
 		return p.deliverLate(passable, method, in, out, timeout)
 	}
 	err := p.deliver(method, in, out)
+	if err == nil {
+		p.cluster.options.copies.Keep(fakes.PeerCall, func() { p.deliverUnanswered(method, in, out) })
+	}
 	p.cluster.awaitResume(p.from)
 	return err
 }
@@ -45,12 +49,17 @@
 func (p peerConnection) deliverLate(passable chan struct{}, method string, in, out any, timeout time.Duration) error {
 	go func() {
 		<-passable
-		p.deliver(method, in, reflect.New(reflect.TypeOf(out).Elem()).Interface()) //nolint:errcheck // the caller has given up
+		p.deliverUnanswered(method, in, out)
 	}()
 	time.Sleep(timeout)
 	return errDisconnected
 }
 
+// deliverUnanswered delivers a call for whose answer, of the type of out, nobody waits.
+func (p peerConnection) deliverUnanswered(method string, in, out any) {
+	p.deliver(method, in, reflect.New(reflect.TypeOf(out).Elem()).Interface()) //nolint:errcheck // nobody waits
+}
+
 // deliver calls a method, given by its name on the wire, of the process that the connection reaches now.
 func (p peerConnection) deliver(method string, in, out any) error {
 	p.cluster.mu.Lock()
--- a/internal/controller/cluster_run_test.go
+++ b/internal/controller/cluster_run_test.go
@@ -109,16 +109,19 @@
 	return cpus
 }
 
-// sleepStep sleeps for stepInterval, and calls everyFiveMS meanwhile if it is set.
+// sleepStep sleeps for stepInterval, and meanwhile carries out deliveries, and calls everyFiveMS if it is set.
 func (c *cluster) sleepStep() {
 	const fineStep = 5 * time.Millisecond
-	if c.everyFiveMS == nil {
+	if c.everyFiveMS == nil && !c.options.deliveries {
 		time.Sleep(stepInterval)
 		return
 	}
-	for step := 0; c.everyFiveMS != nil && step < int(stepInterval/fineStep); step++ {
+	for step := 0; (c.everyFiveMS != nil || c.options.deliveries) && step < int(stepInterval/fineStep); step++ {
 		time.Sleep(fineStep)
-		c.everyFiveMS()
+		c.carryOutDeliveries()
+		if c.everyFiveMS != nil {
+			c.everyFiveMS()
+		}
 	}
 }
 
@@ -161,6 +164,9 @@
 	sent := c.clock.Now()
 	r := w.Heartbeat(sent)
 	r.Addr = "" // without an address, the worker gets commands only in answers to heartbeats
+	if c.options.deliveries {
+		r.Addr = w.ID
+	}
 	body, err := json.Marshal(r)
 	require.NoError(c.t, err)
 	if c.recordsHeartbeats {
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -33,6 +33,7 @@
 //   - cluster_users_test.go: users' requests, and checks of the answers
 //   - cluster_faults_test.go: causes faults
 //   - cluster_faulty_store_test.go: the controllers' clients of the key-value store, with faults
+//   - cluster_workers_test.go: the connections from controllers to workers
 //   - cluster_peers_test.go: the connections between controllers, with faults
 //   - cluster_store_test.go: reads the key-value store
 
@@ -69,6 +70,8 @@
 	hostZones    map[string]string // zone by host; default no zones
 	peerLatency  time.Duration     // of every call between controllers, each way
 	workerLease  clock.Micros      // default workerLease
+	deliveries   bool              // controllers also deliver commands to the workers' own addresses
+	copies       *fakes.Copies     // of answered messages between hosts; nil: none
 }
 
 func (o clusterOptions) withDefaults() clusterOptions {
@@ -100,6 +103,8 @@
 	unreachableHosts      map[string]bool         // hosts that no worker reaches
 	recordsHeartbeats     bool                    // heartbeats are added to recordedHeartbeats
 	recordedHeartbeats    [][]byte                // bodies of heartbeats, in the order in which they were sent
+	keepsDeliveries       bool                    // answered deliveries are added to keptDeliveries
+	keptDeliveries        []workerDelivery        // copies of deliveries, in the order in which they were carried out
 	taskSeenAt            map[string]clock.Micros // by task and attempt, used by runFleetFor; when it was first seen on a worker
 	attemptSeenAt         map[string]clock.Micros // by attemptKey; when it was first seen; if nil, each runFor has its own map
 	everyFiveMS           func()                  // if not nil, called every five milliseconds of runFor
@@ -119,6 +124,7 @@
 	replicaDelay      map[string]time.Duration // by host; delay of the changes that its replica receives
 	rng               *rand.Rand               // chooses the transactions that are delayed; if nil, none is
 	delayedWriteShare float64                  // share of transactions that are delayed
+	deliveries        []workerDelivery         // on their way to workers
 	heldTransactions  []func() error           // transactions that were held back
 	occurrences       map[string]int           // by event; how often it has occurred
 	// onCommit decides the outcome of a transaction before it is carried out; if nil, all are served.
@@ -188,6 +194,7 @@
 		c.addWorker(i)
 	}
 	t.Cleanup(func() {
+		c.options.copies.Stop()
 		for _, p := range c.processes {
 			if p != nil {
 				p.kill()
@@ -254,6 +261,7 @@
 		priorityStore: store,
 		userStore:     store,
 		peers:         peers,
+		dialWorker:    c.dialWorker(host),
 		seed:          fakes.Seed,
 		log:           slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
@@ -331,7 +339,25 @@
 		}()
 		return httpx.Response{}
 	}
-	return p.handleRequest(c.t.Context(), r)
+	response := p.handleRequest(c.t.Context(), r)
+	if method == http.MethodPost {
+		c.keepRequest(host, r)
+	}
+	return response
+}
+
+// keepRequest keeps an answered request of a user or a worker, so that a copy of it may arrive.
+func (c *cluster) keepRequest(host string, r *httpx.Request) {
+	kind := fakes.UserRequest
+	if r.Path == wire.PathHeartbeat {
+		kind = fakes.Heartbeat
+	}
+	c.options.copies.Keep(kind, func() {
+		c.awaitResume(host)
+		if p := c.process(host); p != nil {
+			p.handleRequest(c.t.Context(), &httpx.Request{Method: r.Method, Path: r.Path, Body: r.Body})
+		}
+	})
 }
 
 func (c *cluster) get(host, path string) httpx.Response {
--- a/internal/controller/failure_combinations_test.go
+++ b/internal/controller/failure_combinations_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/fakes"
+	"github.com/merlinlatch/merlinlatch/wire"
 )
 
 // Guards against rules that hold under each kind of fault but not under their combinations. Random faults, drawn with fixed
@@ -51,6 +52,11 @@
 	faultRNG  *rand.Rand          // chooses the faults and the requests of users
 	faultEnds map[fault]time.Time // when each of the present faults is to end
 	jobs      []string            // jobs that users have submitted
+	// restartsAtOnce makes crashed controllers return within a moment.
+	restartsAtOnce bool
+	// failedMachines are the machines on which a task has failed; on each at most one does, so that none is quarantined. If nil, no
+	// task fails.
+	failedMachines map[string]bool
 }
 
 // newRandomFailures makes a run of a cluster. seed chooses the transactions that are delayed, faultSeed the faults and the requests of
@@ -64,7 +70,11 @@
 }
 
 func runRandomFailures(t *testing.T, seed uint64) {
-	r := newRandomFailures(newClusterWithOptions(t, 6, failureClusterOptions(seed)), seed, seed+100)
+	newRandomFailures(newClusterWithOptions(t, 6, failureClusterOptions(seed)), seed, seed+100).run(seed)
+}
+
+// run plays the faults, and requires that the cluster recovers. The seed chooses how long tasks run.
+func (r *randomFailures) run(seed uint64) {
 	r.runFor(5*time.Second, 0)
 	runTime := []time.Duration{6 * time.Second, 25 * time.Second, 90 * time.Second}[seed%3]
 	for step := range 40 {
@@ -75,6 +85,7 @@
 			r.submitJob(r.anyHost(), submission(id, 1+r.faultRNG.IntN(4)), id)
 		}
 		r.runFor(time.Duration(500+r.faultRNG.IntN(4000))*time.Millisecond, runTime)
+		r.failTask()
 		for range 4 {
 			r.queryJob(r.anyHost(), r.anyJob())
 		}
@@ -115,7 +126,7 @@
 	case 5, 6:
 		if r.resumeSignal(host) == nil {
 			r.crash(host)
-			time.Sleep(time.Duration(r.faultRNG.IntN(3000)) * time.Millisecond)
+			r.sleepBeforeRestart()
 			r.start(host)
 		}
 	case 7:
@@ -130,6 +141,33 @@
 	}
 }
 
+// sleepBeforeRestart sleeps for as long as a crashed controller is away.
+func (r *randomFailures) sleepBeforeRestart() {
+	away := time.Duration(r.faultRNG.IntN(3000)) * time.Millisecond
+	if r.restartsAtOnce {
+		away /= 10
+	}
+	time.Sleep(away)
+}
+
+// failTask lets a running task fail now and then.
+func (r *randomFailures) failTask() {
+	if r.failedMachines == nil || r.faultRNG.IntN(2) == 0 {
+		return
+	}
+	w := r.workers[r.faultRNG.IntN(len(r.workers))]
+	if r.failedMachines[w.ID] {
+		return
+	}
+	for _, task := range w.SortedTasks() {
+		if task.Phase != wire.TaskExited {
+			w.Finish(task.Task, wire.CauseError)
+			r.failedMachines[w.ID] = true
+			return
+		}
+	}
+}
+
 func (r *randomFailures) loseStore(host string, until time.Time) {
 	r.setStoreDisconnected(host, true)
 	r.faultEnds[fault{faultStore, host}] = until
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -21,14 +21,17 @@
 	FencingToken uint64                      // highest that the worker has seen
 	Tasks        map[string]*wire.TaskStatus // by task and attempt (attemptName)
 	Starts       map[string]int              // number of starts by task, over all attempts
-	NoticeS      *float64                    // seconds until eviction, as in its heartbeats; nil: no notice
-	renewedAt    clock.Micros                // last renewal of the worker's lease
+	// AttemptStarts is the number of starts by task and attempt (attemptName). It is more than one if an attempt was started again
+	// after it was forgotten.
+	AttemptStarts map[string]int
+	NoticeS       *float64     // seconds until eviction, as in its heartbeats; nil: no notice
+	renewedAt     clock.Micros // last renewal of the worker's lease
 }
 
 // NewWorker returns a worker without tasks, of type "big" in zone "a", whose lease starts now.
 func NewWorker(id string, lease, now clock.Micros) *Worker {
 	return &Worker{ID: id, Type: "big", Zone: "a", Lease: lease, Incarnation: 1, Tasks: map[string]*wire.TaskStatus{},
-		Starts: map[string]int{}, renewedAt: now}
+		Starts: map[string]int{}, AttemptStarts: map[string]int{}, renewedAt: now}
 }
 
 // ExpireLease drops all tasks and begins a new incarnation if the worker's lease has expired.
@@ -109,6 +112,7 @@
 			if t == nil {
 				w.Tasks[name] = &wire.TaskStatus{Task: order.Task, Attempt: order.Attempt, Phase: wire.TaskRunning}
 				w.Starts[order.Task]++
+				w.AttemptStarts[name]++
 			}
 		case wire.VerbStop:
 			if t != nil && t.Phase != wire.TaskExited {
@@ -132,6 +136,11 @@
 	return false
 }
 
+// StartsOf returns how often the worker has started an attempt that it lists.
+func (w *Worker) StartsOf(t *wire.TaskStatus) int {
+	return w.AttemptStarts[attemptName(t.Task, t.Attempt)]
+}
+
 // Finish makes all running attempts of a task exit with a cause.
 func (w *Worker) Finish(task, cause string) {
 	for _, t := range w.Tasks {
--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -32,6 +32,9 @@
 	RunFor  time.Duration     // run time of every task
 	LogDir  string            // directory for the controllers' logs and settings
 	Zones   map[string]string // zone by controller; defaultZone for a controller without an entry
+
+	Copies    *fakes.Copies // of answered messages between hosts; nil: none
+	FailShare float64       // share of the attempts that fail
 }
 
 // defaultZone is the zone of a controller that Setup.Zones does not contain.
@@ -106,10 +109,11 @@
 		kvClients:     map[string]*fakes.KVClient{},
 		fleet:         newFleet(s.RunFor, taskDone),
 	}
+	c.copies, c.failShare = s.Copies, s.FailShare
 	if err := c.addWorkers(); err != nil {
 		return nil, err
 	}
-	cloudAddr, err := serve(c.newCloud().handler())
+	cloudAddr, err := serve(withCopies(s.Copies, fakes.CloudRequest, c.newCloud().handler()))
 	if err != nil {
 		return nil, err
 	}
@@ -206,14 +210,15 @@
 	s := &config.Settings{Host: host, Zone: c.zoneOf(host), Listen: c.controllers[host], PeerListen: clusterAddrs[host]}
 	c.kvClients[host] = &fakes.KVClient{KVStore: c.kvStore}
 	var err error
-	if s.Services.Store, err = serve((&kvStoreServer{c.kvClients[host]}).handler()); err != nil {
+	store := withCopies(c.Copies, fakes.StoreRequest, (&kvStoreServer{c.kvClients[host]}).handler())
+	if s.Services.Store, err = serve(store); err != nil {
 		return nil, err
 	}
 	for _, other := range c.hosts {
 		if other == host {
 			continue
 		}
-		proxy, addr, err := newPeerProxy(clusterAddrs[other])
+		proxy, addr, err := newPeerProxy(clusterAddrs[other], c.Copies)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/loopback/hotteams.go
+++ b/internal/loopback/hotteams.go
@@ -329,6 +329,7 @@
 		return false
 	}
 	defer resp.Body.Close()
+	c.Copies.Keep(fakes.UserRequest, func() { postUnanswered(req.URL.String(), body) })
 	io.Copy(io.Discard, resp.Body) //nolint:errcheck // only the status matters
 	return resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated
 }
--- a/internal/loopback/load.go
+++ b/internal/loopback/load.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// dropJob forgets a job, which is then not waited for.
+func (l *load) dropJob(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.jobs, id)
+}
+
 // unfinished returns the number of jobs with a task that is not done.
 func (l *load) unfinished() (n int) {
 	l.mu.Lock()
--- a/internal/loopback/workers.go
+++ b/internal/loopback/workers.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -30,11 +31,16 @@
 	hosts       []string          // names of the controllers
 	controllers map[string]string // addresses for users and workers, by controller; set before the workers run
 	taskDone    func(task string) // called when a task is done
+	copies      *fakes.Copies     // of answered messages; nil: none
+	failShare   float64           // share of the attempts that fail
 
 	mu          sync.Mutex              // guards the fields below and the workers
-	startedAt   map[string]clock.Micros // start of each attempt, by machine, task, attempt and worker incarnation
+	startedAt   map[string]clock.Micros // start of each attempt, by machine, task, attempt, worker incarnation and number of the start
 	machineOf   map[string]string       // machine that runs a task, by task
 	duplicates  []string                // tasks that ran on two machines at a time
+	restarted   []string                // attempts that were started again after they had ended
+	failing     map[string]bool         // attempts that are to fail, by the keys of startedAt
+	rng         *rand.Rand              // chooses the attempts that fail
 	starts      []taskStart
 	unreachable map[string]bool // controllers outside the zone that is cut off, which the workers of that zone don't reach
 }
@@ -49,6 +55,8 @@
 		taskDone:    taskDone,
 		startedAt:   map[string]clock.Micros{},
 		machineOf:   map[string]string{},
+		failing:     map[string]bool{},
+		rng:         fakes.Rand(fakes.Seed),
 	}
 }
 
@@ -72,7 +80,7 @@
 	w := &worker{Worker: fakes.NewWorker(id, lease, f.clock.Now()), fleet: f, controller: controller}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /orders", w.handleDelivery)
-	addr, err := serve(mux)
+	addr, err := serve(withCopies(f.copies, fakes.DirectCommand, mux))
 	w.addr = addr
 	return w, err
 }
@@ -122,10 +130,14 @@
 		if status.Phase == wire.TaskExited {
 			continue
 		}
-		attempt := fmt.Sprint(w.ID, status.Task, status.Attempt, w.Incarnation)
+		attempt := fmt.Sprint(w.ID, status.Task, status.Attempt, w.Incarnation, w.StartsOf(status))
 		if f.startedAt[attempt] == 0 {
-			f.startedAt[attempt] = now
-			f.starts = append(f.starts, taskStart{status.Task, w.Zone, now})
+			f.recordStart(w, attempt, status, now)
+		}
+		if f.failing[attempt] && now >= f.startedAt[attempt]+clock.FromDuration(f.runFor)/failAfter {
+			status.Phase, status.Cause = wire.TaskExited, wire.CauseError
+			delete(f.machineOf, status.Task)
+			continue
 		}
 		if now >= f.startedAt[attempt]+clock.FromDuration(f.runFor) {
 			status.Phase, status.Cause = wire.TaskExited, wire.CauseDone
@@ -140,6 +152,21 @@
 	}
 }
 
+// failAfter is the part of its run time after which a failing attempt ends, as a divisor.
+const failAfter = 3
+
+// recordStart records the start of an attempt, and decides whether the attempt fails. The caller holds mu.
+func (f *fleet) recordStart(w *worker, attempt string, status *wire.TaskStatus, now clock.Micros) {
+	f.startedAt[attempt] = now
+	f.starts = append(f.starts, taskStart{status.Task, w.Zone, now})
+	if w.StartsOf(status) > 1 {
+		f.restarted = append(f.restarted, fmt.Sprintf("%s attempt %d on %s", status.Task, status.Attempt, w.ID))
+	}
+	if f.rng.Float64() < f.failShare {
+		f.failing[attempt] = true
+	}
+}
+
 // run sends heartbeats until ctx ends. The caller of newCluster cancels ctx at the end of a run.
 func (w *worker) run(ctx context.Context) {
 	client := &http.Client{Timeout: heartbeatTimeout}
@@ -167,12 +194,14 @@
 		return
 	}
 	host := f.hosts[w.controller]
-	resp, err := client.Post("http://"+f.controllers[host]+wire.PathHeartbeat, "application/json", bytes.NewReader(body))
+	url := "http://" + f.controllers[host] + wire.PathHeartbeat
+	resp, err := client.Post(url, contentType, bytes.NewReader(body))
 	if err != nil {
 		w.nextController()
 		return
 	}
 	defer resp.Body.Close()
+	f.copies.Keep(fakes.Heartbeat, func() { postUnanswered(url, body) })
 	switch resp.StatusCode {
 	case http.StatusOK:
 		var response wire.HeartbeatResponse
