partition: a forget raises the token above the deliveries of its run command, so that no copy starts the attempt again

A copy after a confirmed cancellation started the cancelled tasks likewise.

Cause: a forget was allowed once the delivery of the run command was answered. The answer says that the command was carried out, not that no copy of it may arrive. Nothing raised the token after an answered delivery, so the copy's token was equal to the highest that the worker had seen, and the worker, told to forget the attempt, started it anew. The class is a right that outlives its use: the token of a command that was answered stayed good.

Now an answer with a forget carries a token above that of every delivery of the run command; the worker sees it before it executes the forget, and rejects all copies. The token rises in that answer itself, once at most, so nothing is forgotten later than before. A delivery that is on its way meanwhile is rejected, counted, and given again at once. That a machine waits for the token that followed an unanswered delivery is tied to that token, not to a later one.

--- a/internal/partition/commands.go
+++ b/internal/partition/commands.go
@@ -31,7 +31,7 @@
 		out = appendRunCommands(m, tasks, out, via, now)
 	}
 	if current && via == viaHeartbeat {
-		out = prependForgetCommands(m, tasks, out)
+		out = s.prependForgetCommands(m, tasks, out)
 	}
 	s.counters.countCommands(via, out)
 	return out, true
@@ -131,17 +131,22 @@
 
 // prependForgetCommands puts the forget commands that are due in front of other commands. A run command that arrives
 // after the forget would start the attempt a second time. So forget commands go only into responses to heartbeats,
-// which the worker processes in order, and only when no unanswered delivery can still bring the run command
+// which the worker processes in order; only when no unanswered delivery can still bring the run command; and only under
+// a token above those of all deliveries that have brought it, so that the worker rejects late copies of them
 // (docs/design.md, "Why the rules hold", number 2).
-func prependForgetCommands(m *machine, tasks []*task, others []wire.Order) []wire.Order {
+func (s *State) prependForgetCommands(m *machine, tasks []*task, others []wire.Order) []wire.Order {
 	var out []wire.Order
 	for _, t := range tasks {
 		if len(out)+len(others) >= maxCommands {
 			break
 		}
-		if t.exited() && t.acknowledged && !m.delivery.runMayArrive(t) {
-			out = append(out, command(wire.VerbForget, t))
+		if !t.exited() || !t.acknowledged || m.delivery.runMayArrive(t) {
+			continue
+		}
+		if m.delivery.raiseTokenAbove(t.deliveredToken) {
+			s.counters.tokenRaises[raiseForget].Inc()
 		}
+		out = append(out, command(wire.VerbForget, t))
 	}
 	if len(out) == 0 {
 		return others
--- a/internal/partition/counters.go
+++ b/internal/partition/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/merlinlatch/merlinlatch/internal/telemetry"
 	"github.com/merlinlatch/merlinlatch/wire"
@@ -58,6 +59,17 @@
 
 var deliveryOutcomeNames = [deliveryOutcomeCount]string{"answered", "unanswered", "rejected", "other_machine", "restarted"}
 
+// raiseReason says why the fencing token of a machine was raised within a term.
+type raiseReason int
+
+const (
+	raiseUnanswered raiseReason = iota // a delivery was not answered
+	raiseForget                        // an attempt is forgotten whose run command was delivered under the present token
+	raiseReasonCount
+)
+
+var raiseReasonNames = [raiseReasonCount]string{"unanswered", "forget"}
+
 // findState says what was known of the machine on which an attempt was found that this leader has not assigned.
 type findState int
 
@@ -80,7 +92,10 @@
 	stops      [stopReasonCount]*telemetry.Counter
 	deliveries [deliveryOutcomeCount]*telemetry.Counter
 	found      [findStateCount]*telemetry.Counter
-	commands   [len(routeNames)][len(commandVerbs)]*telemetry.Counter
+	// tokenRaises counts the changes of fencing tokens, and rejected the commands that workers have answered with 409.
+	tokenRaises [raiseReasonCount]*telemetry.Counter
+	rejected    [len(commandVerbs)]*telemetry.Counter
+	commands    [len(routeNames)][len(commandVerbs)]*telemetry.Counter
 	// leaseToStart is the time from an accepted lease, or the start of a held one, until the worker lists the attempt.
 	leaseToStart *telemetry.Summary
 }
@@ -99,6 +114,12 @@
 	for state, name := range findStateNames {
 		c.found[state] = reporter.Counter(fmt.Sprintf(`merlinlatch_found_attempts_total{machine=%q}`, name))
 	}
+	for reason, name := range raiseReasonNames {
+		c.tokenRaises[reason] = reporter.Counter(fmt.Sprintf(`merlinlatch_fencing_token_raises_total{reason=%q}`, name))
+	}
+	for i, verb := range commandVerbs {
+		c.rejected[i] = reporter.Counter(fmt.Sprintf(`merlinlatch_rejected_commands_total{verb=%q}`, verb))
+	}
 	c.leaseToStart = reporter.Summary("merlinlatch_lease_to_start_seconds")
 	for via, route := range routeNames {
 		for i, verb := range commandVerbs {
@@ -109,12 +130,16 @@
 }
 
 // countCommands counts the commands of one message to a worker.
-func (c *counters) countCommands(via route, list []wire.Order) {
+func (c *counters) countCommands(via route, list []wire.Order) { countVerbs(c.commands[via], list) }
+
+// countRejected counts the commands of a delivery that a worker has rejected.
+func (c *counters) countRejected(list []wire.Order) { countVerbs(c.rejected, list) }
+
+// countVerbs counts commands by their verbs, in the order of commandVerbs.
+func countVerbs(counters [len(commandVerbs)]*telemetry.Counter, list []wire.Order) {
 	for i := range list {
-		for v, verb := range commandVerbs {
-			if list[i].Verb == verb {
-				c.commands[via][v].Inc()
-			}
+		if v := slices.Index(commandVerbs[:], list[i].Verb); v >= 0 {
+			counters[v].Inc()
 		}
 	}
 }
--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -28,7 +28,8 @@
 //
 // A fencing token is (partition term, sequence number). A worker rejects commands under a lower token than the highest
 // it has seen, so commands of former leaders and of abandoned deliveries change nothing. An unanswered delivery
-// increments the sequence number: the worker may still execute its commands until it reports a higher token
+// increments the sequence number: the worker may still execute its commands until it reports a higher token. So does
+// a forget command, above the deliveries of the run command: an answered delivery may arrive once more
 // (docs/design.md, "Why the rules hold", numbers 1 and 2).
 type deliveryState struct {
 	token         uint64       // the token of the next commands
@@ -37,7 +38,7 @@
 	sentTick      uint64       // the latest known tick of the worker when the delivery was sent
 	pausedUntil   clock.Micros // no delivery before this time
 	probedAt      clock.Micros // time of the last empty delivery, while the machine is not accounted for
-	unconfirmed   bool         // a delivery was unanswered, and the worker has not reported the incremented token since
+	confirmToken  uint64       // the machine gets no tasks until the worker reports this token or a higher one; 0: none
 }
 
 // ready reports whether earlier deliveries allow a new one now.
@@ -48,6 +49,15 @@
 	return t.unansweredToken != 0 && d.reportedToken <= t.unansweredToken
 }
 
+// raiseTokenAbove makes the token higher than that of a delivery, and reports whether it was not.
+func (d *deliveryState) raiseTokenAbove(delivered uint64) (raised bool) {
+	if d.token > delivered {
+		return false
+	}
+	d.token = delivered + 1
+	return true
+}
+
 // needsDelivery reports whether the machine is not accounted for and has to be probed, or has a task whose start or
 // stop its worker has not confirmed yet.
 func (m *machine) needsDelivery() bool {
@@ -115,11 +125,17 @@
 		if c.Verb != wire.VerbRun {
 			continue
 		}
-		job, n, _ := wire.SplitTask(c.Task)
-		m.tasks[peer.TaskID{Job: job, N: n, Attempt: c.Attempt}].unansweredToken = orders.FencingToken
+		t := m.taskOf(c)
+		t.deliveredToken, t.unansweredToken = orders.FencingToken, orders.FencingToken
 	}
 }
 
+// taskOf returns the task that a command is for, or nil if it is not known any more.
+func (m *machine) taskOf(c wire.Order) *task {
+	job, n, _ := wire.SplitTask(c.Task)
+	return m.tasks[peer.TaskID{Job: job, N: n, Attempt: c.Attempt}]
+}
+
 // HandleDeliveryResponse processes the response to a delivery: the worker's status after it executed or rejected the
 // commands.
 func (s *State) HandleDeliveryResponse(id string, sent *wire.Orders, hb *wire.Heartbeat, now clock.Micros) {
@@ -157,6 +173,23 @@
 		}
 	}
 	s.applyHeartbeat(m, hb, viaDelivery, now)
+	if outcome == deliveryRejected {
+		s.handleRejection(m, sent, hb)
+	}
+}
+
+// handleRejection makes the commands of a rejected delivery due again. If they were rejected because this leader has raised the
+// token while they were on their way, they are delivered at once.
+func (s *State) handleRejection(m *machine, sent *wire.Orders, hb *wire.Heartbeat) {
+	s.counters.countRejected(sent.Orders)
+	if hb.Incarnation != sent.Incarnation || hb.FencingToken > m.delivery.token {
+		return
+	}
+	for _, c := range sent.Orders {
+		if t := m.taskOf(c); t != nil {
+			t.deliveredAt = 0
+		}
+	}
 }
 
 // isRejected reports whether the response to a delivery says that the worker has executed nothing. It has seen a higher
@@ -170,7 +203,7 @@
 // run there, for one worker lease from now at most, since the worker's heartbeats count as copies and are not
 // answered. The machine gets no deliveries and no tasks for that long.
 func (s *State) handleUnannouncedRestart(m *machine, now clock.Micros) {
-	m.worker.answeredAt, m.delivery.unconfirmed = now, true
+	m.worker.answeredAt, m.delivery.confirmToken = now, m.delivery.token
 	m.delivery.pausedUntil = now + s.timing.WorkerLease.PlusDrift() + restartPauseMargin
 	s.markChanged(m)
 }
@@ -186,7 +219,8 @@
 	m.delivery.inFlight = false
 	m.delivery.token++
 	m.delivery.pausedUntil = now + timeoutPause
-	m.delivery.unconfirmed = true
+	m.delivery.confirmToken = m.delivery.token
 	s.counters.deliveries[deliveryUnanswered].Inc()
+	s.counters.tokenRaises[raiseUnanswered].Inc()
 	s.markChanged(m)
 }
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -140,8 +140,8 @@
 // (docs/design.md, "Why the rules hold", number 6).
 func (s *State) applyWorkerState(m *machine, hb *wire.Heartbeat, now clock.Micros) (changed bool) {
 	m.delivery.reportedToken = max(m.delivery.reportedToken, hb.FencingToken)
-	if m.delivery.unconfirmed && hb.FencingToken >= m.delivery.token {
-		m.delivery.unconfirmed, changed = false, true
+	if m.delivery.confirmToken != 0 && hb.FencingToken >= m.delivery.confirmToken {
+		m.delivery.confirmToken, changed = 0, true
 		s.resetIdle(m, now)
 	}
 	if !m.accounted && hb.FencingToken >= firstToken(s.terms[m.partition]) {
--- a/internal/partition/machine.go
+++ b/internal/partition/machine.go
@@ -91,7 +91,7 @@
 // usable reports whether the machine may get tasks now.
 func (m *machine) usable(now clock.Micros) bool {
 	return m.accounted && m.record == recordPresent &&
-		!m.worker.lost() && !m.worker.overdue && !m.delivery.unconfirmed &&
+		!m.worker.lost() && !m.worker.overdue && m.delivery.confirmToken == 0 &&
 		!m.draining && !m.eviction.given &&
 		!m.failures.quarantined && now >= m.failures.cordonedUntil
 }
--- a/internal/partition/tasks.go
+++ b/internal/partition/tasks.go
@@ -63,7 +63,8 @@
 	stopGraceS float64
 
 	runTick         uint64       // tick of the heartbeat whose response carried the last run command
-	unansweredToken uint64       // fencing token of an unanswered delivery that carried a run command; 0: none
+	deliveredToken  uint64       // fencing token of the last delivery that carried a run command; 0: none
+	unansweredToken uint64       // the same, while that delivery is unanswered
 	deliveredAt     clock.Micros // when the last delivery carried a command for it; 0: deliver immediately
 
 	version uint64 // the machine's version when the task last changed
