partition: a worker that restarts within its incarnation is noticed, and its tasks count until its own lease is over

Users would see a task on two machines: a copy of the run command reaches the restarted worker, which starts the attempt under a lease that began with the restart; the leader counts the lease from the last answered heartbeat, gives the attempt up up to a heartbeat's time earlier, and the task starts elsewhere.

Cause: the leader relied on what the worker had shown before the restart, its ticks and its token. The restarted worker's heartbeats were taken for copies, and nothing else was done until a command was due. Now what looks like a copy while a heartbeat is missing is followed by an empty delivery; a response whose tick is not above the known one proves the restart (as before), the worker lease counts from it, and attempts that it lists and nobody knew are counted. A newer status with a lower token proves a restart too, since a worker's token never falls: the machine is unaccounted until it shows the token of the term again. Evidence decides; the time of a missing heartbeat only says when to ask.

--- a/internal/controller/copies_test.go
+++ b/internal/controller/copies_test.go
@@ -15,7 +15,7 @@
 // copiedShare is the share of answered messages that arrive once more in the random tests.
 const copiedShare = 0.3
 
-var copiesSeeds = newSeedRange("copies", 16)
+var copiesSeeds = newSeedRange("copies", 64)
 
 // Guards against ran_twice and starts after a cancellation by copies of answered messages, among random failures.
 func TestRulesHoldUnderRandomFailureCombinationsWithCopies(t *testing.T) {
@@ -36,6 +36,19 @@
 	}
 }
 
+var workerRestartSeeds = newSeedRange("worker-restart", 8)
+
+// Guards against ran_twice by workers that restart within their incarnation, among random failures.
+func TestRulesHoldUnderRandomFailureCombinationsWithWorkerRestarts(t *testing.T) {
+	workerRestartSeeds.run(t, func(t *testing.T, seed uint64) {
+		options := failureClusterOptions(seed)
+		options.deliveries = true
+		r := newRandomFailures(newClusterWithOptions(t, 6, options), seed, seed+900)
+		r.restartsAtOnce, r.restartsWorkers = true, true
+		r.run(seed)
+	})
+}
+
 // newClusterWithDeliveries makes a settled cluster whose controllers deliver commands, and keeps the deliveries.
 func newClusterWithDeliveries(t *testing.T) *cluster {
 	c := newSettledClusterWithOptions(t, 6, clusterOptions{deliveries: true})
--- a/internal/controller/failure_combinations_test.go
+++ b/internal/controller/failure_combinations_test.go
@@ -57,6 +57,8 @@
 	// failedMachines are the machines on which a task has failed; on each at most one does, so that none is quarantined. If nil, no
 	// task fails.
 	failedMachines map[string]bool
+	// restartsWorkers makes workers restart within their incarnation now and then.
+	restartsWorkers bool
 }
 
 // newRandomFailures makes a run of a cluster. seed chooses the transactions that are delayed, faultSeed the faults and the requests of
@@ -86,6 +88,7 @@
 		}
 		r.runFor(time.Duration(500+r.faultRNG.IntN(4000))*time.Millisecond, runTime)
 		r.failTask()
+		r.restartWorker()
 		for range 4 {
 			r.queryJob(r.anyHost(), r.anyJob())
 		}
@@ -168,6 +171,13 @@
 	}
 }
 
+// restartWorker lets a worker restart within its incarnation now and then.
+func (r *randomFailures) restartWorker() {
+	if r.restartsWorkers && r.faultRNG.IntN(3) == 0 {
+		r.workers[r.faultRNG.IntN(len(r.workers))].Restart(r.clock.Now())
+	}
+}
+
 func (r *randomFailures) loseStore(host string, until time.Time) {
 	r.setStoreDisconnected(host, true)
 	r.faultEnds[fault{faultStore, host}] = until
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -149,3 +149,10 @@
 		}
 	}
 }
+
+// Restart ends all tasks and begins anew within the incarnation, as a process that is back within a moment: with ticks from one,
+// without a token, and with a whole lease.
+func (w *Worker) Restart(now clock.Micros) {
+	clear(w.Tasks)
+	w.Tick, w.FencingToken, w.renewedAt = 0, 0, now
+}
--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -37,8 +37,11 @@
 	inFlight      bool         // a delivery is under way; there is at most one
 	sentTick      uint64       // the latest known tick of the worker when the delivery was sent
 	pausedUntil   clock.Micros // no delivery before this time
-	probedAt      clock.Micros // time of the last empty delivery, while the machine is not accounted for
-	confirmToken  uint64       // the machine gets no tasks until the worker reports this token or a higher one; 0: none
+	probedAt      clock.Micros // time of the last empty delivery
+	// restartSuspected is set when heartbeats look like copies while none that is newer comes: the worker may have restarted within
+	// its incarnation. The response to the next delivery shows it.
+	restartSuspected bool
+	confirmToken     uint64 // the machine gets no tasks until the worker reports this token or a higher one; 0: none
 }
 
 // ready reports whether earlier deliveries allow a new one now.
@@ -58,10 +61,10 @@
 	return true
 }
 
-// needsDelivery reports whether the machine is not accounted for and has to be probed, or has a task whose start or
-// stop its worker has not confirmed yet.
+// needsDelivery reports whether the machine has to be probed, since it is not accounted for or its worker may have restarted, or
+// has a task whose start or stop its worker has not confirmed yet.
 func (m *machine) needsDelivery() bool {
-	if !m.accounted && !m.draining {
+	if !m.accounted && !m.draining || m.delivery.restartSuspected {
 		return true
 	}
 	for _, t := range m.tasks {
@@ -94,8 +97,8 @@
 }
 
 // NextDelivery returns the commands to deliver to a worker's own address now, or nil. A machine that is not accounted
-// for gets an empty delivery, which brings it a token of this term. Until the response arrives, run commands of the
-// delivery count as possibly still on their way.
+// for gets an empty delivery, which brings it a token of this term, and so does one whose worker may have restarted. Until the
+// response arrives, run commands of the delivery count as possibly still on their way.
 func (s *State) NextDelivery(id string, now clock.Micros) (addr string, orders *wire.Orders) {
 	m := s.machines[id]
 	if m == nil || !m.delivery.ready(now) || m.worker.lost() || m.Addr == "" {
@@ -104,20 +107,25 @@
 	orders = &wire.Orders{FencingToken: m.delivery.token, Incarnation: m.worker.incarnation, Orders: []wire.Order{}}
 	if m.accounted {
 		orders.Orders, _ = s.dueCommands(m, true, viaDelivery, now)
-		if len(orders.Orders) == 0 {
-			return "", nil
-		}
 		m.markRunsUnanswered(orders)
-	} else {
-		if now < m.delivery.probedAt+probeInterval {
-			return "", nil
-		}
-		m.delivery.probedAt = now
 	}
+	if len(orders.Orders) == 0 && !m.startProbe(now) {
+		return "", nil
+	}
+	m.delivery.restartSuspected = false
 	m.delivery.inFlight, m.delivery.sentTick = true, m.worker.tick
 	return m.Addr, orders
 }
 
+// startProbe reports whether an empty delivery is due, and records that it is sent.
+func (m *machine) startProbe(now clock.Micros) bool {
+	if m.accounted && !m.delivery.restartSuspected || now < m.delivery.probedAt+probeInterval {
+		return false
+	}
+	m.delivery.probedAt = now
+	return true
+}
+
 // markRunsUnanswered records in the tasks of a delivery's run commands that the delivery is unanswered, so that the
 // commands may still arrive.
 func (m *machine) markRunsUnanswered(orders *wire.Orders) {
@@ -155,7 +163,7 @@
 		return
 	}
 	if m.worker.contacted && hb.Incarnation == m.worker.incarnation && hb.Tick <= m.delivery.sentTick {
-		s.handleUnannouncedRestart(m, now)
+		s.handleUnannouncedRestart(m, hb, now)
 		s.counters.deliveries[deliveryRestarted].Inc()
 		return
 	}
@@ -201,8 +209,21 @@
 // handleUnannouncedRestart handles a response whose tick is no higher than one that was already known when the
 // delivery was sent: the worker has restarted without a new incarnation. The commands that were just delivered may
 // run there, for one worker lease from now at most, since the worker's heartbeats count as copies and are not
-// answered. The machine gets no deliveries and no tasks for that long.
-func (s *State) handleUnannouncedRestart(m *machine, now clock.Micros) {
+// answered. So may attempts that copies of old commands have started, before the worker had a token again. The machine gets no
+// deliveries and no tasks for that long.
+func (s *State) handleUnannouncedRestart(m *machine, hb *wire.Heartbeat, now clock.Micros) {
+	for _, status := range hb.Tasks {
+		job, n, ok := wire.SplitTask(status.Task)
+		id := peer.TaskID{Job: job, N: n, Attempt: status.Attempt}
+		if ok && m.tasks[id] == nil {
+			t := s.addFoundTask(m, id, now)
+			s.reportFoundTask(m, t, status.Phase, m.accounted)
+			s.markTaskChanged(m, t)
+			t.state, t.phase, t.cause = reportedState(status.Phase), status.Phase, status.Cause
+		}
+	}
+	s.addNotice("worker restarted within its incarnation", "machine", m.id, "incarnation", hb.Incarnation, "tick", hb.Tick,
+		"known_tick", m.worker.tick, "reported_token", m.delivery.reportedToken, "tasks", len(hb.Tasks))
 	m.worker.answeredAt, m.delivery.confirmToken = now, m.delivery.token
 	m.delivery.pausedUntil = now + s.timing.WorkerLease.PlusDrift() + restartPauseMargin
 	s.markChanged(m)
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -33,6 +33,10 @@
 	m *machine, hb *wire.Heartbeat, partition int, now clock.Micros,
 ) (response wire.HeartbeatResponse, outcome heartbeatOutcome) {
 	outcome = s.classifyHeartbeat(m, hb, partition)
+	if outcome == outcomeCopy && s.missedHeartbeat(m, now) {
+		m.delivery.restartSuspected = true
+		s.deliveryCandidates[m.id] = m
+	}
 	if !outcome.extendsLease() {
 		return response, outcome
 	}
@@ -79,7 +83,7 @@
 		return outcomeCopy
 	case !m.worker.isNewer(hb):
 		return outcomeOvertaken
-	case !m.accounted && hb.FencingToken < firstToken(s.terms[partition]):
+	case !m.accounted && hb.FencingToken < firstToken(s.terms[partition]), hb.FencingToken < m.delivery.reportedToken:
 		return outcomeUnaccounted
 	}
 	return outcomeAnswered
@@ -139,7 +143,12 @@
 // of this term makes the machine accounted for: the worker rejects all commands of former leaders from then on
 // (docs/design.md, "Why the rules hold", number 6).
 func (s *State) applyWorkerState(m *machine, hb *wire.Heartbeat, now clock.Micros) (changed bool) {
-	m.delivery.reportedToken = max(m.delivery.reportedToken, hb.FencingToken)
+	if hb.FencingToken < m.delivery.reportedToken {
+		// A worker never shows a lower token but after a restart within its incarnation. It executes old commands again until it
+		// shows a token of this term.
+		m.accounted, changed = false, true
+	}
+	m.delivery.reportedToken = hb.FencingToken
 	if m.delivery.confirmToken != 0 && hb.FencingToken >= m.delivery.confirmToken {
 		m.delivery.confirmToken, changed = 0, true
 		s.resetIdle(m, now)
--- a/internal/partition/liveness.go
+++ b/internal/partition/liveness.go
@@ -52,8 +52,8 @@
 }
 
 // isCopy reports whether a heartbeat is not newer than one that was already processed in its incarnation. It is a
-// late copy, or the worker has restarted within its incarnation. An answer would keep a machine alive although
-// nothing new is known of it.
+// late copy, or the worker has restarted within its incarnation, which the response to a delivery then shows
+// (State.handleUnannouncedRestart). An answer would keep a machine alive although nothing new is known of it.
 func (w *workerState) isCopy(hb *wire.Heartbeat) bool {
 	return w.contacted && hb.Incarnation == w.lastHeartbeat.incarnation && hb.Tick <= w.lastHeartbeat.tick
 }
@@ -75,9 +75,14 @@
 			continue
 		}
 		machines++
-		if now > m.worker.answeredAt+s.timing.HeartbeatOverdue/2+missedHeartbeatMargin {
+		if s.missedHeartbeat(m, now) {
 			missed++
 		}
 	}
 	return machines, missed
 }
+
+// missedHeartbeat reports whether a machine should have sent a heartbeat that was answered since the last one.
+func (s *State) missedHeartbeat(m *machine, now clock.Micros) bool {
+	return now > m.worker.answeredAt+s.timing.HeartbeatOverdue/2+missedHeartbeatMargin
+}
