--- a/internal/controller/cluster_faulty_store_test.go
+++ b/internal/controller/cluster_faulty_store_test.go
@@ -118,7 +118,7 @@
 func (s faultyStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
 	s.cluster.awaitStore(s.host)
 	id, err := s.KVClient.GrantLease(ctx, ttl)
-	s.cluster.options.copies.Keep(fakes.StoreRequest, func() {
+	s.cluster.keepCopy(fakes.StoreRequest, func() {
 		s.cluster.directClient().GrantLease(context.WithoutCancel(ctx), ttl) //nolint:errcheck // nobody waits
 	})
 	s.cluster.awaitStore(s.host)
@@ -137,7 +137,7 @@
 func (s faultyStore) keepAlive(ctx context.Context, id uint64, timeout time.Duration) error {
 	s.cluster.awaitStore(s.host)
 	err := s.KVClient.KeepAlive(ctx, id, timeout)
-	s.cluster.options.copies.Keep(fakes.StoreRequest, func() {
+	s.cluster.keepCopy(fakes.StoreRequest, func() {
 		s.cluster.directClient().KeepAlive(context.WithoutCancel(ctx), id, timeout) //nolint:errcheck // nobody waits
 	})
 	s.cluster.awaitStore(s.host)
@@ -191,9 +191,9 @@
 		return 0, fmt.Errorf("%w: delayed", kvstore.ErrOutcomeUnknown)
 	}
 	rev, err := s.KVClient.Commit(ctx, m)
-	if s.cluster.options.copies != nil && (err == nil || errors.Is(err, kvstore.ErrConflict)) {
+	if s.cluster.copiesMessages() && (err == nil || errors.Is(err, kvstore.ErrConflict)) {
 		copied := frozen(m)
-		s.cluster.options.copies.Keep(fakes.StoreRequest, func() {
+		s.cluster.keepCopy(fakes.StoreRequest, func() {
 			s.cluster.directClient().Commit(context.WithoutCancel(ctx), copied) //nolint:errcheck // nobody waits
 		})
 	}
--- a/internal/controller/cluster_peers_test.go
+++ b/internal/controller/cluster_peers_test.go
@@ -28,7 +28,7 @@
 	}
 	err := p.deliver(method, in, out)
 	if err == nil {
-		p.cluster.options.copies.Keep(fakes.PeerCall, func() { p.deliverUnanswered(method, in, out) })
+		p.cluster.keepCopy(fakes.PeerCall, func() { p.deliverUnanswered(method, in, out) })
 	}
 	p.cluster.awaitResume(p.from)
 	return err
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -34,6 +34,7 @@
 //   - cluster_faults_test.go: causes faults
 //   - cluster_faulty_store_test.go: the controllers' clients of the key-value store, with faults
 //   - cluster_workers_test.go: the connections from controllers to workers
+//   - cluster_copies_test.go: copies of messages
 //   - cluster_peers_test.go: the connections between controllers, with faults
 //   - cluster_store_test.go: reads the key-value store
 
@@ -72,6 +73,7 @@
 	workerLease  clock.Micros      // default workerLease
 	deliveries   bool              // controllers also deliver commands to the workers' own addresses
 	copies       *fakes.Copies     // of answered messages between hosts; nil: none
+	keepsCopies  bool              // answered messages are kept until deliverCopies
 }
 
 func (o clusterOptions) withDefaults() clusterOptions {
@@ -103,8 +105,6 @@
 	unreachableHosts      map[string]bool         // hosts that no worker reaches
 	recordsHeartbeats     bool                    // heartbeats are added to recordedHeartbeats
 	recordedHeartbeats    [][]byte                // bodies of heartbeats, in the order in which they were sent
-	keepsDeliveries       bool                    // answered deliveries are added to keptDeliveries
-	keptDeliveries        []workerDelivery        // copies of deliveries, in the order in which they were carried out
 	taskSeenAt            map[string]clock.Micros // by task and attempt, used by runFleetFor; when it was first seen on a worker
 	attemptSeenAt         map[string]clock.Micros // by attemptKey; when it was first seen; if nil, each runFor has its own map
 	everyFiveMS           func()                  // if not nil, called every five milliseconds of runFor
@@ -125,6 +125,7 @@
 	rng               *rand.Rand               // chooses the transactions that are delayed; if nil, none is
 	delayedWriteShare float64                  // share of transactions that are delayed
 	deliveries        []workerDelivery         // on their way to workers
+	keptCopies        []keptCopy               // answered messages, in their order
 	heldTransactions  []func() error           // transactions that were held back
 	occurrences       map[string]int           // by event; how often it has occurred
 	// onCommit decides the outcome of a transaction before it is carried out; if nil, all are served.
@@ -352,7 +353,7 @@
 	if r.Path == wire.PathHeartbeat {
 		kind = fakes.Heartbeat
 	}
-	c.options.copies.Keep(kind, func() {
+	c.keepCopy(kind, func() {
 		c.awaitResume(host)
 		if p := c.process(host); p != nil {
 			p.handleRequest(c.t.Context(), &httpx.Request{Method: r.Method, Path: r.Path, Body: r.Body})
--- a/internal/controller/cluster_workers_test.go
+++ b/internal/controller/cluster_workers_test.go
@@ -98,10 +98,7 @@
 		response.Status = http.StatusConflict
 	}
 	d.answer <- response
-	if c.keepsDeliveries {
-		c.keptDeliveries = append(c.keptDeliveries, workerDelivery{d.machine, d.body, nil})
-	}
-	c.options.copies.Keep(fakes.DirectCommand, func() { c.sendToWorker(workerDelivery{d.machine, d.body, nil}) })
+	c.keepCopy(fakes.DirectCommand, func() { c.sendToWorker(workerDelivery{d.machine, d.body, nil}) })
 }
 
 // workerOn returns the worker of a machine.
@@ -124,18 +121,3 @@
 		}
 	}
 }
-
-// frozen returns a copy of a transaction whose values don't change any more.
-func frozen(txn wire.Txn) wire.Txn {
-	operations := make([]wire.Operation, len(txn.Operations))
-	for i, operation := range txn.Operations {
-		if operation.Put != "" {
-			value, err := json.Marshal(operation.Value)
-			if err == nil {
-				operation.Value = json.RawMessage(value)
-			}
-		}
-		operations[i] = operation
-	}
-	return wire.Txn{Conditions: append([]wire.Condition(nil), txn.Conditions...), Operations: operations}
-}
