--- a/internal/controller/cluster_run_test.go
+++ b/internal/controller/cluster_run_test.go
@@ -58,12 +58,13 @@
 	require.LessOrEqual(c.t, limitedCPUs, float64(limitedTeamCPUs), "the limited team exceeds its limit")
 }
 
-// requireNoTaskRunsTwice requires that no task runs on two workers, or twice on one, at this moment.
-func (c *cluster) requireNoTaskRunsTwice() {
+// requireNoTaskRunsTwice requires that no task runs on two workers, or twice on one, at this moment, and returns where they run.
+func (c *cluster) requireNoTaskRunsTwice() placements {
 	placed := placements{}
 	for _, w := range c.workers {
 		placed.add(c.t, w)
 	}
+	return placed
 }
 
 // advanceTasks records when each attempt on a worker is first seen, and ends the attempts that have run for runTime. If
@@ -99,6 +100,15 @@
 	}
 }
 
+// remove removes the tasks that run on a worker.
+func (p placements) remove(w *fakes.Worker) {
+	for _, task := range w.Tasks {
+		if p[task.Task] == w.ID {
+			delete(p, task.Task)
+		}
+	}
+}
+
 // limitedCPUs returns the CPUs that limitedTeam's tasks take on a worker.
 func (c *cluster) limitedCPUs(w *fakes.Worker) (cpus float64) {
 	for _, task := range w.Tasks {
@@ -140,7 +150,7 @@
 			}
 			placed.add(c.t, w)
 		}
-		time.Sleep(stepInterval)
+		c.sleepStep()
 	}
 }
 
--- a/internal/controller/cluster_workers_test.go
+++ b/internal/controller/cluster_workers_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/stretchr/testify/require"
 
@@ -71,19 +73,25 @@
 // carryOutDeliveries has the workers execute the deliveries that have arrived, and checks after each that no task runs twice.
 // Deliveries to hung workers wait.
 func (c *cluster) carryOutDeliveries() {
-	for _, d := range c.takeDeliveries() {
+	deliveries := c.takeDeliveries()
+	if len(deliveries) == 0 {
+		return
+	}
+	placed := c.requireNoTaskRunsTwice()
+	for _, d := range deliveries {
 		if c.hungWorkers[d.machine] {
 			c.sendToWorker(d)
 			continue
 		}
-		c.carryOut(d)
-		c.requireNoTaskRunsTwice()
+		w := c.workerOn(d.machine)
+		placed.remove(w)
+		c.carryOut(w, d)
+		placed.add(c.t, w)
 	}
 }
 
 // carryOut has a worker execute a delivery and answers it.
-func (c *cluster) carryOut(d workerDelivery) {
-	w := c.workerOn(d.machine)
+func (c *cluster) carryOut(w *fakes.Worker, d workerDelivery) {
 	var orders wire.Orders
 	require.NoError(c.t, json.Unmarshal(d.body, &orders))
 	status, executed := w.HandleCommands(orders, c.clock.Now())
@@ -103,13 +111,9 @@
 
 // workerOn returns the worker of a machine.
 func (c *cluster) workerOn(machine string) *fakes.Worker {
-	for _, w := range c.workers {
-		if w.ID == machine {
-			return w
-		}
-	}
-	require.Fail(c.t, "no such machine", machine)
-	return nil
+	i, found := slices.BinarySearchFunc(c.workers, machine, func(w *fakes.Worker, id string) int { return strings.Compare(w.ID, id) })
+	require.True(c.t, found, "no such machine: %s", machine)
+	return c.workers[i]
 }
 
 // requireNoAttemptStartedTwice requires that no worker has started an attempt more than once.
--- a/internal/controller/copies_test.go
+++ b/internal/controller/copies_test.go
@@ -179,6 +179,42 @@
 	}
 }
 
+// Guards against ran_twice and starts after a cancellation in a large fleet, whose machines all get their run commands once more.
+func TestCopiesOfRunsStartNothingInFleetOf4000Machines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const machines, jobs, tasksPerJob = 4000, 8, 400
+		c := newClusterWithOptions(t, machines, clusterOptions{heartbeatS: 5, deliveries: true, keepsCopies: true})
+		c.runFleetFor(8*time.Second, 0)
+		for i := range jobs {
+			require.Equal(t, 201, c.submitJob(hosts[i%3], unlimitedSubmission(jobName(i), tasksPerJob), jobName(i)))
+		}
+		c.runFleetFor(4*time.Second, 0)
+		require.Equal(t, jobs*tasksPerJob, c.runningTasks())
+		for i := range jobs / 2 {
+			require.Equal(t, wire.Cancelled, c.cancelJob(hosts[i%3], jobName(i)))
+		}
+		for n := range tasksPerJob {
+			c.failTask(wire.TaskName(jobName(jobs-1), n))
+		}
+		c.runFleetFor(12*time.Second, 0)
+		running, starts := c.runningTasks(), c.taskStarts(jobName(jobs-1))
+		require.GreaterOrEqual(t, c.deliverCopies(fakes.DirectCommand), jobs*tasksPerJob/10)
+		c.restartAll()
+		c.deliverCopies(fakes.DirectCommand)
+		require.Equal(t, running, c.runningTasks())
+		require.Equal(t, starts, c.taskStarts(jobName(jobs-1)))
+		c.requireCancelledStopped()
+		c.requireNoAttemptStartedTwice()
+	})
+}
+
+// failTask lets a task fail on every worker that runs it.
+func (c *cluster) failTask(task string) {
+	for _, w := range c.workers {
+		w.Finish(task, wire.CauseError)
+	}
+}
+
 // Guards against copies of lease renewals that keep the leaderships of a controller which is down for good, so that jobs wait.
 func TestCopiesOfRenewalsDelayNoTakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/controller/failure_combinations_test.go
+++ b/internal/controller/failure_combinations_test.go
@@ -87,7 +87,7 @@
 			r.submitJob(r.anyHost(), submission(id, 1+r.faultRNG.IntN(4)), id)
 		}
 		r.runFor(time.Duration(500+r.faultRNG.IntN(4000))*time.Millisecond, runTime)
-		r.failTask()
+		r.failRandomTask()
 		r.restartWorker()
 		for range 4 {
 			r.queryJob(r.anyHost(), r.anyJob())
@@ -153,8 +153,8 @@
 	time.Sleep(away)
 }
 
-// failTask lets a running task fail now and then.
-func (r *randomFailures) failTask() {
+// failRandomTask lets a running task fail now and then.
+func (r *randomFailures) failRandomTask() {
 	if r.failedMachines == nil || r.faultRNG.IntN(2) == 0 {
 		return
 	}
