partition: a restarted worker is noticed by heartbeats that look overtaken as well

Users would wait for ever, or for as long as it takes the ticks to catch up, for tasks that had ended with the worker's process: a leader that knew a worker from responses to deliveries took the restarted worker's heartbeats as overtaken, answered them with 200 and applied none. TestTasksEndedByRestartOfWorkerKnownByDeliveriesAreGivenUp fails before and passes now. A heartbeat that looks overtaken is followed by an empty delivery too, and once a restart is proven no heartbeat of that incarnation is answered, so that it ends with its lease.

--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -38,8 +38,8 @@
 	sentTick      uint64       // the latest known tick of the worker when the delivery was sent
 	pausedUntil   clock.Micros // no delivery before this time
 	probedAt      clock.Micros // time of the last empty delivery
-	// restartSuspected is set when heartbeats look like copies while none that is newer comes: the worker may have restarted within
-	// its incarnation. The response to the next delivery shows it.
+	// restartSuspected is set when a heartbeat looks like a copy while none that is newer comes, or looks overtaken: the worker may
+	// have restarted within its incarnation. The response to the next delivery shows it.
 	restartSuspected bool
 	confirmToken     uint64 // the machine gets no tasks until the worker reports this token or a higher one; 0: none
 }
@@ -208,8 +208,8 @@
 
 // handleUnannouncedRestart handles a response whose tick is no higher than one that was already known when the
 // delivery was sent: the worker has restarted without a new incarnation. The commands that were just delivered may
-// run there, for one worker lease from now at most, since the worker's heartbeats count as copies and are not
-// answered. So may attempts that copies of old commands have started, before the worker had a token again. The machine gets no
+// run there, for one worker lease from now at most, since the worker's heartbeats count as copies from now on and are
+// not answered. So may attempts that copies of old commands have started, before the worker had a token again. The machine gets no
 // deliveries and no tasks for that long.
 func (s *State) handleUnannouncedRestart(m *machine, hb *wire.Heartbeat, now clock.Micros) {
 	for _, status := range hb.Tasks {
@@ -225,6 +225,7 @@
 	s.addNotice("worker restarted within its incarnation", "machine", m.id, "incarnation", hb.Incarnation, "tick", hb.Tick,
 		"known_tick", m.worker.tick, "reported_token", m.delivery.reportedToken, "tasks", len(hb.Tasks))
 	m.worker.answeredAt, m.delivery.confirmToken = now, m.delivery.token
+	m.worker.lastHeartbeat = heartbeatID{m.worker.incarnation, m.worker.tick}
 	m.delivery.pausedUntil = now + s.timing.WorkerLease.PlusDrift() + restartPauseMargin
 	s.markChanged(m)
 }
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -33,7 +33,7 @@
 	m *machine, hb *wire.Heartbeat, partition int, now clock.Micros,
 ) (response wire.HeartbeatResponse, outcome heartbeatOutcome) {
 	outcome = s.classifyHeartbeat(m, hb, partition)
-	if outcome == outcomeCopy && s.missedHeartbeat(m, now) {
+	if outcome == outcomeOvertaken || outcome == outcomeCopy && s.missedHeartbeat(m, now) {
 		m.delivery.restartSuspected = true
 		s.deliveryCandidates[m.id] = m
 	}
--- a/internal/partition/restarts_test.go
+++ b/internal/partition/restarts_test.go
@@ -69,3 +69,19 @@
 	s.worker.HandleCommands(sent, s.now)
 	require.False(t, s.worker.Running("job-1/0"))
 }
+
+// Guards against tasks that a restart has ended and that stay on their machine for ever, since its heartbeats are answered as overtaken.
+func TestTasksEndedByRestartOfWorkerKnownByDeliveriesAreGivenUp(t *testing.T) {
+	s, _ := newFixtureWithDeliveredTask(t)
+	for range 60 {
+		s.heartbeat()
+	}
+	s.acquireAnew(true)
+	sent, status := s.probe()
+	s.state.HandleDeliveryResponse("m-1", sent, &status, s.now)
+	require.True(t, s.state.machines["m-1"].accounted)
+	require.Len(t, s.tasks(), 1)
+	s.worker.Restart(s.now)
+	s.runAfterRestart(t)
+	require.Empty(t, s.tasks())
+}
