--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
-	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -140,8 +139,8 @@
 
 // taskOf returns the task that a command is for, or nil if it is not known any more.
 func (m *machine) taskOf(c wire.Order) *task {
-	job, n, _ := wire.SplitTask(c.Task)
-	return m.tasks[peer.TaskID{Job: job, N: n, Attempt: c.Attempt}]
+	id, _ := attemptID(c.Task, c.Attempt)
+	return m.tasks[id]
 }
 
 // HandleDeliveryResponse processes the response to a delivery: the worker's status after it executed or rejected the
@@ -206,30 +205,6 @@
 	return hb.FencingToken != sent.FencingToken || hb.Incarnation != sent.Incarnation
 }
 
-// handleUnannouncedRestart handles a response whose tick is no higher than one that was already known when the
-// delivery was sent: the worker has restarted without a new incarnation. The commands that were just delivered may
-// run there, for one worker lease from now at most, since the worker's heartbeats count as copies from now on and are
-// not answered. So may attempts that copies of old commands have started, before the worker had a token again. The machine gets no
-// deliveries and no tasks for that long.
-func (s *State) handleUnannouncedRestart(m *machine, hb *wire.Heartbeat, now clock.Micros) {
-	for _, status := range hb.Tasks {
-		job, n, ok := wire.SplitTask(status.Task)
-		id := peer.TaskID{Job: job, N: n, Attempt: status.Attempt}
-		if ok && m.tasks[id] == nil {
-			t := s.addFoundTask(m, id, now)
-			s.reportFoundTask(m, t, status.Phase, m.accounted)
-			s.markTaskChanged(m, t)
-			t.state, t.phase, t.cause = reportedState(status.Phase), status.Phase, status.Cause
-		}
-	}
-	s.addNotice("worker restarted within its incarnation", "machine", m.id, "incarnation", hb.Incarnation, "tick", hb.Tick,
-		"known_tick", m.worker.tick, "reported_token", m.delivery.reportedToken, "tasks", len(hb.Tasks))
-	m.worker.answeredAt, m.delivery.confirmToken = now, m.delivery.token
-	m.worker.lastHeartbeat = heartbeatID{m.worker.incarnation, m.worker.tick}
-	m.delivery.pausedUntil = now + s.timing.WorkerLease.PlusDrift() + restartPauseMargin
-	s.markChanged(m)
-}
-
 // HandleDeliveryTimeout records that a delivery was not answered. The worker may still execute its commands until it
 // reports a higher token. The heartbeats of a machine may arrive while no response and no delivery reaches it, so the
 // machine gets no more tasks until it reports the incremented token.
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -33,10 +33,7 @@
 	m *machine, hb *wire.Heartbeat, partition int, now clock.Micros,
 ) (response wire.HeartbeatResponse, outcome heartbeatOutcome) {
 	outcome = s.classifyHeartbeat(m, hb, partition)
-	if outcome == outcomeOvertaken || outcome == outcomeCopy && s.missedHeartbeat(m, now) {
-		m.delivery.restartSuspected = true
-		s.deliveryCandidates[m.id] = m
-	}
+	s.suspectRestart(m, outcome, now)
 	if !outcome.extendsLease() {
 		return response, outcome
 	}
@@ -171,11 +168,10 @@
 func (s *State) applyTasks(m *machine, hb *wire.Heartbeat, wasAccounted bool, now clock.Micros) (listed map[peer.TaskID]bool) {
 	listed = make(map[peer.TaskID]bool, len(hb.Tasks))
 	for _, status := range hb.Tasks {
-		job, n, ok := wire.SplitTask(status.Task)
+		id, ok := attemptID(status.Task, status.Attempt)
 		if !ok {
 			continue
 		}
-		id := peer.TaskID{Job: job, N: n, Attempt: status.Attempt}
 		listed[id] = true
 		t := m.tasks[id]
 		if t == nil {
@@ -195,7 +191,7 @@
 				s.markProven(m)
 			}
 		}
-		t.state, t.phase, t.cause = reportedState(status.Phase), status.Phase, status.Cause
+		t.setReported(status)
 	}
 	return listed
 }
--- a/internal/partition/state.go
+++ b/internal/partition/state.go
@@ -16,7 +16,8 @@
 //
 //   - 1: workers reject commands of former partition leaders, by the fencing token: deliveryState
 //   - 2: an attempt whose run command may still reach the worker is not given up: task.unansweredToken,
-//     deliveryState.runMayArrive
+//     deliveryState.runMayArrive. It is forgotten only under a token above those that carried the command:
+//     task.deliveredToken, deliveryState.raiseTokenAbove
 //   - 4: a task counts as gone only when its worker must have ended it: workerState, State.expireWorkerLease,
 //     State.applyIncarnation
 //   - 5: a machine gets tasks only while its record is stored, so that a later leader knows of it: recordState,
--- a/internal/partition/tasks.go
+++ b/internal/partition/tasks.go
@@ -72,6 +72,17 @@
 
 func (t *task) exited() bool { return t.state == taskExited }
 
+// attemptID returns the id of an attempt of a task, as workers name it; ok is false if the name can't be read.
+func attemptID(taskName string, attempt uint64) (id peer.TaskID, ok bool) {
+	job, n, ok := wire.SplitTask(taskName)
+	return peer.TaskID{Job: job, N: n, Attempt: attempt}, ok
+}
+
+// setReported records what the worker lists of the attempt.
+func (t *task) setReported(status wire.TaskStatus) {
+	t.state, t.phase, t.cause = reportedState(status.Phase), status.Phase, status.Cause
+}
+
 // reportedState returns the state of an attempt that its worker lists in a phase.
 func reportedState(phase string) taskState {
 	if phase == wire.TaskExited {
