partition, loopback: after a last read, a run command's delivery is one token and whether it was answered

No behaviour changes. unansweredToken was either deliveredToken or 0, so it is a flag now; that a status shows a lower token than before has one name for its two places; counters by a label are made in one loop instead of six; loopback records the calls of a connection only where copies are wanted.

--- a/internal/loopback/peerlink.go
+++ b/internal/loopback/peerlink.go
@@ -73,10 +73,12 @@
 	}
 	defer p.untrack(upstream)
 	p.track(upstream)
-	calls := &recordedCalls{}
-	p.keepCalls(calls)
+	var calls io.Reader = conn
+	if p.copies != nil {
+		calls = p.recordCalls(conn)
+	}
 	go func() {
-		io.Copy(upstream, io.TeeReader(conn, calls)) //nolint:errcheck // ends with either side
+		io.Copy(upstream, calls) //nolint:errcheck // ends with either side
 		upstream.Close()
 	}()
 	io.Copy(conn, upstream) //nolint:errcheck // ends with either side
@@ -109,11 +111,14 @@
 // copiesPerConnection is the number of times that the calls of a connection may be delivered once more.
 const copiesPerConnection = 4
 
-// keepCalls keeps the calls of a connection. A copy is a connection with the calls that were recorded by then.
-func (p *peerProxy) keepCalls(calls *recordedCalls) {
+// recordCalls returns a reader of a connection's calls that keeps them for copies. A copy is a connection with the calls that were
+// recorded by then.
+func (p *peerProxy) recordCalls(conn io.Reader) io.Reader {
+	calls := &recordedCalls{}
 	for range copiesPerConnection {
 		p.copies.Keep(fakes.PeerCall, func() { p.repeatCalls(calls.snapshot()) })
 	}
+	return io.TeeReader(conn, calls)
 }
 
 // repeatCalls makes calls on a new connection and drops the answers.
--- a/internal/partition/counters.go
+++ b/internal/partition/counters.go
@@ -102,24 +102,12 @@
 
 func newCounters(reporter *telemetry.Reporter) counters {
 	var c counters
-	for outcome, name := range heartbeatOutcomeNames {
-		c.heartbeats[outcome] = reporter.Counter(fmt.Sprintf(`merlinlatch_heartbeats_total{outcome=%q}`, name))
-	}
-	for reason, name := range stopReasonNames {
-		c.stops[reason] = reporter.Counter(fmt.Sprintf(`merlinlatch_task_stops_total{reason=%q}`, name))
-	}
-	for outcome, name := range deliveryOutcomeNames {
-		c.deliveries[outcome] = reporter.Counter(fmt.Sprintf(`merlinlatch_deliveries_total{outcome=%q}`, name))
-	}
-	for state, name := range findStateNames {
-		c.found[state] = reporter.Counter(fmt.Sprintf(`merlinlatch_found_attempts_total{machine=%q}`, name))
-	}
-	for reason, name := range raiseReasonNames {
-		c.tokenRaises[reason] = reporter.Counter(fmt.Sprintf(`merlinlatch_fencing_token_raises_total{reason=%q}`, name))
-	}
-	for i, verb := range commandVerbs {
-		c.rejected[i] = reporter.Counter(fmt.Sprintf(`merlinlatch_rejected_commands_total{verb=%q}`, verb))
-	}
+	addCounters(reporter, "merlinlatch_heartbeats_total", "outcome", heartbeatOutcomeNames[:], c.heartbeats[:])
+	addCounters(reporter, "merlinlatch_task_stops_total", "reason", stopReasonNames[:], c.stops[:])
+	addCounters(reporter, "merlinlatch_deliveries_total", "outcome", deliveryOutcomeNames[:], c.deliveries[:])
+	addCounters(reporter, "merlinlatch_found_attempts_total", "machine", findStateNames[:], c.found[:])
+	addCounters(reporter, "merlinlatch_fencing_token_raises_total", "reason", raiseReasonNames[:], c.tokenRaises[:])
+	addCounters(reporter, "merlinlatch_rejected_commands_total", "verb", commandVerbs[:], c.rejected[:])
 	c.leaseToStart = reporter.Summary("merlinlatch_lease_to_start_seconds")
 	for via, route := range routeNames {
 		for i, verb := range commandVerbs {
@@ -129,6 +117,13 @@
 	return c
 }
 
+// addCounters adds a counter of a metric for each value of a label.
+func addCounters(reporter *telemetry.Reporter, metric, label string, values []string, counters []*telemetry.Counter) {
+	for i, value := range values {
+		counters[i] = reporter.Counter(fmt.Sprintf("%s{%s=%q}", metric, label, value))
+	}
+}
+
 // countCommands counts the commands of one message to a worker.
 func (c *counters) countCommands(via route, list []wire.Order) { countVerbs(c.commands[via], list) }
 
--- a/internal/partition/delivery_state.go
+++ b/internal/partition/delivery_state.go
@@ -48,7 +48,7 @@
 
 // runMayArrive reports whether the worker may still execute a run command for a task from an unanswered delivery.
 func (d *deliveryState) runMayArrive(t *task) bool {
-	return t.unansweredToken != 0 && d.reportedToken <= t.unansweredToken
+	return t.unanswered && d.reportedToken <= t.deliveredToken
 }
 
 // raiseTokenAbove makes the token higher than that of a delivery, and reports whether it was not.
@@ -133,7 +133,7 @@
 			continue
 		}
 		t := m.taskOf(c)
-		t.deliveredToken, t.unansweredToken = orders.FencingToken, orders.FencingToken
+		t.deliveredToken, t.unanswered = orders.FencingToken, true
 	}
 }
 
@@ -152,8 +152,8 @@
 	}
 	m.delivery.inFlight = false
 	for _, t := range m.tasks {
-		if t.unansweredToken == sent.FencingToken {
-			t.unansweredToken = 0
+		if t.deliveredToken == sent.FencingToken {
+			t.unanswered = false
 		}
 	}
 	if hb.Machine != id {
--- a/internal/partition/heartbeats.go
+++ b/internal/partition/heartbeats.go
@@ -80,7 +80,7 @@
 		return outcomeCopy
 	case !m.worker.isNewer(hb):
 		return outcomeOvertaken
-	case !m.accounted && hb.FencingToken < firstToken(s.terms[partition]), hb.FencingToken < m.delivery.reportedToken:
+	case !m.accounted && hb.FencingToken < firstToken(s.terms[partition]), m.delivery.hasLostToken(hb):
 		return outcomeUnaccounted
 	}
 	return outcomeAnswered
@@ -140,9 +140,7 @@
 // of this term makes the machine accounted for: the worker rejects all commands of former leaders from then on
 // (docs/design.md, "Why the rules hold", number 6).
 func (s *State) applyWorkerState(m *machine, hb *wire.Heartbeat, now clock.Micros) (changed bool) {
-	if hb.FencingToken < m.delivery.reportedToken {
-		// A worker never shows a lower token but after a restart within its incarnation. It executes old commands again until it
-		// shows a token of this term.
+	if m.delivery.hasLostToken(hb) {
 		m.accounted, changed = false, true
 	}
 	m.delivery.reportedToken = hb.FencingToken
--- a/internal/partition/restarts.go
+++ b/internal/partition/restarts.go
@@ -14,6 +14,12 @@
 	}
 }
 
+// hasLostToken reports whether a newer status shows a lower token than before. A worker's token falls only by a restart within its
+// incarnation; it executes old commands again until it shows a token of this term.
+func (d *deliveryState) hasLostToken(hb *wire.Heartbeat) bool {
+	return hb.FencingToken < d.reportedToken
+}
+
 // handleUnannouncedRestart handles a response whose tick is no higher than one that was already known when the
 // delivery was sent: the worker has restarted without a new incarnation. The commands that were just delivered may
 // run there, for one worker lease from now at most, since the worker's heartbeats count as copies from now on and are
--- a/internal/partition/state.go
+++ b/internal/partition/state.go
@@ -15,7 +15,7 @@
 // ends with the types and methods that maintain the invariant.
 //
 //   - 1: workers reject commands of former partition leaders, by the fencing token: deliveryState
-//   - 2: an attempt whose run command may still reach the worker is not given up: task.unansweredToken,
+//   - 2: an attempt whose run command may still reach the worker is not given up: task.unanswered,
 //     deliveryState.runMayArrive. It is forgotten only under a token above those that carried the command:
 //     task.deliveredToken, deliveryState.raiseTokenAbove
 //   - 4: a task counts as gone only when its worker must have ended it: workerState, State.expireWorkerLease,
--- a/internal/partition/tasks.go
+++ b/internal/partition/tasks.go
@@ -38,7 +38,7 @@
 	taskExited                    // the worker lists the attempt as exited
 )
 
-// task is one attempt on a machine. While unansweredToken shows that its run command may still arrive, the worker could
+// task is one attempt on a machine. While its run command may still arrive (deliveryState.runMayArrive), the worker could
 // still start it: it is then not removed as stopped, and gets no forget command (docs/design.md, "Why the rules hold",
 // number 2).
 type task struct {
@@ -62,10 +62,10 @@
 	heldFor    clock.Micros // the longest time that the held lease lasts
 	stopGraceS float64
 
-	runTick         uint64       // tick of the heartbeat whose response carried the last run command
-	deliveredToken  uint64       // fencing token of the last delivery that carried a run command; 0: none
-	unansweredToken uint64       // the same, while that delivery is unanswered
-	deliveredAt     clock.Micros // when the last delivery carried a command for it; 0: deliver immediately
+	runTick        uint64       // tick of the heartbeat whose response carried the last run command
+	deliveredToken uint64       // fencing token of the last delivery that carried a run command; 0: none
+	unanswered     bool         // that delivery has not been answered
+	deliveredAt    clock.Micros // when the last delivery carried a command for it; 0: deliver immediately
 
 	version uint64 // the machine's version when the task last changed
 }
