controller, partition: tests end tasks and count starts in one place; copies of Drain and Gone

endTask serves four loops that ended a task with a cause; deliverCopies no longer drops the messages that were answered while it ran, since copies are never kept anyway.

--- a/internal/controller/cluster_copies_test.go
+++ b/internal/controller/cluster_copies_test.go
@@ -29,7 +29,7 @@
 }
 
 // deliverCopies delivers once more all messages of some kinds that were answered so far, the oldest first, and returns their number.
-// Copies of copies are not kept.
+// Copies themselves are not kept.
 func (c *cluster) deliverCopies(kinds ...fakes.MessageKind) (delivered int) {
 	c.mu.Lock()
 	kept := c.keptCopies
@@ -41,9 +41,6 @@
 		}
 	}
 	c.carryOutDeliveries()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.keptCopies = kept
 	return delivered
 }
 
--- a/internal/controller/cluster_run_test.go
+++ b/internal/controller/cluster_run_test.go
@@ -122,11 +122,12 @@
 // sleepStep sleeps for stepInterval, and meanwhile carries out deliveries, and calls everyFiveMS if it is set.
 func (c *cluster) sleepStep() {
 	const fineStep = 5 * time.Millisecond
-	if c.everyFiveMS == nil && !c.options.deliveries {
+	fine := func() bool { return c.everyFiveMS != nil || c.options.deliveries }
+	if !fine() {
 		time.Sleep(stepInterval)
 		return
 	}
-	for step := 0; (c.everyFiveMS != nil || c.options.deliveries) && step < int(stepInterval/fineStep); step++ {
+	for step := 0; fine() && step < int(stepInterval/fineStep); step++ {
 		time.Sleep(fineStep)
 		c.carryOutDeliveries()
 		if c.everyFiveMS != nil {
@@ -250,9 +251,12 @@
 }
 
 // finishTask ends a task as done on every worker that runs it.
-func (c *cluster) finishTask(task string) {
+func (c *cluster) finishTask(task string) { c.endTask(task, wire.CauseDone) }
+
+// endTask ends a task with a cause on every worker that runs it.
+func (c *cluster) endTask(task, cause string) {
 	for _, w := range c.workers {
-		w.Finish(task, wire.CauseDone)
+		w.Finish(task, cause)
 	}
 }
 
--- a/internal/controller/copies_test.go
+++ b/internal/controller/copies_test.go
@@ -61,9 +61,7 @@
 		require.Equal(t, 201, c.submitJob("a", unlimitedSubmission("job-1", 1), "job-1"))
 		c.runFor(2*time.Second, 0)
 		require.Equal(t, 1, c.runningTasks())
-		for _, w := range c.workers {
-			w.Finish("job-1/0", wire.CauseError)
-		}
+		c.endTask("job-1/0", wire.CauseError)
 		c.runFor(4*time.Second, 0)
 		require.Equal(t, 1, c.runningTasks(), "the task runs again")
 		c.deliverCopies(fakes.DirectCommand)
@@ -117,9 +115,7 @@
 	require.Equal(t, 201, c.submitJob("c", unlimitedSubmission("job-3", 4), "job-3"))
 	c.runFor(6*time.Second, 0)
 	require.Equal(t, wire.Done, c.queryJob("a", "job-1"))
-	for _, w := range c.workers {
-		w.Finish("job-3/0", wire.CauseError)
-	}
+	c.endTask("job-3/0", wire.CauseError)
 	c.runFor(6*time.Second, 0)
 	require.Equal(t, 4, c.runningTasks())
 	return c
@@ -131,7 +127,7 @@
 	c.requirePhaseEverywhere(wire.Done, "job-1")
 	c.requirePhaseEverywhere(wire.Cancelled, "job-2")
 	require.Equal(c.t, 4, c.runningTasks())
-	require.Equal(c.t, starts, c.taskStarts("job-1")+c.taskStarts("job-2")+c.taskStarts("job-3"))
+	require.Equal(c.t, starts, c.totalStarts())
 	c.requireNoAttemptStartedTwice()
 }
 
@@ -194,7 +190,7 @@
 			require.Equal(t, wire.Cancelled, c.cancelJob(hosts[i%3], jobName(i)))
 		}
 		for n := range tasksPerJob {
-			c.failTask(wire.TaskName(jobName(jobs-1), n))
+			c.endTask(wire.TaskName(jobName(jobs-1), n), wire.CauseError)
 		}
 		c.runFleetFor(12*time.Second, 0)
 		running, starts := c.runningTasks(), c.taskStarts(jobName(jobs-1))
@@ -208,13 +204,6 @@
 	})
 }
 
-// failTask lets a task fail on every worker that runs it.
-func (c *cluster) failTask(task string) {
-	for _, w := range c.workers {
-		w.Finish(task, wire.CauseError)
-	}
-}
-
 // Guards against copies of lease renewals that keep the leaderships of a controller which is down for good, so that jobs wait.
 func TestCopiesOfRenewalsDelayNoTakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/partition/copies_test.go
+++ b/internal/partition/copies_test.go
@@ -225,3 +225,17 @@
 	s.state.HandleHeartbeat(&hb, 0, s.now)
 	require.True(t, s.state.machines["m-1"].usable(s.now))
 }
+
+// Guards against copies of what the autoscaler asks for: they drain no machine that is in use, and bring back none that is gone.
+func TestCopiesOfDrainAndGoneTakeNoMachineInUse(t *testing.T) {
+	s, _ := newFixtureWithDeliveredTask(t)
+	partitionOf := func(string, string) int { return 0 }
+	machines := []peer.MachineRef{{ID: "m-1"}, {ID: "m-2"}}
+	s.state.HandleMachinesGone(machines[1:], partitionOf, s.now)
+	require.NotContains(t, s.state.Drain(machines, partitionOf, s.now), "m-1")
+	s.state.HandleMachinesGone(machines[1:], partitionOf, s.now)
+	s.heartbeat()
+	require.True(t, s.state.machines["m-1"].usable(s.now))
+	require.True(t, s.worker.Running("job-1/0"))
+	require.True(t, s.state.machines["m-2"].worker.gone)
+}
