review: case 4, a team above its limit after a crash of all controllers

Cause: a second independent review of the project looks for broken promises. A machine on record that no partition leader has shown to a new process yet counts against the team's limit as the largest machine seen, not as the largest there is.

--- /dev/null
+++ b/review/stand-2/cluster.go
@@ -0,0 +1,581 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// team is an entry of params.teams.
+type team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// deployment is what a case sets of a cluster. The rest is as at the smaller of the users' sites.
+type deployment struct {
+	zones      []string // of the nodes, one each
+	teams      []team
+	objectives []map[string]any
+	types      []machineType
+	leaseS     float64
+	reportS    float64
+	cancelS    float64
+}
+
+// node is a controller.
+type node struct {
+	host, zone, listen, clusterListen string
+	store                             string // address of its way to the key-value store
+	settings                          string
+	process                           *exec.Cmd
+	exited                            chan struct{}
+}
+
+// machine is what the cloud knows of a machine.
+type machine struct {
+	id    string
+	typ   string
+	yard  string
+	since time.Time
+	gone  bool
+}
+
+// interval is the time that an attempt was on a machine.
+type interval struct {
+	machine, shard string
+	try            uint64
+	job            *jobSpec
+	from, to       time.Time // to is zero while it is on the machine
+}
+
+// cluster is a set of controllers with stand-ins around them.
+type cluster struct {
+	deployment
+	root, dir string
+	record    *os.File
+	begin     time.Time
+	nodes     []*node
+	store     *store
+	links     map[[2]int]*link
+
+	mu        sync.Mutex
+	stopped   bool
+	jobs      map[string]*jobSpec
+	machines  map[string]*machine
+	workers   map[string]*worker
+	intervals []*interval
+	ready     map[int]bool
+	broken    []string
+	logged    map[string]bool // keys of logOnce
+}
+
+// newCluster makes a cluster, whose controllers run in the repository at root. Files go to a temporary folder, the record to the
+// case's folder.
+func newCluster(root, folder string, d deployment) (*cluster, error) {
+	dir, err := os.MkdirTemp("", "stand-2-")
+	if err != nil {
+		return nil, err
+	}
+	record, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{deployment: d, root: root, dir: dir, record: record, begin: time.Now(), store: newStore(),
+		links: map[[2]int]*link{}, jobs: map[string]*jobSpec{}, machines: map[string]*machine{}, workers: map[string]*worker{},
+		ready: map[int]bool{}, logged: map[string]bool{}}
+	for i, zone := range d.zones {
+		n := &node{host: fmt.Sprintf("latchhost-%d", i), zone: zone, listen: freeAddr(), clusterListen: freeAddr()}
+		n.store = serve(c.store.handler(i))
+		c.nodes = append(c.nodes, n)
+	}
+	for i := range c.nodes {
+		for k := range c.nodes {
+			if i != k {
+				l, err := newLink(c.nodes[k].clusterListen)
+				if err != nil {
+					return nil, err
+				}
+				c.links[[2]int{i, k}] = l
+			}
+		}
+	}
+	cloud := serve(c.cloud())
+	for i, n := range c.nodes {
+		if err := c.writeSettings(i, n, cloud); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// freeAddr returns a loopback address with a port that is free.
+func freeAddr() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		panic(fmt.Sprint("listen: ", err))
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) writeSettings(i int, n *node, cloud string) error {
+	others := []map[string]string{}
+	for k, o := range c.nodes {
+		if k != i {
+			others = append(others, map[string]string{"host_name": o.host, "location": o.zone, "addr": c.links[[2]int{i, k}].addr})
+		}
+	}
+	zones := []string{}
+	for _, o := range c.nodes {
+		if !strings.Contains(" "+strings.Join(zones, " ")+" ", " "+o.zone+" ") {
+			zones = append(zones, o.zone)
+		}
+	}
+	b, err := json.MarshalIndent(map[string]any{
+		"host_name": n.host, "location": n.zone, "listen": n.listen, "cluster_listen": n.clusterListen, "others": others,
+		"services": map[string]string{"cloud": cloud, "state": n.store},
+		"params": map[string]any{
+			"count": len(c.nodes), "zones": zones, "teams": c.teams, "objectives": c.objectives,
+			"workers":        map[string]float64{"report_s": c.reportS, "lease_s": c.leaseS, "gang_wait_s": 40, "gang_peer_s": 4, "cancel_s": c.cancelS},
+			"state":          map[string]any{"rps": 120.0, "write_rps": 25.0, "value_kb": 8.0, "txn_ops": 12},
+			"cloud":          map[string]float64{"rps": 5, "list_lag_s": 8},
+			"machine_limits": map[string]any{"core_share": 0.12, "memory_mb": 342.0, "fd_limit": 3000},
+			"skew_ms":        1000.0,
+		},
+	}, "", " ")
+	if err != nil {
+		return err
+	}
+	n.settings = filepath.Join(c.dir, n.host+".json")
+	return os.WriteFile(n.settings, b, 0o600)
+}
+
+// log writes a line to the record.
+func (c *cluster) log(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.logLocked(format, args...)
+}
+
+func (c *cluster) logLocked(format string, args ...any) {
+	if !c.stopped {
+		fmt.Fprintf(c.record, "%8.3f %s\n", time.Since(c.begin).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+// logOnce writes a line to the record if it is the first one with this key.
+func (c *cluster) logOnce(key, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.logged[key] {
+		c.logged[key] = true
+		c.logLocked(format, args...)
+	}
+}
+
+// fail records that the rule was broken.
+func (c *cluster) fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	text := fmt.Sprintf(format, args...)
+	c.broken = append(c.broken, text)
+	c.logLocked("RULE BROKEN: %s", text)
+}
+
+// runCommand returns the words of the run command of the deploy file.
+func runCommand(root string) ([]string, error) {
+	b, err := os.ReadFile(filepath.Join(root, "deploy/service.toml"))
+	if err != nil {
+		return nil, err
+	}
+	for _, line := range strings.Split(string(b), "\n") {
+		if value, ok := strings.CutPrefix(line, "run = "); ok {
+			text, err := strconv.Unquote(strings.TrimSpace(value))
+			return strings.Fields(text), err
+		}
+	}
+	return nil, fmt.Errorf("the deploy file has no run command")
+}
+
+// start starts a controller's process.
+func (c *cluster) start(i int) error {
+	n := c.nodes[i]
+	words, err := runCommand(c.root)
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(c.dir, n.host+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(words[0], append(words[1:], n.settings)...)
+	cmd.Dir, cmd.Stderr, cmd.Stdout = c.root, log, log
+	cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	n.process, n.exited = cmd, make(chan struct{})
+	exited := n.exited
+	go func() {
+		cmd.Wait()
+		close(exited)
+	}()
+	c.log("%s started", n.host)
+	return nil
+}
+
+// kill ends a controller's process by SIGKILL.
+func (c *cluster) kill(i int) {
+	n := c.nodes[i]
+	c.log("%s is killed", n.host)
+	n.process.Process.Kill()
+	<-n.exited
+}
+
+// stop ends all processes and closes the record. It prints the verdict and returns the exit status.
+func (c *cluster) stop() int {
+	for _, n := range c.nodes {
+		if n.process != nil {
+			n.process.Process.Kill()
+			<-n.exited
+		}
+	}
+	status := 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.broken) > 0 {
+		status = 1
+		c.logLocked("verdict: the rule was broken")
+		for _, b := range c.broken {
+			fmt.Println("broken:", b)
+		}
+	} else {
+		c.logLocked("verdict: the rule held")
+		fmt.Println("the rule held")
+	}
+	c.stopped = true
+	c.record.Close()
+	if os.Getenv("KEEP_LOGS") == "" {
+		os.RemoveAll(c.dir)
+	} else {
+		fmt.Println("logs:", c.dir)
+	}
+	return status
+}
+
+func (c *cluster) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
+// addMachine adds a machine that is up, with its worker, which runs at once.
+func (c *cluster) addMachine(id, typ, yard string) *worker {
+	for _, t := range c.types {
+		if t.Name != typ {
+			continue
+		}
+		w := newWorker(c, id, t, yard)
+		c.mu.Lock()
+		c.machines[id] = &machine{id: id, typ: typ, yard: yard, since: time.Now().Add(-10 * time.Second)}
+		c.workers[id] = w
+		c.mu.Unlock()
+		go w.run()
+		return w
+	}
+	panic("no machine type " + typ)
+}
+
+// cloud serves the cloud's interface: it has the machines that the case added, and no capacity for more.
+func (c *cluster) cloud() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, map[string]any{"hulls": c.types}) })
+	mux.HandleFunc("GET /rentals", func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		list := []map[string]any{}
+		for _, m := range c.machines {
+			if m.id > r.URL.Query().Get("after") && !m.gone {
+				list = append(list, map[string]any{"id": m.id, "addr": c.workers[m.id].addr, "hull": m.typ, "yard": m.yard, "loaners": false,
+					"phase": "running", "held_s": time.Since(m.since).Seconds()})
+			}
+		}
+		sort.Slice(list, func(i, k int) bool { return list[i]["id"].(string) < list[k]["id"].(string) })
+		reply(w, 200, map[string]any{"hosts": list, "truncated": false})
+	})
+	mux.HandleFunc("POST /rentals", func(w http.ResponseWriter, _ *http.Request) { reply(w, 503, map[string]string{"error": "no capacity"}) })
+	mux.HandleFunc("POST /rentals/return", func(w http.ResponseWriter, r *http.Request) {
+		var in struct {
+			Hosts []string `json:"hosts"`
+		}
+		json.NewDecoder(r.Body).Decode(&in)
+		for _, id := range in.Hosts {
+			c.mu.Lock()
+			m, wk := c.machines[id], c.workers[id]
+			if m != nil {
+				m.gone = true
+			}
+			c.mu.Unlock()
+			if wk != nil {
+				c.log("cloud: %s is returned", id)
+				wk.remove()
+			}
+		}
+		reply(w, 200, struct{}{})
+	})
+	return mux
+}
+
+// remove ends a machine with all that is on it.
+func (w *worker) remove() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tasks {
+		w.leave(t, "the machine is gone")
+	}
+	w.tasks, w.silenced = nil, true
+}
+
+// jobOf returns the job of a task, or nil.
+func (c *cluster) jobOf(shard string) *jobSpec {
+	id, _, _ := strings.Cut(shard, "/")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[id]
+}
+
+// started records that an attempt is on a machine from now on.
+func (c *cluster) started(w *worker, t *taskState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.intervals = append(c.intervals, &interval{w.id, t.Shard, t.Try, t.job, time.Now(), time.Time{}})
+	c.logLocked("machine %s (%s): %s attempt %d starts (%s, %g CPUs)", w.id, w.typ.Name, t.Shard, t.Try, t.job.Owner, t.job.CPUs)
+}
+
+// ended records that an attempt is no longer on a machine.
+func (c *cluster) ended(w *worker, t *taskState, why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, i := range c.intervals {
+		if i.machine == w.id && i.shard == t.Shard && i.try == t.Try && i.to.IsZero() {
+			i.to = time.Now()
+		}
+	}
+	c.logLocked("machine %s: %s attempt %d is off it: %s", w.id, t.Shard, t.Try, why)
+}
+
+// present returns the attempts that are on machines now.
+func (c *cluster) present() []interval {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []interval
+	for _, i := range c.intervals {
+		if i.to.IsZero() {
+			out = append(out, *i)
+		}
+	}
+	return out
+}
+
+var userClient = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+
+// request sends a user's request to a node. Status 0 means no answer.
+func (c *cluster) request(node int, method, path string, body any, timeout time.Duration) (status int, answer map[string]any) {
+	var reader io.Reader
+	if body != nil {
+		b, _ := json.Marshal(body)
+		reader = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, "http://"+c.nodes[node].listen+path, reader)
+	if err != nil {
+		return 0, nil
+	}
+	client := *userClient
+	client.Timeout = timeout
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	json.NewDecoder(resp.Body).Decode(&answer)
+	return resp.StatusCode, answer
+}
+
+// watchReady probes the nodes once a second, as the load balancer does. It goes on until the cluster stops.
+func (c *cluster) watchReady() {
+	for i := range c.nodes {
+		go func() {
+			for failures := 0; !c.isStopped(); time.Sleep(time.Second / 2) {
+				status, _ := c.request(i, "GET", "/ready", nil, time.Second)
+				if failures++; status == 200 {
+					failures = 0
+				}
+				c.mu.Lock()
+				c.ready[i] = status == 200 || c.ready[i] && failures < 2
+				c.mu.Unlock()
+			}
+		}()
+	}
+}
+
+// awaitReady waits until all nodes are ready.
+func (c *cluster) awaitReady(limit time.Duration) error {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		n := 0
+		for i := range c.nodes {
+			if c.isReady(i) {
+				n++
+			}
+		}
+		if n == len(c.nodes) {
+			c.log("all nodes are ready")
+			return nil
+		}
+	}
+	return fmt.Errorf("the nodes are not ready after %s", limit)
+}
+
+func (c *cluster) isReady(i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ready[i]
+}
+
+// anyReady returns a node that is ready, node preferred if it is one of them, or -1.
+func (c *cluster) anyReady(preferred int) int {
+	for k := range c.nodes {
+		if i := (preferred + k) % len(c.nodes); c.isReady(i) {
+			return i
+		}
+	}
+	return -1
+}
+
+// submit submits a job as users do, with retries for up to 60 s. It reports whether the job was accepted.
+func (c *cluster) submit(j *jobSpec, preferred int) bool {
+	c.mu.Lock()
+	c.jobs[j.ID] = j
+	c.mu.Unlock()
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(time.Second) {
+		i := c.anyReady(preferred)
+		if i < 0 {
+			continue
+		}
+		status, answer := c.request(i, "POST", "/api/jobs", j, 5*time.Second)
+		c.log("user: submits %s to %s: %d %v", j.ID, c.nodes[i].host, status, answer)
+		if status == 200 || status == 201 {
+			return true
+		}
+		if status == 400 || status == 422 {
+			return false
+		}
+	}
+	return false
+}
+
+// poll asks a node for a job's state.
+func (c *cluster) poll(id string, node int) (status int, phase string, answer map[string]any) {
+	status, answer = c.request(node, "GET", "/api/jobs/"+id, nil, 2*time.Second)
+	phase, _ = answer["phase"].(string)
+	c.log("user: polls %s at %s: %d %v", id, c.nodes[node].host, status, answer)
+	return status, phase, answer
+}
+
+// withdraw asks a node to cancel a job.
+func (c *cluster) withdraw(id string, node int) (status int, phase string) {
+	status, answer := c.request(node, "POST", "/api/jobs/"+id+"/withdraw", struct{}{}, 5*time.Second)
+	phase, _ = answer["phase"].(string)
+	c.log("user: cancels %s at %s: %d %v", id, c.nodes[node].host, status, answer)
+	return status, phase
+}
+
+// link is the way by which one controller calls another one.
+type link struct {
+	addr, target string
+
+	mu      sync.Mutex
+	blocked bool
+	conns   map[net.Conn]bool
+}
+
+func newLink(target string) (*link, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &link{addr: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.forward(conn)
+		}
+	}()
+	return p, nil
+}
+
+// forward copies between a connection and the target. While the link is blocked it closes the connection: the caller is refused.
+func (l *link) forward(conn net.Conn) {
+	defer conn.Close()
+	if !l.keep(conn) {
+		return
+	}
+	defer l.drop(conn)
+	up, err := net.Dial("tcp4", l.target)
+	if err != nil {
+		return
+	}
+	defer up.Close()
+	go func() {
+		io.Copy(up, conn)
+		up.Close()
+	}()
+	io.Copy(conn, up)
+}
+
+func (l *link) keep(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.blocked {
+		return false
+	}
+	l.conns[conn] = true
+	return true
+}
+
+func (l *link) drop(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+}
+
+// block blocks or opens the link. Blocking resets its connections.
+func (l *link) block(v bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.blocked = v
+	if v {
+		for conn := range l.conns {
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}
+}
