review: case 5, a job is never run after one faulty machine

Cause: a job with more than six errors in a row is left out of the demand by which machines are rented. One machine that fails every task brings sixteen of them at once. It is returned, and nothing is rented for the job any more.

--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -35,6 +35,10 @@
 	leaseS     float64
 	reportS    float64
 	cancelS    float64
+	limits     map[string]any // of a controller's machine
+	stateRPS   float64
+	stateWrite float64
+	cloudRPS   float64
 }
 
 // node is a controller.
@@ -51,8 +55,11 @@
 	id    string
 	typ   string
 	yard  string
+	spot  bool
 	since time.Time
+	up    bool
 	gone  bool
+	end   time.Time // when it was returned
 }
 
 // interval is the time that an attempt was on a machine.
@@ -73,15 +80,19 @@
 	store     *store
 	links     map[[2]int]*link
 
-	mu        sync.Mutex
-	stopped   bool
-	jobs      map[string]*jobSpec
-	machines  map[string]*machine
-	workers   map[string]*worker
-	intervals []*interval
-	ready     map[int]bool
-	broken    []string
-	logged    map[string]bool // keys of logOnce
+	rentals capacity // set before the controllers start
+
+	mu         sync.Mutex
+	stopped    bool
+	rented     int       // machines rented so far
+	lastRental time.Time // of the last rental that was granted
+	jobs       map[string]*jobSpec
+	machines   map[string]*machine
+	workers    map[string]*worker
+	intervals  []*interval
+	ready      map[int]bool
+	broken     []string
+	logged     map[string]bool // keys of logOnce
 }
 
 // newCluster makes a cluster, whose controllers run in the repository at root. Files go to a temporary folder, the record to the
@@ -152,9 +163,9 @@
 		"params": map[string]any{
 			"count": len(c.nodes), "zones": zones, "teams": c.teams, "objectives": c.objectives,
 			"workers":        map[string]float64{"report_s": c.reportS, "lease_s": c.leaseS, "gang_wait_s": 40, "gang_peer_s": 4, "cancel_s": c.cancelS},
-			"state":          map[string]any{"rps": 120.0, "write_rps": 25.0, "value_kb": 8.0, "txn_ops": 12},
-			"cloud":          map[string]float64{"rps": 5, "list_lag_s": 8},
-			"machine_limits": map[string]any{"core_share": 0.12, "memory_mb": 342.0, "fd_limit": 3000},
+			"state":          map[string]any{"rps": c.stateRPS, "write_rps": c.stateWrite, "value_kb": 8.0, "txn_ops": 12},
+			"cloud":          map[string]float64{"rps": c.cloudRPS, "list_lag_s": listLag.Seconds()},
+			"machine_limits": c.limits,
 			"skew_ms":        1000.0,
 		},
 	}, "", " ")
@@ -293,7 +304,7 @@
 		}
 		w := newWorker(c, id, t, yard)
 		c.mu.Lock()
-		c.machines[id] = &machine{id: id, typ: typ, yard: yard, since: time.Now().Add(-10 * time.Second)}
+		c.machines[id] = &machine{id: id, typ: typ, yard: yard, since: time.Now().Add(-10 * time.Second), up: true}
 		c.workers[id] = w
 		c.mu.Unlock()
 		go w.run()
@@ -302,7 +313,61 @@
 	panic("no machine type " + typ)
 }
 
-// cloud serves the cloud's interface: it has the machines that the case added, and no capacity for more.
+// capacity is what the cloud has to give beside the machines that the case added.
+type capacity struct {
+	machines int           // how many machines it may still rent
+	boot     time.Duration // how long each takes to come up
+	// onRent, unless nil, is called with each machine's worker before the worker runs, and the number of the machine.
+	onRent func(w *worker, n int)
+}
+
+// rent rents machines and returns their names. mu is held.
+func (c *cluster) rent(typ, yard string, spot bool, n int) []string {
+	names := []string{}
+	for ; n > 0 && c.rentals.machines > 0; n-- {
+		c.rentals.machines--
+		c.rented++
+		id := fmt.Sprintf("m-%06d", 500+c.rented)
+		m := &machine{id: id, typ: typ, yard: yard, spot: spot, since: time.Now()}
+		c.machines[id] = m
+		number := c.rented
+		names = append(names, id)
+		time.AfterFunc(c.rentals.boot, func() { c.boot(m, number) })
+	}
+	return names
+}
+
+// boot brings a rented machine up.
+func (c *cluster) boot(m *machine, number int) {
+	for _, t := range c.types {
+		if t.Name != m.typ {
+			continue
+		}
+		w := newWorker(c, m.id, t, m.yard)
+		w.spot = m.spot
+		if c.rentals.onRent != nil {
+			c.rentals.onRent(w, number)
+		}
+		c.mu.Lock()
+		gone := m.gone
+		m.up, c.workers[m.id] = true, w
+		c.mu.Unlock()
+		if !gone {
+			c.log("cloud: %s is up", m.id)
+			go w.run()
+		}
+	}
+}
+
+// listed reports whether the cloud's list shows a machine: it lags by the time in the settings.
+func (m *machine) listed() bool {
+	return time.Since(m.since) >= listLag && (!m.gone || time.Since(m.end) < listLag)
+}
+
+// listLag is the lag of the cloud's list, as in the settings.
+const listLag = 8 * time.Second
+
+// cloud serves the cloud's interface: it has the machines that the case added, and the capacity that it set.
 func (c *cluster) cloud() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, map[string]any{"hulls": c.types}) })
@@ -311,15 +376,44 @@
 		defer c.mu.Unlock()
 		list := []map[string]any{}
 		for _, m := range c.machines {
-			if m.id > r.URL.Query().Get("after") && !m.gone {
-				list = append(list, map[string]any{"id": m.id, "addr": c.workers[m.id].addr, "hull": m.typ, "yard": m.yard, "loaners": false,
-					"phase": "running", "held_s": time.Since(m.since).Seconds()})
+			if m.id > r.URL.Query().Get("after") && m.listed() {
+				phase, addr := "booting", ""
+				if m.up {
+					phase, addr = "running", c.workers[m.id].addr
+				}
+				list = append(list, map[string]any{"id": m.id, "addr": addr, "hull": m.typ, "yard": m.yard, "loaners": m.spot,
+					"phase": phase, "held_s": time.Since(m.since).Seconds()})
 			}
 		}
 		sort.Slice(list, func(i, k int) bool { return list[i]["id"].(string) < list[k]["id"].(string) })
 		reply(w, 200, map[string]any{"hosts": list, "truncated": false})
 	})
-	mux.HandleFunc("POST /rentals", func(w http.ResponseWriter, _ *http.Request) { reply(w, 503, map[string]string{"error": "no capacity"}) })
+	hires := map[string][]string{}
+	mux.HandleFunc("POST /rentals", func(w http.ResponseWriter, r *http.Request) {
+		var in struct {
+			Hire string `json:"hire"`
+			Hull string `json:"hull"`
+			Yard string `json:"yard"`
+			Spot bool   `json:"loaners"`
+			Many int    `json:"how_many"`
+		}
+		if json.NewDecoder(r.Body).Decode(&in) != nil || in.Many < 1 || in.Many > 50 {
+			reply(w, 400, map[string]string{"error": "malformed"})
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if hires[in.Hire] == nil {
+			if hires[in.Hire] = c.rent(in.Hull, in.Yard, in.Spot, in.Many); len(hires[in.Hire]) == 0 {
+				delete(hires, in.Hire)
+				reply(w, 503, map[string]string{"error": "no capacity"})
+				return
+			}
+			c.logLocked("cloud: rents %d of %s in %s, spot %v: %v", in.Many, in.Hull, in.Yard, in.Spot, hires[in.Hire])
+			c.lastRental = time.Now()
+		}
+		reply(w, 200, map[string]any{"hosts": hires[in.Hire]})
+	})
 	mux.HandleFunc("POST /rentals/return", func(w http.ResponseWriter, r *http.Request) {
 		var in struct {
 			Hosts []string `json:"hosts"`
@@ -328,12 +422,12 @@
 		for _, id := range in.Hosts {
 			c.mu.Lock()
 			m, wk := c.machines[id], c.workers[id]
-			if m != nil {
-				m.gone = true
+			if m != nil && !m.gone {
+				m.gone, m.end = true, time.Now()
 			}
 			c.mu.Unlock()
+			c.log("cloud: %s is returned", id)
 			if wk != nil {
-				c.log("cloud: %s is returned", id)
 				wk.remove()
 			}
 		}
@@ -349,7 +443,7 @@
 	for _, t := range w.tasks {
 		w.leave(t, "the machine is gone")
 	}
-	w.tasks, w.silenced = nil, true
+	w.tasks, w.silenced, w.removed = nil, true, true
 }
 
 // jobOf returns the job of a task, or nil.
@@ -365,7 +459,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.intervals = append(c.intervals, &interval{w.id, t.Shard, t.Try, t.job, time.Now(), time.Time{}})
-	c.logLocked("machine %s (%s): %s attempt %d starts (%s, %g CPUs)", w.id, w.typ.Name, t.Shard, t.Try, t.job.Owner, t.job.CPUs)
+	if listsTask(t) {
+		c.logLocked("machine %s (%s): %s attempt %d starts (%s, %g CPUs)", w.id, w.typ.Name, t.Shard, t.Try, t.job.Owner, t.job.CPUs)
+	}
+}
+
+// listsTask reports whether the record lists the starts and ends of a task: of a job with very many tasks it lists the first three.
+func listsTask(t *taskState) bool {
+	_, number, _ := strings.Cut(t.Shard, "/")
+	n, _ := strconv.Atoi(number)
+	return t.job == nil || t.job.Shards < 1000 || n < 3
 }
 
 // ended records that an attempt is no longer on a machine.
@@ -377,7 +480,9 @@
 			i.to = time.Now()
 		}
 	}
-	c.logLocked("machine %s: %s attempt %d is off it: %s", w.id, t.Shard, t.Try, why)
+	if listsTask(t) {
+		c.logLocked("machine %s: %s attempt %d is off it: %s", w.id, t.Shard, t.Try, why)
+	}
 }
 
 // present returns the attempts that are on machines now.
@@ -393,6 +498,21 @@
 	return out
 }
 
+// countAttempts returns how many attempts of a job have been on machines, and how many of these have run to their end.
+func (c *cluster) countAttempts(id string) (starts, completed int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, i := range c.intervals {
+		if i.job.ID == id {
+			starts++
+			if !i.to.IsZero() && i.to.Sub(i.from) >= seconds(i.job.RunS) {
+				completed++
+			}
+		}
+	}
+	return starts, completed
+}
+
 var userClient = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
 
 // request sends a user's request to a node. Status 0 means no answer.
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -13,7 +13,8 @@
 )
 
 var cases = map[string]func(root, folder string, trouble bool) (int, error){
-	"quota": runQuota,
+	"quota":  runQuota,
+	"faulty": runFaulty,
 }
 
 func main() {
--- a/review/stand-2/quota.go
+++ b/review/stand-2/quota.go
@@ -21,7 +21,8 @@
 			{Name: "thistle-32", CPUs: 32, MemGB: 64, CacheGB: 70, FetchRate: 0.8, Price: 1.18, LowPrice: 0.26, ReadyS: 30, Yards: []string{zone}},
 			{Name: "heather-64", CPUs: 64, MemGB: 256, CacheGB: 50, FetchRate: 0.6, Price: 2.58, LowPrice: 0.62, ReadyS: 50, Yards: []string{zone}},
 		},
-		leaseS: 27, reportS: 3, cancelS: 47,
+		leaseS: 27, reportS: 3, cancelS: 47, stateRPS: 120, stateWrite: 25, cloudRPS: 5,
+		limits: map[string]any{"core_share": 0.12, "memory_mb": 342.0, "fd_limit": 3000},
 	}
 }
 
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -83,6 +83,8 @@
 	node     int // index of the node that it reports to
 	changed  chan struct{}
 	silenced bool // it is behind a cut: it neither sends nor answers
+	faulty   bool // it fails every task that it starts
+	removed  bool // its machine is gone
 }
 
 type order struct {
@@ -119,6 +121,12 @@
 	return w.silenced
 }
 
+func (w *worker) isRemoved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.removed
+}
+
 func (w *worker) setSilenced(v bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -145,6 +153,9 @@
 
 // advance applies what has happened by now: the lease's end, image fetches and ends of tasks. mu is held.
 func (w *worker) advance() {
+	if w.removed {
+		return
+	}
 	now := time.Now()
 	if now.Sub(w.renewed).Seconds() > w.c.leaseS {
 		for _, t := range w.tasks {
@@ -160,12 +171,18 @@
 			w.c.started(w, t)
 			w.notify()
 		}
+		if t.Phase == "running" && w.faulty && now.Sub(t.endsAt)+seconds(t.job.RunS) >= failAfter {
+			w.exit(t, "error")
+		}
 		if t.Phase == "running" && !now.Before(t.endsAt) {
 			w.exit(t, "done")
 		}
 	}
 }
 
+// failAfter is how long a task runs on a faulty machine.
+const failAfter = time.Second
+
 // exit ends a task. mu is held.
 func (w *worker) exit(t *taskState, cause string) {
 	w.leave(t, cause)
@@ -286,7 +303,7 @@
 		}
 	}()
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-	for !w.c.isStopped() {
+	for !w.c.isStopped() && !w.isRemoved() {
 		wait := w.sendReport(client)
 		sent := time.Now()
 		select {
