review: case 6, a packet filter between two controllers leaves users unanswered

Cause: a team's leader learns of a machine by its own poll of the partition's leader alone. While the two don't reach each other, ends of tasks and cancellations there are answered to nobody, though all else is reached.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(root, folder string, trouble bool) (int, error){
 	"quota":  runQuota,
 	"faulty": runFaulty,
+	"filter": runFilter,
 }
 
 func main() {
