--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -14,6 +14,7 @@
 
 var cases = map[string]func(root, folder string, trouble bool) (int, error){
 	"quota":  runQuota,
+	"small":  runSmall,
 	"faulty": runFaulty,
 	"filter": runFilter,
 }
