review: case 8, tasks stopped and started without end for a job that can't run

A team at its limit stops its tasks of lower priority before anybody looks whether a machine could take the waiting job, and starts them again in the same cycle.

The stand-ins end their processes when told to end, take controllers' addresses that no other run takes, and list at most 200 starts and ends of a job.

--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -93,6 +95,7 @@
 	ready      map[int]bool
 	broken     []string
 	logged     map[string]bool // keys of logOnce
+	listed     map[string]int  // lines on starts and ends of tasks, by job
 }
 
 // newCluster makes a cluster, whose controllers run in the repository at root. Files go to a temporary folder, the record to the
@@ -108,9 +111,12 @@
 	}
 	c := &cluster{deployment: d, root: root, dir: dir, record: record, begin: time.Now(), store: newStore(),
 		links: map[[2]int]*link{}, jobs: map[string]*jobSpec{}, machines: map[string]*machine{}, workers: map[string]*worker{},
-		ready: map[int]bool{}, logged: map[string]bool{}}
+		ready: map[int]bool{}, logged: map[string]bool{}, listed: map[string]int{}}
 	for i, zone := range d.zones {
-		n := &node{host: fmt.Sprintf("latchhost-%d", i), zone: zone, listen: freeAddr(), clusterListen: freeAddr()}
+		n := &node{host: fmt.Sprintf("latchhost-%d", i), zone: zone, listen: freeAddr(i), clusterListen: freeAddr(i)}
+		for n.clusterListen == n.listen {
+			n.clusterListen = freeAddr(i)
+		}
 		n.store = serve(c.store.handler(i))
 		c.nodes = append(c.nodes, n)
 	}
@@ -125,6 +131,7 @@
 			}
 		}
 	}
+	c.endOnSignal()
 	cloud := serve(c.cloud())
 	for i, n := range c.nodes {
 		if err := c.writeSettings(i, n, cloud); err != nil {
@@ -134,9 +141,22 @@
 	return c, nil
 }
 
-// freeAddr returns a loopback address with a port that is free.
-func freeAddr() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// endOnSignal ends the cluster's processes when this process is told to end.
+func (c *cluster) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		c.endProcesses()
+		os.Exit(2)
+	}()
+}
+
+// freeAddr returns a loopback address of the i-th controller with a port that is free. The address is not 127.0.0.1 and differs
+// between processes, so that no connection and no other run takes the port before the controller listens there.
+func freeAddr(i int) string {
+	pid := os.Getpid()
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+pid%200, 1+pid/200%200, 1+i))
 	if err != nil {
 		panic(fmt.Sprint("listen: ", err))
 	}
@@ -226,6 +246,9 @@
 // start starts a controller's process.
 func (c *cluster) start(i int) error {
 	n := c.nodes[i]
+	if c.isStopped() {
+		return nil
+	}
 	words, err := runCommand(c.root)
 	if err != nil {
 		return err
@@ -259,35 +282,54 @@
 	<-n.exited
 }
 
-// stop ends all processes and closes the record. It prints the verdict and returns the exit status.
-func (c *cluster) stop() int {
+// endProcesses ends all processes that the cluster started.
+func (c *cluster) endProcesses() {
 	for _, n := range c.nodes {
 		if n.process != nil {
 			n.process.Process.Kill()
 			<-n.exited
 		}
 	}
-	status := 0
+}
+
+// giveUp ends a case that could not run. It returns the case's status and err.
+func (c *cluster) giveUp(err error) (int, error) {
+	c.log("the case could not run: %v", err)
+	c.end()
+	return 2, err
+}
+
+// stop ends a case that ran. It prints the verdict and returns the exit status.
+func (c *cluster) stop() (status int) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.broken) > 0 {
+	broken := c.broken
+	c.mu.Unlock()
+	if len(broken) > 0 {
 		status = 1
-		c.logLocked("verdict: the rule was broken")
-		for _, b := range c.broken {
+		c.log("verdict: the rule was broken")
+		for _, b := range broken {
 			fmt.Println("broken:", b)
 		}
 	} else {
-		c.logLocked("verdict: the rule held")
+		c.log("verdict: the rule held")
 		fmt.Println("the rule held")
 	}
+	c.end()
+	return status
+}
+
+// end ends all processes and closes the record.
+func (c *cluster) end() {
+	c.mu.Lock()
 	c.stopped = true
+	c.mu.Unlock()
+	c.endProcesses()
 	c.record.Close()
 	if os.Getenv("KEEP_LOGS") == "" {
 		os.RemoveAll(c.dir)
 	} else {
 		fmt.Println("logs:", c.dir)
 	}
-	return status
 }
 
 func (c *cluster) isStopped() bool {
@@ -316,6 +358,7 @@
 // capacity is what the cloud has to give beside the machines that the case added.
 type capacity struct {
 	machines int           // how many machines it may still rent
+	typ      string        // of which type; empty: of any
 	boot     time.Duration // how long each takes to come up
 	// onRent, unless nil, is called with each machine's worker before the worker runs, and the number of the machine.
 	onRent func(w *worker, n int)
@@ -324,7 +367,7 @@
 // rent rents machines and returns their names. mu is held.
 func (c *cluster) rent(typ, yard string, spot bool, n int) []string {
 	names := []string{}
-	for ; n > 0 && c.rentals.machines > 0; n-- {
+	for ; n > 0 && c.rentals.machines > 0 && (c.rentals.typ == "" || c.rentals.typ == typ); n-- {
 		c.rentals.machines--
 		c.rented++
 		id := fmt.Sprintf("m-%06d", 500+c.rented)
@@ -459,16 +502,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.intervals = append(c.intervals, &interval{w.id, t.Shard, t.Try, t.job, time.Now(), time.Time{}})
-	if listsTask(t) {
+	if c.lists(t) {
 		c.logLocked("machine %s (%s): %s attempt %d starts (%s, %g CPUs)", w.id, w.typ.Name, t.Shard, t.Try, t.job.Owner, t.job.CPUs)
 	}
 }
 
-// listsTask reports whether the record lists the starts and ends of a task: of a job with very many tasks it lists the first three.
-func listsTask(t *taskState) bool {
+// maxListed is how many starts and ends of a job's tasks the record lists.
+const maxListed = 200
+
+// lists reports whether the record lists a start or an end of a task: of a job with very many tasks it lists those of the first three,
+// and of any job the first maxListed. mu is held.
+func (c *cluster) lists(t *taskState) bool {
 	_, number, _ := strings.Cut(t.Shard, "/")
-	n, _ := strconv.Atoi(number)
-	return t.job == nil || t.job.Shards < 1000 || n < 3
+	if n, _ := strconv.Atoi(number); t.job.Shards >= 1000 && n >= 3 {
+		return false
+	}
+	c.listed[t.job.ID]++
+	if c.listed[t.job.ID] == maxListed {
+		c.logLocked("further starts and ends of tasks of %s are not listed", t.job.ID)
+	}
+	return c.listed[t.job.ID] < maxListed
 }
 
 // ended records that an attempt is no longer on a machine.
@@ -480,7 +533,7 @@
 			i.to = time.Now()
 		}
 	}
-	if listsTask(t) {
+	if c.lists(t) {
 		c.logLocked("machine %s: %s attempt %d is off it: %s", w.id, t.Shard, t.Try, why)
 	}
 }
--- a/review/stand-2/faulty.go
+++ b/review/stand-2/faulty.go
@@ -42,22 +42,19 @@
 	}}
 	for i := range c.nodes {
 		if err := c.start(i); err != nil {
-			c.stop()
-			return 2, err
+			return c.giveUp(err)
 		}
 	}
 	c.watchReady()
 	if err := c.awaitReady(30 * time.Second); err != nil {
-		c.stop()
-		return 2, err
+		return c.giveUp(err)
 	}
 	time.Sleep(3 * time.Second)
 	due := 1.5*15 + 12
 	j := &jobSpec{ID: "job-000401", Class: "fraud-rescore", Owner: "settlement-eng-0", Shape: "array", Rank: "high", Shards: 16,
 		CPUs: 2, MemGB: 6, Bundle: "img-01", SizeGB: 0.5, Loaners: true, GuessS: 15, DueS: &due, RunS: 15}
 	if !c.submit(j, 0) {
-		c.stop()
-		return 2, fmt.Errorf("the job was not accepted")
+		return c.giveUp(fmt.Errorf("the job was not accepted"))
 	}
 	phase := ""
 	for begin, node := time.Now(), 0; time.Since(begin) < 95*time.Second && phase != "done"; node = (node + 1) % 3 {
--- a/review/stand-2/filter.go
+++ b/review/stand-2/filter.go
@@ -14,8 +14,7 @@
 	}
 	for i := range c.nodes {
 		if err := c.start(i); err != nil {
-			c.stop()
-			return 2, err
+			return c.giveUp(err)
 		}
 	}
 	c.watchReady()
@@ -23,19 +22,16 @@
 	c.addMachine("m-000001", "thistle-32", "scot-north")
 	c.addMachine("m-000007", "heather-64", "scot-north")
 	if err := c.awaitReady(30 * time.Second); err != nil {
-		c.stop()
-		return 2, err
+		return c.giveUp(err)
 	}
 	time.Sleep(5 * time.Second)
 	short, long := deck("job-000301", 1, 12, "heather-64"), deck("job-000302", 1, 110, "heather-64")
 	if !c.submit(short, 0) || !c.submit(long, 1) {
-		c.stop()
-		return 2, fmt.Errorf("the jobs were not accepted")
+		return c.giveUp(fmt.Errorf("the jobs were not accepted"))
 	}
 	for deadline := time.Now().Add(20 * time.Second); len(c.present()) < 2; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			c.stop()
-			return 2, fmt.Errorf("the jobs do not run")
+			return c.giveUp(fmt.Errorf("the jobs do not run"))
 		}
 	}
 	time.Sleep(3 * time.Second)
@@ -68,8 +64,7 @@
 		time.Sleep(2 * time.Second)
 	}
 	if completedAt.IsZero() {
-		c.stop()
-		return 2, fmt.Errorf("the short task did not complete")
+		return c.giveUp(fmt.Errorf("the short task did not complete"))
 	}
 	if !done {
 		c.fail("done: the last task of %s completed %.0f s ago, and no node has told its user so", short.ID, time.Since(completedAt).Seconds())
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -16,6 +16,7 @@
 	"quota":  runQuota,
 	"small":  runSmall,
 	"faulty": runFaulty,
+	"room":   runRoom,
 	"filter": runFilter,
 }
 
--- a/review/stand-2/quota.go
+++ b/review/stand-2/quota.go
@@ -42,8 +42,7 @@
 	}
 	for i := range c.nodes {
 		if err := c.start(i); err != nil {
-			c.stop()
-			return 2, err
+			return c.giveUp(err)
 		}
 	}
 	c.watchReady()
@@ -53,19 +52,16 @@
 	c.addMachine("m-000010", "thistle-32", "scot-north")
 	c.addMachine("m-000007", "heather-64", "scot-north")
 	if err := c.awaitReady(30 * time.Second); err != nil {
-		c.stop()
-		return 2, err
+		return c.giveUp(err)
 	}
 	time.Sleep(5 * time.Second)
 	// The team uses its whole limit: 64 CPUs on the large machine, 32 on a small one.
 	if !c.submit(deck("job-000101", 2, 75, "heather-64"), 0) || !c.submit(deck("job-000102", 1, 75, "thistle-32"), 0) {
-		c.stop()
-		return 2, fmt.Errorf("the first jobs were not accepted")
+		return c.giveUp(fmt.Errorf("the first jobs were not accepted"))
 	}
 	for deadline := time.Now().Add(20 * time.Second); len(c.present()) < 3; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			c.stop()
-			return 2, fmt.Errorf("the first jobs do not run")
+			return c.giveUp(fmt.Errorf("the first jobs do not run"))
 		}
 	}
 	time.Sleep(5 * time.Second)
--- a/review/stand-2/small.go
+++ b/review/stand-2/small.go
@@ -13,8 +13,7 @@
 	}
 	for i := range c.nodes {
 		if err := c.start(i); err != nil {
-			c.stop()
-			return 2, err
+			return c.giveUp(err)
 		}
 	}
 	c.watchReady()
@@ -22,8 +21,7 @@
 	c.addMachine("m-000003", "thistle-32", "scot-north")
 	c.addMachine("m-000007", "heather-64", "scot-north")
 	if err := c.awaitReady(30 * time.Second); err != nil {
-		c.stop()
-		return 2, err
+		return c.giveUp(err)
 	}
 	time.Sleep(5 * time.Second)
 	// The same work, 60 CPUs for 35 s, in many small tasks, or in tasks of which a report can list all.
@@ -38,8 +36,7 @@
 	c.log("of a job with 1,000 tasks or more this record lists the first three, and all at the end")
 	submitted := time.Now()
 	if !c.submit(j, 0) || !c.submit(other, 0) {
-		c.stop()
-		return 2, fmt.Errorf("the jobs were not accepted")
+		return c.giveUp(fmt.Errorf("the jobs were not accepted"))
 	}
 	done := map[string]bool{}
 	for ; time.Since(submitted) < 100*time.Second && len(done) < 2; time.Sleep(5 * time.Second) {
