scheduler: failures are counted by machine, so that one faulty machine does not take a job out of the demand for good

Cause: a job with more than six errors in a row was left out of the demand for machines. One faulty machine gives as many errors as it has tasks of the job, and the count went back only when a task completed, for which the job needs a machine. Change: failures on a machine that the job avoids already count once. A job with three such failures in a row is suspect: one of its tasks at a time stays in the demand, 10 s after the third failure and then at intervals that double, up to five minutes, until a task completes. Why it works: the demand never ends while the job waits, and a job with a mistake requests one machine at a time, ever more rarely. On related paths, the pause of the whole job and the demand for fair shares used the same count and the same function.

--- a/internal/peer/scaling.go
+++ b/internal/peer/scaling.go
@@ -32,7 +32,7 @@
 }
 
 // DemandResponse lists the waiting tasks of the teams that a scheduler leads, as far as they fit below the teams' limits.
-// It leaves out jobs whose tasks have failed many times in a row.
+// Of a job whose tasks have failed on many machines in a row it has a single task, and only at times.
 type DemandResponse struct{ Demands []Demand }
 
 // MachineRef identifies a machine. The zone is included because the partition of a machine is computed from
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -12,16 +12,16 @@
 
 // eachPlaceableJob calls visit for the jobs of the scheduling queue, team by team and within a team in the queue's order. tasks
 // is how many of the job's waiting tasks fit below the team's limit, after those of the team's earlier jobs. Jobs without such
-// tasks, and jobs that fail too often, are left out.
+// tasks are left out, and of suspect jobs all tasks but a probe (failureHistory).
 func (s *Scheduler) eachPlaceableJob(now clock.Micros, visit func(j *job, tasks int)) {
 	queue := s.schedulingOrder(now)
 	for _, tm := range s.teams {
 		remaining := tm.remainingBelowLimit()
 		for _, j := range queue {
-			if j.team != tm || j.consecutiveErrors > maxErrorsWithDemand {
+			if j.team != tm {
 				continue
 			}
-			if n := min(j.waiting(), tasksThatFit(remaining, j.Need)); n > 0 {
+			if n := j.failures.limitDemand(min(j.waiting(), tasksThatFit(remaining, j.Need)), now); n > 0 {
 				remaining = remaining.Minus(j.Need.Times(int64(n)))
 				visit(j, n)
 			}
@@ -29,10 +29,6 @@
 	}
 }
 
-// maxErrorsWithDemand is how many errors in a row a job may have while its tasks still count as demand: machines that are rented
-// for a job that keeps failing would be wasted.
-const maxErrorsWithDemand = 6
-
 // remainingBelowLimit returns how many CPUs and GPUs the team may still use below its limit.
 func (tm *team) remainingBelowLimit() resources.Amounts {
 	remaining := resources.Amounts{CPU: math.MaxInt64 / 4, GPU: math.MaxInt64 / 4}
--- /dev/null
+++ b/internal/scheduler/failures.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"maps"
+
+	"github.com/merlinlatch/merlinlatch/internal/clock"
+)
+
+const (
+	errorMachineBackoff = 20 * clock.Second  // how long a job avoids a machine on which one of its tasks has failed
+	maxErrorBackoff     = 30 * clock.Second  // longest pause of a job whose tasks keep failing
+	backoffMachines     = 3                  // machines on which a job fails in a row until the whole job pauses
+	suspectFailures     = 3                  // failures in a row from which on the job itself may be at fault, not the machines
+	minProbeInterval    = 10 * clock.Second  // least time between two machines that are requested for a suspect job
+	maxProbeInterval    = 300 * clock.Second // largest such time
+)
+
+// failureHistory holds the failures of a job's tasks, and the resulting restrictions. A faulty machine fails all tasks that run
+// on it, so failures are counted by machine, not by task: one machine says the same of a job of one task and of a thousand.
+//
+// A job with suspectFailures failures in a row is suspect: it may have been submitted with a mistake, and would then waste every
+// machine that is requested for it. But it may also have met as many faulty machines, and must run all the same. So it is
+// retried on the machines that are up, and machines are requested for one of its tasks at a time (a probe), at growing intervals,
+// until a task completes.
+type failureHistory struct {
+	inRow        int                     // failures since a task last completed; those on a machine while it is avoided count once
+	failedAt     map[string]clock.Micros // by machine of these failures: time of the first one
+	avoidUntil   map[string]clock.Micros // by machine: time before which no task is placed there, since one failed
+	backoffUntil clock.Micros            // time before which no task of the job is placed, since many failed
+
+	probeInterval clock.Micros // time between the last failure of a probe and the next probe; 0: the job is not suspect
+	probeAfter    clock.Micros // while the job is suspect: time before which no machine is requested for it
+}
+
+func newFailureHistory() failureHistory {
+	return failureHistory{failedAt: map[string]clock.Micros{}, avoidUntil: map[string]clock.Micros{}}
+}
+
+// record makes the job avoid a machine on which one of its tasks has failed. Once tasks have failed on backoffMachines machines, or
+// often in a row relative to the number of assigned tasks, the whole job backs off exponentially after each failure: otherwise
+// it would keep taking the capacity that its failures free.
+func (f *failureHistory) record(machine string, assigned int, now clock.Micros) {
+	if now >= f.avoidUntil[machine] {
+		f.inRow++
+	}
+	if _, failed := f.failedAt[machine]; !failed {
+		f.failedAt[machine] = now
+	}
+	f.avoidUntil[machine] = now + errorMachineBackoff
+	if len(f.failedAt) >= backoffMachines || f.inRow > 3*max(1, assigned) {
+		f.backoffUntil = now + min(clock.Second<<min(f.inRow/2, 6), maxErrorBackoff)
+	}
+	if f.inRow >= suspectFailures && now >= f.probeAfter {
+		f.probeInterval = min(max(2*f.probeInterval, minProbeInterval), maxProbeInterval)
+		f.probeAfter = now + f.probeInterval
+	}
+}
+
+// recordSuccess records that a task of the job has completed: the job is not at fault. Machines that failed are still avoided
+// for their time.
+func (f *failureHistory) recordSuccess(now clock.Micros) {
+	if f.inRow == 0 && len(f.avoidUntil) == 0 {
+		return
+	}
+	f.inRow = 0
+	f.probeInterval, f.probeAfter = 0, 0
+	clear(f.failedAt)
+	maps.DeleteFunc(f.avoidUntil, func(_ string, until clock.Micros) bool { return now >= until })
+}
+
+// isSuspect reports whether the job may be at fault for its failures.
+func (f *failureHistory) isSuspect() bool { return f.probeInterval > 0 }
+
+// limitDemand returns for how many of a number of waiting tasks machines may be requested now.
+func (f *failureHistory) limitDemand(tasks int, now clock.Micros) int {
+	switch {
+	case !f.isSuspect():
+		return tasks
+	case now < f.probeAfter:
+		return 0
+	}
+	return min(tasks, 1)
+}
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -9,7 +9,7 @@
 // mayAssign reports whether a job's constraints and failures, its team's yield backoff and the zone's state allow a task of the
 // job on a machine now. It does not look at the machine's capacity.
 func (s *selector) mayAssign(j *job, m *machineState, now clock.Micros) bool {
-	return now >= j.avoidUntil[m.ID] && j.fitsConstraints(m) && !j.backsOffAt(m.leader, now) && s.zones.admits(m.Zone, j, now)
+	return now >= j.failures.avoidUntil[m.ID] && j.fitsConstraints(m) && !j.backsOffAt(m.leader, now) && s.zones.admits(m.Zone, j, now)
 }
 
 // fitsConstraints reports whether the job's constraints allow one more of its tasks on a machine. The zone constraints
@@ -29,9 +29,9 @@
 	return !j.Spread || j.tasksByZone[m.Zone]+1 <= (j.Tasks+1)/2
 }
 
-// unconstrained reports whether the job has no constraints on its machines and none of its tasks has ever failed.
+// unconstrained reports whether the job has no constraints on its machines and avoids none of them because of failures.
 func (j *job) unconstrained() bool {
-	return j.Spot && j.Zone == "" && len(j.Types) == 0 && !j.OneZone && !j.Spread && len(j.avoidUntil) == 0
+	return j.Spot && j.Zone == "" && len(j.Types) == 0 && !j.OneZone && !j.Spread && len(j.failures.avoidUntil) == 0
 }
 
 // rejectionBackoff is how long no task is assigned to a machine's free capacity after its partition leader has rejected an
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -51,12 +51,10 @@
 	noPlacementSince clock.Micros // since when every search for a machine has failed; 0: the last one succeeded, or there was none
 	imageWaitSince   clock.Micros // when it began to wait for a machine with its image; 0 again once one had capacity
 
-	runs              []taskRun
-	consecutiveErrors int
-	retries           int                     // how often tasks had to be placed again
-	lastStartAt       clock.Micros            // when a task was last seen to start running
-	avoidUntil        map[string]clock.Micros // by machine: time before which no task is placed there, since one failed
-	backoffUntil      clock.Micros            // time before which no task of the job is placed, since many failed
+	runs        []taskRun
+	failures    failureHistory
+	retries     int          // how often tasks had to be placed again
+	lastStartAt clock.Micros // when a task was last seen to start running
 }
 
 // AddJob adds an active job, if its team is led here.
@@ -80,7 +78,7 @@
 		dirtyChunks:       map[int]bool{},
 		unacknowledged:    map[peer.TaskID]string{},
 		acknowledgedTerms: map[peer.TaskID]uint64{},
-		avoidUntil:        map[string]clock.Micros{},
+		failures:          newFailureHistory(),
 	}
 	if spec.ModRevision < tm.modRevision {
 		j.setAssignedByFormer(s.legacyRecords)
@@ -228,19 +226,3 @@
 		j.noPlacementSince = now
 	}
 }
-
-const (
-	errorMachineBackoff = 20 * clock.Second // how long a job avoids a machine on which one of its tasks has failed
-	maxErrorBackoff     = 30 * clock.Second // longest pause of a job whose tasks keep failing
-)
-
-// recordFailure makes the job avoid a machine on which one of its tasks has failed. Once its tasks have failed on three machines,
-// or often in a row, the whole job backs off exponentially after each failure: otherwise it would keep taking the capacity that
-// its failures free.
-func (j *job) recordFailure(machine string, now clock.Micros) {
-	j.consecutiveErrors++
-	j.avoidUntil[machine] = now + errorMachineBackoff
-	if len(j.avoidUntil) >= 3 || j.consecutiveErrors > 3*max(1, len(j.assignments)) {
-		j.backoffUntil = now + min(clock.Second<<min(j.consecutiveErrors/2, 6), maxErrorBackoff)
-	}
-}
--- a/internal/scheduler/queue_order.go
+++ b/internal/scheduler/queue_order.go
@@ -28,7 +28,7 @@
 
 // isPlaceable reports whether the job has waiting tasks, and is neither about to end nor backing off after failures.
 func (j *job) isPlaceable(now clock.Micros) bool {
-	return !j.cancelling && !j.finalWriteInFlight && j.waiting() > 0 && now >= j.backoffUntil
+	return !j.cancelling && !j.finalWriteInFlight && j.waiting() > 0 && now >= j.failures.backoffUntil
 }
 
 // compareJobs compares two jobs by their order in the queue, see schedulingOrder.
--- a/internal/scheduler/reconciliation.go
+++ b/internal/scheduler/reconciliation.go
@@ -151,7 +151,7 @@
 	if j.markDone(id.N); j.doneCount == j.Tasks && a != nil {
 		s.distributions.recordLateness(j, now)
 	}
-	j.consecutiveErrors = 0
+	j.failures.recordSuccess(now)
 	if j.acknowledgedTerms[id] != m.Term {
 		j.unacknowledged[id] = m.ID
 	}
@@ -172,7 +172,7 @@
 	default:
 		j.retries++
 		s.counters.Failed++
-		j.recordFailure(m.ID, now)
+		j.failures.record(m.ID, len(j.assignments), now)
 	}
 	if j.acknowledgedTerms[view.ID] != m.Term {
 		s.acknowledge(j, view.ID, m.ID)
--- a/internal/scheduler/selection_scenario_test.go
+++ b/internal/scheduler/selection_scenario_test.go
@@ -22,7 +22,7 @@
 	}
 	require.Positive(t, starts)
 	require.Less(t, starts, 40, "starts in ten seconds of failures")
-	require.NotZero(t, sim.scheduler.teams[red].jobs["job-1"].backoffUntil)
+	require.NotZero(t, sim.scheduler.teams[red].jobs["job-1"].failures.backoffUntil)
 }
 
 // Concurrent image fetches share a machine's rate, so two images on one machine delay the tasks of both jobs. When two jobs
