scheduler, partition: a machine that fails only a suspect job is quarantined, so that it is not taken for the job's room

Callers would see: a job that has met three faulty machines waits on, though the cloud has sound ones. Cause: a partition leader counts a job's failures against machines only until the job has failed on more than two of its machines. A further faulty machine stays in use; it is up and empty, so the plan takes it for the room that the job waits for and rents nothing. Change: the scheduler of a suspect job asks for the quarantine of a machine on which the job fails (in the list that has slow machines, so no message changes), if nothing has completed there since the job first failed there and no task is left. One machine between two probes. Why it works: the machine is no room then, so the next probe rents another one; the bound keeps a job with a mistake from emptying the fleet.

--- a/internal/partition/batches.go
+++ b/internal/partition/batches.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// HandleBatch carries out a scheduler's batch: cancellations, stops, starts, acknowledgements and slow machines
+// HandleBatch carries out a scheduler's batch: cancellations, stops, starts, acknowledgements and reported machines
 // first, then the assignments.
 func (s *State) HandleBatch(in peer.Batch, processID string, now clock.Micros) peer.BatchResponse {
 	last := s.batches[in.From]
@@ -49,7 +49,7 @@
 		s.startHeldLease(&in.Starts[i], in.Terms[in.Starts[i].Team], now)
 	}
 	s.applyAcknowledgements(in.Settles)
-	s.quarantineSlow(in.Slow)
+	s.quarantineReported(in.Slow)
 	s.decideAssignments(&in, &response, now)
 	s.batches[in.From] = lastBatch{in.Seq, response, now}
 	return response
--- a/internal/partition/quarantine.go
+++ b/internal/partition/quarantine.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// quarantineSlow quarantines machines on which tasks take much longer than on others, as a scheduler reports.
-func (s *State) quarantineSlow(ids []string) {
+// quarantineReported quarantines machines on which tasks take much longer than on others, or only failed, as a scheduler reports.
+func (s *State) quarantineReported(ids []string) {
 	for _, id := range ids {
 		if m := s.machines[id]; m != nil && !m.failures.quarantined {
 			m.failures.quarantined = true
--- a/internal/peer/batches.go
+++ b/internal/peer/batches.go
@@ -93,7 +93,7 @@
 	Settles []Acknowledgement
 	Cancels []CancelJob
 	Starts  []StartTask // starts of tasks that have a held lease
-	Slow    []string    // ids of machines to quarantine, since tasks take much longer there than elsewhere
+	Slow    []string    // ids of machines to quarantine: tasks take much longer there than elsewhere, or only failed there
 }
 
 // Empty reports whether the batch has nothing to carry out.
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -28,8 +28,9 @@
 	avoidUntil   map[string]clock.Micros // by machine: time before which no task is placed there, since one failed
 	backoffUntil clock.Micros            // time before which no task of the job is placed, since many failed
 
-	probeInterval clock.Micros // time between the last failure of a probe and the next probe; 0: the job is not suspect
-	probeAfter    clock.Micros // while the job is suspect: time before which no machine is requested for it
+	probeInterval   clock.Micros // time between the last failure of a probe and the next probe; 0: the job is not suspect
+	probeAfter      clock.Micros // while the job is suspect: time before which no machine is requested for it
+	quarantineAfter clock.Micros // time before which no other machine is quarantined for the job's failures
 }
 
 func newFailureHistory() failureHistory {
@@ -63,7 +64,7 @@
 		return
 	}
 	f.inRow = 0
-	f.probeInterval, f.probeAfter = 0, 0
+	f.probeInterval, f.probeAfter, f.quarantineAfter = 0, 0, 0
 	clear(f.failedAt)
 	maps.DeleteFunc(f.avoidUntil, func(_ string, until clock.Micros) bool { return now >= until })
 }
@@ -81,3 +82,24 @@
 	}
 	return min(tasks, 1)
 }
+
+// quarantineIfFaulty asks for the quarantine of a machine on which a task of a suspect job has failed, if nothing shows that the
+// machine is sound: no task has completed on it since the job first failed there, and none is left on it. Its partition leader may
+// take the job to be at fault and leave the machine in use: it would be the room that the job waits for, and fail it again and again.
+// Between two probes only one machine is quarantined, so that a job with a mistake takes no fleet with it.
+func (s *Scheduler) quarantineIfFaulty(j *job, m *machineState, now clock.Micros) {
+	if !j.failures.isSuspect() || now < j.failures.quarantineAfter || m.Sick || m.hasUnfinishedTask() {
+		return
+	}
+	if m.lastCompletionAt >= j.failures.failedAt[m.ID] {
+		return
+	}
+	j.failures.quarantineAfter = max(j.failures.probeAfter, now+minProbeInterval)
+	s.requestQuarantine(m)
+}
+
+// requestQuarantine asks a machine's partition leader to give it no more tasks, and to have it returned once it is empty.
+func (s *Scheduler) requestQuarantine(m *machineState) {
+	session := s.sessions[m.leader]
+	session.pending.Slow = append(session.pending.Slow, m.ID)
+}
--- a/internal/scheduler/failures_scenario_test.go
+++ b/internal/scheduler/failures_scenario_test.go
@@ -154,7 +154,7 @@
 func TestJobRunsAfterFaultyMachines(t *testing.T) {
 	for _, economy := range []bool{true, false} {
 		for _, tasks := range []int{1, 5, 16, 100} {
-			for faulty := range 3 {
+			for faulty := range 6 {
 				t.Run(fmt.Sprintf("economy %v, %d tasks, %d faulty machines", economy, tasks, faulty), func(t *testing.T) {
 					fleet := newRentedFleet(t, economy, func(number int) bool { return number <= faulty })
 					fleet.addJob("job-1", tasks, smallTasks)
--- a/internal/scheduler/machine_cache.go
+++ b/internal/scheduler/machine_cache.go
@@ -97,7 +97,10 @@
 }
 
 // addObservedTask adds a task to a machine's state or replaces the task's earlier state.
-func (c *machineCache) addObservedTask(m *machineState, t *observedTask) {
+func (c *machineCache) addObservedTask(m *machineState, t *observedTask, now clock.Micros) {
+	if earlier := m.tasks[t.ID]; t.Cause == wire.CauseDone && (earlier == nil || earlier.Cause != wire.CauseDone) {
+		m.lastCompletionAt = now
+	}
 	c.removeObservedTask(m, t.ID)
 	m.tasks[t.ID] = t
 	if t.isFetching() {
@@ -132,7 +135,7 @@
 func (c *machineCache) updateObservedTasks(m *machineState, view *peer.MachineView, now clock.Micros) (removed []peer.TaskID) {
 	listed := make(map[peer.TaskID]bool, len(view.Tasks))
 	for i := range view.Tasks {
-		c.addObservedTask(m, &observedTask{TaskView: view.Tasks[i], startedAt: now - view.Tasks[i].Since})
+		c.addObservedTask(m, &observedTask{TaskView: view.Tasks[i], startedAt: now - view.Tasks[i].Since}, now)
 		listed[view.Tasks[i].ID] = true
 	}
 	removed = view.Left
--- a/internal/scheduler/machine_state.go
+++ b/internal/scheduler/machine_state.go
@@ -27,6 +27,7 @@
 	slowdownSum        float64             // sum of the ratios of run times here to those of the same jobs elsewhere
 	slowdownSamples    int                 // number of these ratios
 	slow               bool
+	lastCompletionAt   clock.Micros // when a task of any team was last seen to have completed on the machine
 
 	rejected   bool // an assignment was rejected, other than by yielding, and no newer view has arrived since
 	rejectedAt clock.Micros
@@ -68,6 +69,16 @@
 	return false
 }
 
+// hasUnfinishedTask reports whether the machine has a task that has not exited.
+func (m *machineState) hasUnfinishedTask() bool {
+	for _, t := range m.tasks {
+		if t.counted {
+			return true
+		}
+	}
+	return false
+}
+
 // hasImage reports whether the machine's view lists the job's image.
 func (m *machineState) hasImage(j *job) bool { return slices.Contains(m.Images, j.Image) }
 
--- a/internal/scheduler/reconciliation.go
+++ b/internal/scheduler/reconciliation.go
@@ -173,6 +173,7 @@
 		j.retries++
 		s.counters.Failed++
 		j.failures.record(m.ID, len(j.assignments), now)
+		s.quarantineIfFaulty(j, m, now)
 	}
 	if j.acknowledgedTerms[view.ID] != m.Term {
 		s.acknowledge(j, view.ID, m.ID)
--- a/internal/scheduler/slow_machines.go
+++ b/internal/scheduler/slow_machines.go
@@ -51,8 +51,7 @@
 		}
 		mean := max(((total - sum[r.machine]) / clock.Micros(others)).Seconds(), 0.1)
 		if m.recordSlowdown(r.duration.Seconds() / mean); m.slow {
-			session := s.sessions[m.leader]
-			session.pending.Slow = append(session.pending.Slow, m.ID)
+			s.requestQuarantine(m)
 		}
 	}
 }
