partition, scheduler, autoscaler: a machine gets no more tasks than its worker can list in a heartbeat

Cause: a worker lists all its tasks in each heartbeat, exited ones until they are forgotten, and a request's body may have 64 KiB. Nothing but CPUs and memory bounded the tasks on a machine. A worker with too many sends no heartbeat, and its lease ends, for all that is on it. Change: package tasklist counts what an attempt takes on the list at most. Partition leaders reject an assignment for which the list has no room, schedulers filter such machines, preempt nothing for them, and take "no capacity" over to other jobs only where it holds for those too; the plan of the fleet packs and rents by the list as well. Tasks of less than a CPU leave room on the list to a task on each free CPU and to 32 at least: otherwise they would shut out larger tasks while most CPUs are free. Why it works: the leader's list contains the worker's, and an entry counts with its longest state, so that all may end at once.

A test is replaced: TestLeaseIsNotExtendedWhileStopsDoNotFitIntoAnswer had a leader assign 801 tasks to a machine, which it now rejects. The worker gets them by a command of an earlier leader instead, and the rest is as it was: it passes on, and fails there when an answer that can't hold all stops is sent all the same (401 tasks run on).

--- a/internal/autoscaler/plan_packing.go
+++ b/internal/autoscaler/plan_packing.go
@@ -6,6 +6,7 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/resources"
+	"github.com/merlinlatch/merlinlatch/internal/tasklist"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -14,6 +15,7 @@
 type bin struct {
 	kind     InstanceKind
 	free     resources.Amounts
+	tasks    int  // tasks on the list that its worker reports, and those packed into the bin
 	reserved bool // a waiting task was packed into the bin
 }
 
@@ -22,7 +24,7 @@
 	if !d.Need.Fits(b.free) || !permits(d, b.kind) {
 		return 0
 	}
-	n := limit
+	n := min(limit, tasklist.FreeEntries(b.tasks, d.Need, b.free))
 	for _, x := range [...]struct{ free, need int64 }{
 		{b.free.CPU, d.Need.CPU},
 		{b.free.GPU, d.Need.GPU},
@@ -33,6 +35,7 @@
 		}
 	}
 	b.free = b.free.Minus(d.Need.Times(int64(n)))
+	b.tasks += n
 	b.reserved = b.reserved || n > 0
 	return n
 }
@@ -51,7 +54,7 @@
 		if !v.Usable {
 			continue
 		}
-		p.viewBins[i] = bin{kind: InstanceKind{v.Type, v.Zone, v.Spot}, free: v.Free}
+		p.viewBins[i] = bin{kind: InstanceKind{v.Type, v.Zone, v.Spot}, free: v.Free, tasks: v.Count}
 		p.bins = append(p.bins, &p.viewBins[i])
 		p.usedCPU += v.Cap.CPU - v.Free.CPU
 		p.totalCPU += v.Cap.CPU
--- a/internal/autoscaler/plan_scale_out.go
+++ b/internal/autoscaler/plan_scale_out.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/tasklist"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -96,7 +97,8 @@
 
 // requiredCPUs returns the number of CPUs that complete all running and waiting tasks within catchupS seconds. Tasks
 // with a deadline that is still ahead count with a shorter time where that is needed. It is not made shorter than an instance of
-// type t takes to boot plus minCatchupAfterBootS, since requesting it would not help earlier.
+// type t takes to boot plus minCatchupAfterBootS, since requesting it would not help earlier. However little a task needs, it takes its
+// share of the list that a machine's worker reports.
 func (p *planner) requiredCPUs(t wire.MachineType, catchupS, meanRunS float64) float64 {
 	cpus := float64(p.usedCPU) / cpuUnit * meanRunS / 2 / catchupS // running tasks are half done on average
 	for i := range p.Demands {
@@ -105,7 +107,7 @@
 		if d.Slack > 0 {
 			withinS = min(catchupS, max(d.Slack.Seconds()-t.BootS*bootSlackFactor, t.BootS+minCatchupAfterBootS))
 		}
-		cpus += d.Need.CPUs() * max(d.RunFor.Seconds(), minRunS) * float64(d.Waiting) / withinS
+		cpus += max(d.Need.CPUs(), tasklist.MinCPUs(t.CPUs)) * max(d.RunFor.Seconds(), minRunS) * float64(d.Waiting) / withinS
 	}
 	return cpus
 }
--- a/internal/autoscaler/plan_test.go
+++ b/internal/autoscaler/plan_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/resources"
+	"github.com/merlinlatch/merlinlatch/internal/tasklist"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -174,3 +176,19 @@
 	require.Equal(t, []ScaleIn{{"m-007", "a", "failed"}}, step(28*sec, true))
 	require.Len(t, step(3*sec, true), 245)
 }
+
+// A worker's heartbeat lists a limited number of tasks, so that many small tasks need more machines than their CPUs do.
+func TestPlanRequestsMachinesForManySmallTasks(t *testing.T) {
+	for _, economy := range []bool{false, true} {
+		in := testInput()
+		in.Parameters.Economy = economy
+		in.Demands = waitingDemand(3000, func(d *peer.Demand) { d.Need = resources.Request(0.001, 0, 0.001) })
+		spot, ordinary := countBySpot(scaleOutOf(Plan(in)))
+		require.GreaterOrEqual(t, spot+ordinary, 3000/tasklist.PlannedTasks, "economy %v", economy)
+	}
+	in := testInput()
+	in.Demands = waitingDemand(1, func(d *peer.Demand) { d.Need = resources.Request(0.001, 0, 0.001) })
+	in.Views = []peer.MachineView{{ID: "m-1", Type: "big", Zone: "a", Usable: true, Cap: bigCapacity(), Free: bigCapacity(),
+		Count: tasklist.PlannedTasks}}
+	require.Len(t, scaleOutOf(Plan(in)), 1, "the list of the machine is full")
+}
--- a/internal/partition/lease_extension_test.go
+++ b/internal/partition/lease_extension_test.go
@@ -126,14 +126,18 @@
 	}
 }
 
-// Guards against ran_cancelled on a machine with more tasks of ended jobs than fit into one answer.
+// Guards against ran_cancelled on a machine with more tasks of ended jobs than fit into one answer. A leader of an earlier release has
+// assigned them: it did not bound the tasks on a machine.
 func TestLeaseIsNotExtendedWhileStopsDoNotFitIntoAnswer(t *testing.T) {
 	const tasks = 2*maxCommands + 1
 	s := newFixture(t)
 	s.state.SetMachineTypes(map[string]resources.Amounts{"big": resources.Capacity(2*tasks, 0, 2*tasks)})
+	earlier := wire.Orders{FencingToken: s.worker.FencingToken, Incarnation: s.worker.Incarnation}
 	for n := range tasks {
-		requireAssigned(s, n, uint64(n+1))
+		earlier.Orders = append(earlier.Orders, wire.Order{Verb: wire.VerbRun, Task: wire.TaskName("job-1", n), Attempt: uint64(n + 1)})
 	}
+	_, executed := s.worker.HandleCommands(earlier, s.now)
+	require.True(t, executed)
 	for range 4 {
 		s.heartbeat()
 	}
--- a/internal/partition/machine.go
+++ b/internal/partition/machine.go
@@ -9,6 +9,7 @@
 	"github.com/merlinlatch/merlinlatch/internal/inventory"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/resources"
+	"github.com/merlinlatch/merlinlatch/internal/tasklist"
 	"github.com/merlinlatch/merlinlatch/wire"
 )
 
@@ -88,6 +89,18 @@
 	return started, leased
 }
 
+// listedBytes returns the most bytes that the machine's tasks take in a heartbeat of its worker. Tasks that are not on the worker's list
+// yet count too, and so do exited ones until the worker has forgotten them.
+func (m *machine) listedBytes() (n int) {
+	for id := range m.tasks {
+		n += entryBytes(id)
+	}
+	return n
+}
+
+// entryBytes returns the most bytes that an attempt takes in a heartbeat.
+func entryBytes(id peer.TaskID) int { return tasklist.EntryBytes(id.Job, id.N, id.Attempt) }
+
 // usable reports whether the machine may get tasks now.
 func (m *machine) usable(now clock.Micros) bool {
 	return m.accounted && m.record == recordPresent &&
--- a/internal/partition/scene_test.go
+++ b/internal/partition/scene_test.go
@@ -104,8 +104,11 @@
 }
 
 // assign sends an assignment of a task and reports whether it was accepted.
-func (s *fixture) assign(n int, attempt uint64) bool {
-	return !s.sendBatch(peer.Batch{Asks: []peer.Assignment{assignment(n, attempt)}}).Refused[0]
+func (s *fixture) assign(n int, attempt uint64) bool { return s.assignMessage(assignment(n, attempt)) }
+
+// assignMessage sends an assignment and reports whether it was accepted.
+func (s *fixture) assignMessage(a peer.Assignment) bool {
+	return !s.sendBatch(peer.Batch{Asks: []peer.Assignment{a}}).Refused[0]
 }
 
 // tasks returns the tasks in the leader's view of the machine.
@@ -117,7 +120,7 @@
 func (s *fixture) assignWithHeldLease(n int, attempt uint64) bool {
 	a := assignment(n, attempt)
 	a.Hold = 20 * sec
-	return !s.sendBatch(peer.Batch{Asks: []peer.Assignment{a}}).Refused[0]
+	return s.assignMessage(a)
 }
 
 // startFirstTask returns the message that starts the job's first task, attempt 1, on its held lease.
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
+	"github.com/merlinlatch/merlinlatch/internal/peer"
+	"github.com/merlinlatch/merlinlatch/internal/tasklist"
 )
 
 // mayAssign reports whether a job's constraints and failures, its team's yield backoff and the zone's state allow a task of the
@@ -59,11 +61,25 @@
 	return out
 }
 
-// hasCapacity reports whether the machine has capacity for a task of a job.
+// hasCapacity reports whether the machine has capacity for a task of a job, and room for it in the list of its worker.
 func (m *machineState) hasCapacity(j *job) bool {
-	return j.Need.Fits(m.available) && m.available.Mem > 0
+	return j.Need.Fits(m.available) && m.available.Mem > 0 && m.hasListRoom(j)
 }
 
+// hasListRoom reports whether the list that the machine's worker reports has room for a task of a job. Stopping tasks makes no room:
+// they stay on the list until they are forgotten.
+func (m *machineState) hasListRoom(j *job) bool {
+	return tasklist.Admits(m.listedBytes, j.entryBytes(), j.Need, m.available)
+}
+
+// entryBytes returns the most bytes that a new attempt of a task of the job takes in a heartbeat.
+func (j *job) entryBytes() int {
+	return tasklist.EntryBytes(j.ID, j.Tasks-1, j.team.maxAttempt())
+}
+
+// entryBytes returns the most bytes that an attempt takes in a heartbeat.
+func entryBytes(id peer.TaskID) int { return tasklist.EntryBytes(id.Job, id.N, id.Attempt) }
+
 // recentlyRejected reports whether the machine's partition leader has rejected an assignment, other than by yielding to another
 // team, within rejectionBackoff and no newer view has arrived since.
 func (m *machineState) recentlyRejected(now clock.Micros) bool {
--- a/internal/scheduler/machine_cache.go
+++ b/internal/scheduler/machine_cache.go
@@ -46,10 +46,13 @@
 }
 
 // recomputeAvailable updates a machine's available capacity: what its view shows as free, less the assignments that the
-// view does not show yet.
+// view does not show yet. It also updates the length of its worker's list.
 func (c *machineCache) recomputeAvailable(m *machineState) {
-	m.available = m.Free
-	for _, a := range m.assignments {
+	m.available, m.listedBytes = m.Free, m.observedBytes
+	for id, a := range m.assignments {
+		if m.tasks[id] == nil {
+			m.listedBytes += entryBytes(id)
+		}
 		if a.unanswered || a.processID == m.processID && a.term == m.Term && a.viewVersion > m.Version {
 			m.available = m.available.Minus(a.job.Need)
 		}
@@ -103,6 +106,7 @@
 	}
 	c.removeObservedTask(m, t.ID)
 	m.tasks[t.ID] = t
+	m.observedBytes += entryBytes(t.ID)
 	if t.isFetching() {
 		m.fetchingJobs[t.ID.Job]++
 	}
@@ -119,6 +123,7 @@
 		return
 	}
 	delete(m.tasks, id)
+	m.observedBytes -= entryBytes(id)
 	if t.isFetching() {
 		if m.fetchingJobs[id.Job]--; m.fetchingJobs[id.Job] == 0 {
 			delete(m.fetchingJobs, id.Job)
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -135,6 +135,9 @@
 
 // victimsOn selects the tasks to stop on a machine to make capacity for one task of a job.
 func victimsOn(j *job, m *machineState, guaranteeDue bool, now clock.Micros) (out victimSet) {
+	if !m.hasListRoom(j) {
+		return victimSet{}
+	}
 	var candidates []*observedTask
 	for _, t := range m.tasks {
 		if j.mayStop(t, guaranteeDue, now) {
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -11,7 +11,8 @@
 // leaders, which accept or reject them. The stages of a cycle are
 //
 //   - queue: schedulingOrder lists the jobs with tasks to place, in order (queue_order.go);
-//   - filter: findCapacity collects machines with capacity for a task (filter.go, capacity_index.go);
+//   - filter: findCapacity collects machines with capacity for a task, and room on the list of its worker (filter.go,
+//     capacity_index.go);
 //   - score: selectMachine picks one of them, by image, fragmentation and the team's order (selection.go, scoring.go),
 //     or by estimated cost (costs.go), or preempts tasks to make capacity (preemption.go);
 //   - reserve: reserve counts the assignment, subtracts its capacity from the cached machine and queues the message.
@@ -120,6 +121,7 @@
 	a := newAssignment(j, task, m, now)
 	m.addAssignment(a)
 	m.available = m.available.Minus(j.Need)
+	m.listedBytes += entryBytes(a.id)
 	if fetch, ok := s.fetchRates.fetchTime(j, m); ok && !m.hasImage(j) {
 		m.assignedFetchUntil, m.assignedFetchImage = now+fetch, j.Image
 	}
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/jobs"
@@ -106,6 +107,9 @@
 	return peer.TaskID{Job: jobID, N: task, Attempt: tm.term<<32 | tm.attemptCounter}
 }
 
+// maxAttempt returns an attempt number that is at least as long, in digits, as those of the team's attempts under this term.
+func (tm *team) maxAttempt() uint64 { return tm.term<<32 | math.MaxUint32 }
+
 // withinLimit reports whether the team stays within its limit with one more task of this resource request.
 func (tm *team) withinLimit(need resources.Amounts) bool {
 	return fitsLimit(tm.used.Plus(tm.unaccountedCapacity).Plus(need), tm.Limit)
