scheduler: a task that outlives the failed ones shows that a suspect job is sound, before any completes

Callers would see: a job with long tasks that has met several faulty machines gets its machines one at a time until its first task completes, which can take minutes. Cause: only a completed task ended the limit on a suspect job's demand. Change: the limit doesn't hold while a task of the job has run for twice as long as any that failed, and for 10 s. Why it works: a job with a mistake fails within about the same time everywhere, so none of its tasks gets that far. The run time of an attempt was computed in three places and is a method now.

--- a/internal/scheduler/assignments.go
+++ b/internal/scheduler/assignments.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// runTime returns for how long the attempt has been seen running.
+func (a *assignment) runTime(now clock.Micros) clock.Micros {
+	if a.runningSince == 0 {
+		return 0
+	}
+	return now - a.runningSince
+}
+
 // message returns the request for the assignment to the partition leader.
 func (a *assignment) message() peer.Assignment {
 	j := a.job
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -21,7 +21,7 @@
 			if j.team != tm {
 				continue
 			}
-			if n := j.failures.limitDemand(min(j.waiting(), tasksThatFit(remaining, j.Need)), now); n > 0 {
+			if n := min(j.waiting(), tasksThatFit(remaining, j.Need), j.demandLimit(now)); n > 0 {
 				remaining = remaining.Minus(j.Need.Times(int64(n)))
 				visit(j, n)
 			}
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 )
@@ -11,6 +12,7 @@
 	maxErrorBackoff     = 30 * clock.Second  // longest pause of a job whose tasks keep failing
 	backoffMachines     = 3                  // machines on which a job fails in a row until the whole job pauses
 	suspectFailures     = 3                  // failures in a row from which on the job itself may be at fault, not the machines
+	minSoundRun         = 10 * clock.Second  // least time for which a task of a suspect job runs to show that the job is sound
 	minProbeInterval    = 10 * clock.Second  // least time between two machines that are requested for a suspect job
 	maxProbeInterval    = 300 * clock.Second // largest such time
 )
@@ -21,10 +23,11 @@
 // A job with suspectFailures failures in a row is suspect: it may have been submitted with a mistake, and would then waste every
 // machine that is requested for it. But it may also have met as many faulty machines, and must run all the same. So it is
 // retried on the machines that are up, and machines are requested for one of its tasks at a time (a probe), at growing intervals,
-// until a task completes.
+// until a task completes, or while one has run for much longer than those that failed.
 type failureHistory struct {
 	inRow        int                     // failures since a task last completed; those on a machine while it is avoided count once
 	failedAt     map[string]clock.Micros // by machine of these failures: time of the first one
+	longestRun   clock.Micros            // longest time for which a task ran before one of these failures
 	avoidUntil   map[string]clock.Micros // by machine: time before which no task is placed there, since one failed
 	backoffUntil clock.Micros            // time before which no task of the job is placed, since many failed
 
@@ -39,8 +42,9 @@
 
 // record makes the job avoid a machine on which one of its tasks has failed. Once tasks have failed on backoffMachines machines, or
 // often in a row relative to the number of assigned tasks, the whole job backs off exponentially after each failure: otherwise
-// it would keep taking the capacity that its failures free.
-func (f *failureHistory) record(machine string, assigned int, now clock.Micros) {
+// it would keep taking the capacity that its failures free. ranFor is for how long the task has run.
+func (f *failureHistory) record(machine string, ranFor clock.Micros, assigned int, now clock.Micros) {
+	f.longestRun = max(f.longestRun, ranFor)
 	if now >= f.avoidUntil[machine] {
 		f.inRow++
 	}
@@ -63,7 +67,7 @@
 	if f.inRow == 0 && len(f.avoidUntil) == 0 {
 		return
 	}
-	f.inRow = 0
+	f.inRow, f.longestRun = 0, 0
 	f.probeInterval, f.probeAfter, f.quarantineAfter = 0, 0, 0
 	clear(f.failedAt)
 	maps.DeleteFunc(f.avoidUntil, func(_ string, until clock.Micros) bool { return now >= until })
@@ -72,15 +76,27 @@
 // isSuspect reports whether the job may be at fault for its failures.
 func (f *failureHistory) isSuspect() bool { return f.probeInterval > 0 }
 
-// limitDemand returns for how many of a number of waiting tasks machines may be requested now.
-func (f *failureHistory) limitDemand(tasks int, now clock.Micros) int {
+// demandLimit returns for how many of the job's tasks machines may be requested now.
+func (j *job) demandLimit(now clock.Micros) int {
 	switch {
-	case !f.isSuspect():
-		return tasks
-	case now < f.probeAfter:
+	case !j.failures.isSuspect(), j.outlivesFailures(now):
+		return math.MaxInt
+	case now < j.failures.probeAfter:
 		return 0
 	}
-	return min(tasks, 1)
+	return 1
+}
+
+// outlivesFailures reports whether a task of the job has run for so much longer than those that failed that its machine and
+// the job seem to be sound.
+func (j *job) outlivesFailures(now clock.Micros) bool {
+	soundAfter := max(2*j.failures.longestRun, minSoundRun)
+	for _, a := range j.assignments {
+		if a.runningSince != 0 && now >= a.runningSince+soundAfter {
+			return true
+		}
+	}
+	return false
 }
 
 // quarantineIfFaulty asks for the quarantine of a machine on which a task of a suspect job has failed, if nothing shows that the
--- a/internal/scheduler/failures_scenario_test.go
+++ b/internal/scheduler/failures_scenario_test.go
@@ -182,6 +182,19 @@
 	}
 }
 
+// The tasks of a job run for long, so that for minutes none can complete and show that the job is sound. Once some have run for longer than
+// those that failed, the job gets all machines that it needs at once, not one after the other has booted.
+func TestSuspectJobWithLongTasksGetsMachines(t *testing.T) {
+	const tasks = 100
+	for _, economy := range []bool{true, false} {
+		fleet := newRentedFleet(t, economy, func(number int) bool { return number <= 7 })
+		fleet.bootTime, fleet.runTime = 30*sec, 600*sec
+		fleet.addJob("job-1", tasks, func(j *wire.Job) { smallTasks(j); j.RuntimeEstimateS = 600 })
+		require.True(t, fleet.run(startLimit, func() bool { return fleet.runningTasks() == tasks }),
+			"economy %v: %d tasks run, %d machines were rented", economy, fleet.runningTasks(), fleet.rentals)
+	}
+}
+
 // Several jobs meet the same faulty machines, and the scheduler fails over in between: all of them run.
 func TestJobsRunAfterFaultyMachinesAndFailover(t *testing.T) {
 	fleet := newRentedFleet(t, true, func(number int) bool { return number%2 == 1 })
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -134,9 +134,7 @@
 		ViewAge:            s.viewAge(m, now),
 		Load:               m.load(m.available.CPU),
 	}
-	if a.runningSince != 0 {
-		c.RunTime = now - a.runningSince
-	}
+	c.RunTime = a.runTime(now)
 	c.TimeLeft = max(0, clock.Micros(float64(clock.FromSeconds(j.RuntimeEstimateS))*max(c.Slowdown, 1))-c.RunTime)
 	c.Uncheckpointed = min(clock.FromSeconds(j.CheckpointIntervalS), c.RunTime) / 2
 	return c
--- a/internal/scheduler/reconciliation.go
+++ b/internal/scheduler/reconciliation.go
@@ -145,7 +145,7 @@
 	if !j.isDone(id.N) {
 		s.counters.Done++
 		if a != nil && a.runningSince != 0 {
-			j.recordRun(m.ID, now-a.runningSince)
+			j.recordRun(m.ID, a.runTime(now))
 		}
 	}
 	if j.markDone(id.N); j.doneCount == j.Tasks && a != nil {
@@ -172,7 +172,7 @@
 	default:
 		j.retries++
 		s.counters.Failed++
-		j.failures.record(m.ID, len(j.assignments), now)
+		j.failures.record(m.ID, a.runTime(now), len(j.assignments), now)
 		s.quarantineIfFaulty(j, m, now)
 	}
 	if j.acknowledgedTerms[view.ID] != m.Term {
