--- a/internal/scheduler/failures_scenario_test.go
+++ b/internal/scheduler/failures_scenario_test.go
@@ -109,9 +109,10 @@
 			f.instances[views[i].ID] = instance
 		}
 	}
+	big := wire.MachineType{Name: "big", CPUs: 8, MemGB: 32, Price: 3, SpotPrice: 1, BootS: f.bootTime.Seconds(), Zones: []string{"a", "b"}}
 	scaleOut, scaleIn := autoscaler.Plan(autoscaler.Input{
 		Now:        f.now,
-		Types:      []wire.MachineType{{Name: "big", CPUs: 8, MemGB: 32, Price: 3, SpotPrice: 1, BootS: f.bootTime.Seconds(), Zones: []string{"a", "b"}}},
+		Types:      []wire.MachineType{big},
 		Instances:  f.instances,
 		Views:      views,
 		Demands:    f.scheduler.Demands(f.now),
@@ -123,7 +124,9 @@
 			f.rentals++
 			id := fmt.Sprintf("m-%d", f.rentals)
 			f.numbers[id] = f.rentals
-			f.instances[id] = autoscaler.Instance{InstanceKind: request.InstanceKind, ID: id, Phase: wire.MachineBooting, RequestedAt: f.now}
+			f.instances[id] = autoscaler.Instance{
+				InstanceKind: request.InstanceKind, ID: id, Phase: wire.MachineBooting, RequestedAt: f.now,
+			}
 		}
 	}
 	f.largest = max(f.largest, len(f.instances))
--- a/internal/tasklist/tasklist_test.go
+++ b/internal/tasklist/tasklist_test.go
@@ -23,8 +23,9 @@
 // An entry must not outgrow what was counted for it, in whatever state the task is.
 func TestEntryBytesBoundEachState(t *testing.T) {
 	job, task, attempt := "job-"+strings.Repeat("9", 40), wire.MaxTasks-1, uint64(math.MaxUint64)
+	causes := []string{"", wire.CauseDone, wire.CauseStopped, wire.CauseError, wire.CauseNoRoom, wire.CauseBusy, wire.CauseNoSuch}
 	for _, phase := range []string{wire.TaskFetching, wire.TaskRunning, wire.TaskCheckpointing, wire.TaskExited} {
-		for _, cause := range []string{"", wire.CauseDone, wire.CauseStopped, wire.CauseError, wire.CauseNoRoom, wire.CauseBusy, wire.CauseNoSuch} {
+		for _, cause := range causes {
 			if phase != wire.TaskExited && cause != "" {
 				continue
 			}
