partition, scheduler, tasklist: the first small task of a job gets room on a machine's list beside those of another job

Callers would see: a job with small tasks stays pending for as long as another one with more of them runs, though the machines have CPUs to spare. Cause: small tasks all share the part of the list that is not left to larger ones, and the earlier job takes all of it. Change: a small task of a job that has none on the machine may use half of the part that is left to larger tasks. "No capacity" is taken over from one job to others only when no list was in the way, instead of by size, since the answer now differs between jobs; victims likewise.

Measured: TestFirstSmallTaskOfJobGetsRoomOnList and TestManySmallTasksRunWithinHeartbeatSize (extended by such a job: pending) fail before and pass now.

--- a/internal/partition/leases.go
+++ b/internal/partition/leases.go
@@ -32,7 +32,8 @@
 	}
 	_, leased := m.resourcesInUse()
 	free := m.capacity.Minus(leased)
-	if !tasklist.Admits(m.listedBytes(), entryBytes(a.ID), a.Need, free) {
+	isFirst := func() bool { return !m.hasTaskOf(a.ID.Job) }
+	if !tasklist.Admits(m.listedBytes(), entryBytes(a.ID), a.Need, free, isFirst) {
 		return rejected
 	}
 	if a.Need.Fits(free) && s.yieldsToOtherTeam(m, a, free, now) {
--- a/internal/partition/machine.go
+++ b/internal/partition/machine.go
@@ -101,6 +101,16 @@
 // entryBytes returns the most bytes that an attempt takes in a heartbeat.
 func entryBytes(id peer.TaskID) int { return tasklist.EntryBytes(id.Job, id.N, id.Attempt) }
 
+// hasTaskOf reports whether a task of a job is on the machine or has a lease there, exited or not.
+func (m *machine) hasTaskOf(job string) bool {
+	for id := range m.tasks {
+		if id.Job == job {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether the machine may get tasks now.
 func (m *machine) usable(now clock.Micros) bool {
 	return m.accounted && m.record == recordPresent &&
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -53,7 +53,7 @@
 	}
 	machines.walk(capacityLevel(j.Need.CPU), s.rng.Uint64(), func(m *machineState) bool {
 		s.examined++
-		if m.hasCapacity(j) && s.mayAssign(j, m, now) && !m.recentlyRejected(now) {
+		if m.hasCapacity(j) && s.mayAssign(j, m, now) && !m.recentlyRejected(now) && s.checkListRoom(j, m) {
 			out = append(out, m)
 		}
 		return len(out) >= limit
@@ -61,15 +61,38 @@
 	return out
 }
 
-// hasCapacity reports whether the machine has capacity for a task of a job, and room for it in the list of its worker.
+// hasCapacity reports whether the machine has capacity for a task of a job.
 func (m *machineState) hasCapacity(j *job) bool {
-	return j.Need.Fits(m.available) && m.available.Mem > 0 && m.hasListRoom(j)
+	return j.Need.Fits(m.available) && m.available.Mem > 0
+}
+
+// checkListRoom does what hasListRoom does, and records that a list limits the choice.
+func (s *selector) checkListRoom(j *job, m *machineState) bool {
+	room := m.hasListRoom(j)
+	s.limitedByList = s.limitedByList || !room
+	return room
 }
 
 // hasListRoom reports whether the list that the machine's worker reports has room for a task of a job. Stopping tasks makes no room:
 // they stay on the list until they are forgotten.
 func (m *machineState) hasListRoom(j *job) bool {
-	return tasklist.Admits(m.listedBytes, j.entryBytes(), j.Need, m.available)
+	isFirst := func() bool { return !m.hasTaskOf(j.ID) }
+	return tasklist.Admits(m.listedBytes, j.entryBytes(), j.Need, m.available, isFirst)
+}
+
+// hasTaskOf reports whether a task of a job has been seen on the machine or is assigned to it.
+func (m *machineState) hasTaskOf(job string) bool {
+	for id := range m.tasks {
+		if id.Job == job {
+			return true
+		}
+	}
+	for id := range m.assignments {
+		if id.Job == job {
+			return true
+		}
+	}
+	return false
 }
 
 // entryBytes returns the most bytes that a new attempt of a task of the job takes in a heartbeat.
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -81,7 +81,7 @@
 	considered := 0
 	machines.walk(0, s.rng.Uint64(), func(m *machineState) bool {
 		s.examined++
-		if !hasTaskAtOrBelow(&m.tasksByPriority, maxPriority) || !s.mayAssign(j, m, now) {
+		if !hasTaskAtOrBelow(&m.tasksByPriority, maxPriority) || !s.mayAssign(j, m, now) || !s.checkListRoom(j, m) {
 			return false
 		}
 		considered++
@@ -92,7 +92,7 @@
 		// Victims that have hardly begun lose so little work that a further search is not worth its cost.
 		return considered >= 8*s.parameters.SampleSize || best.machine != nil && bestCost < preemptionCostStep
 	})
-	if best.machine == nil && machines == &s.capacity.all {
+	if best.machine == nil && machines == &s.capacity.all && !s.limitedByList {
 		s.exhausted.markNoVictims(j, guaranteeDue)
 	}
 	return best
@@ -135,9 +135,6 @@
 
 // victimsOn selects the tasks to stop on a machine to make capacity for one task of a job.
 func victimsOn(j *job, m *machineState, guaranteeDue bool, now clock.Micros) (out victimSet) {
-	if !m.hasListRoom(j) {
-		return victimSet{}
-	}
 	var candidates []*observedTask
 	for _, t := range m.tasks {
 		if j.mayStop(t, guaranteeDue, now) {
--- a/internal/scheduler/selection.go
+++ b/internal/scheduler/selection.go
@@ -26,6 +26,7 @@
 	zones          zoneGates
 	largestTaskCPU int64           // in micro-CPUs, updated in every cycle; see maxTaskCPU
 	exhausted      exhaustedDemand // demand for which no capacity was found in this cycle
+	limitedByList  bool            // a machine was passed over in this selection since its worker's list has no room
 }
 
 // startCycle prepares a scheduling cycle for the jobs of the queue.
@@ -37,6 +38,7 @@
 // selectMachine chooses a machine for a task of a job: by estimated cost where costs are configured and can be
 // estimated, else by best fit, and by preemption where no machine has capacity.
 func (s *selector) selectMachine(j *job, now clock.Micros) selection {
+	s.limitedByList = false
 	if s.exhausted.isExhausted(j) {
 		return s.preemptAnywhere(j, now)
 	}
@@ -61,7 +63,7 @@
 	if len(candidates) == 0 {
 		choice := s.preemptAnywhere(j, now)
 		if choice.machine == nil {
-			s.exhausted.markExhausted(j)
+			s.exhausted.markExhausted(j, s.limitedByList)
 		}
 		return choice
 	}
--- a/internal/tasklist/tasklist.go
+++ b/internal/tasklist/tasklist.go
@@ -51,8 +51,12 @@
 
 // Admits reports whether a machine's list has room for an entry of a task. used is the size of the entries that count already, free
 // what the machine has free. A small task leaves room for a larger task on each CPU that is free, and for some that may preempt others.
-func Admits(used, entry int, need, free resources.Amounts) bool {
-	return used+entry+reserved(need, free)*plannedEntryBytes <= Capacity
+// If no other task of its job is on the list, it leaves half as much room, so that jobs with many small tasks don't keep other jobs from
+// running at all. isFirst reports that; it is called only if the answer depends on it.
+func Admits(used, entry int, need, free resources.Amounts, isFirst func() bool) bool {
+	left := Capacity - used - entry
+	reservedBytes := reserved(need, free) * plannedEntryBytes
+	return left >= reservedBytes || left >= reservedBytes/2 && isFirst()
 }
 
 // FreeEntries returns about how many tasks of a size fit into the list of a machine that has a number of tasks.
