partition: a connection to a worker is used by one delivery at a time and released once

In production the process would end, at the limit of connections to workers. Cause: that a machine has one delivery at a time was kept in the machine's state, which begins anew when its partition is lost and acquired again, or the machine removed and added. A second delivery then got the connection that the first one used; both released it, and it was listed as idle twice. Once the machine was gone, making way by the left-over entry closed a connection that wasn't there. Change: whether a connection is in use is kept by workerConnections itself. A machine whose connection is in use is passed over until its release, which wakes the loop. A delivery releases the connection that it has acquired, not whatever has the machine's name; a release of what isn't in use changes nothing. One closed in use counts against the limit until its delivery ends.

--- a/internal/partition/connections.go
+++ b/internal/partition/connections.go
@@ -33,61 +33,90 @@
 // total is limited, because a controller that leads a whole fleet alone also holds the connections of all workers'
 // heartbeats. At the limit the least recently used idle connection is closed to make way for a new one.
 //
+// A connection is idle, in use by the one delivery that has acquired it, or closed. A delivery may outlast what its machine's state
+// says of it: the state begins anew when the partition is lost and acquired again, or the machine is removed and added. So whether a
+// connection is in use is decided here, and a delivery gives back the very connection that it has acquired.
+//
 // The Server's lock guards it.
 type workerConnections struct {
 	limit           int
-	byMachine       map[string]*workerConnection
-	idle            *list.List // of machine ids, the least recently used first
-	deliveryWaiting bool       // a delivery found no connection available
+	byMachine       map[string]*workerConnection // those that are not closed
+	idle            *list.List                   // of *workerConnection, the least recently used first
+	closedInUse     int                          // number of closed connections whose deliveries have not ended
+	deliveryWaiting bool                         // a delivery found no connection available
 
 	dial func(addr string) WorkerClient
 }
 
+// workerConnection is a connection to the own address of one machine's worker.
 type workerConnection struct {
-	client WorkerClient
-	idle   *list.Element // nil while a delivery uses the connection
+	machine string
+	client  WorkerClient
+	idle    *list.Element // its place among the idle connections; nil if it is in use or closed
+	inUse   bool          // a delivery has acquired it and not released it yet
 }
 
 func newWorkerConnections(limit int, dial func(addr string) WorkerClient) *workerConnections {
 	return &workerConnections{limit: limit, dial: dial, byMachine: map[string]*workerConnection{}, idle: list.New()}
 }
 
-// available reports whether a delivery to a machine may start now. If not, the next release reports that a delivery
-// waits.
-func (c *workerConnections) available(id string) bool {
-	ok := len(c.byMachine) < c.limit || c.idle.Len() > 0 || c.byMachine[id] != nil
-	c.deliveryWaiting = c.deliveryWaiting || !ok
-	return ok
+// availability says whether a delivery to a machine may start.
+type availability int
+
+const (
+	connectionAvailable  availability = iota
+	connectionInUse                   // an earlier delivery to the machine has not ended; other machines may have a connection
+	connectionsExhausted              // all connections are in use
+)
+
+// check reports whether a delivery to a machine may start now. If not, the next release reports that a delivery waits.
+func (c *workerConnections) check(id string) availability {
+	result := connectionAvailable
+	switch conn := c.byMachine[id]; {
+	case conn != nil && conn.inUse:
+		result = connectionInUse
+	case conn == nil && c.open() >= c.limit && c.idle.Len() == 0:
+		result = connectionsExhausted
+	}
+	c.deliveryWaiting = c.deliveryWaiting || result != connectionAvailable
+	return result
 }
 
-// acquire hands a machine's connection to a delivery, creating it if there is none to that address. available must
-// have returned true.
-func (c *workerConnections) acquire(id, addr string) WorkerClient {
+// open returns the number of connections that are open or may still be.
+func (c *workerConnections) open() int { return len(c.byMachine) + c.closedInUse }
+
+// acquire hands a machine's connection to a delivery, creating it if there is none to that address. check must have found it
+// available.
+func (c *workerConnections) acquire(id, addr string) *workerConnection {
 	conn := c.byMachine[id]
 	if conn != nil && conn.client.Addr() != addr {
-		c.close(id)
+		c.close(conn)
 		conn = nil
 	}
 	if conn == nil {
-		if len(c.byMachine) >= c.limit && c.idle.Len() > 0 {
-			c.close(c.idle.Front().Value.(string))
+		if leastRecent := c.idle.Front(); c.open() >= c.limit && leastRecent != nil {
+			c.close(leastRecent.Value.(*workerConnection))
 		}
-		conn = &workerConnection{client: c.dial(addr)}
+		conn = &workerConnection{machine: id, client: c.dial(addr)}
 		c.byMachine[id] = conn
 	}
-	if conn.idle != nil {
-		c.idle.Remove(conn.idle)
-		conn.idle = nil
-	}
-	return conn.client
+	c.removeFromIdle(conn)
+	conn.inUse = true
+	return conn
 }
 
-// release takes a connection back after its delivery, and reports whether another delivery waits for one.
-func (c *workerConnections) release(id string, client WorkerClient) (deliveryWaiting bool) {
-	if conn := c.byMachine[id]; conn != nil && conn.client == client {
-		conn.idle = c.idle.PushBack(id)
+// release takes a connection back after its delivery, and reports whether another delivery waits for one. A connection that is
+// not in use stays as it is.
+func (c *workerConnections) release(conn *workerConnection) (deliveryWaiting bool) {
+	if !conn.inUse {
+		return false
+	}
+	conn.inUse = false
+	if c.byMachine[conn.machine] == conn {
+		conn.idle = c.idle.PushBack(conn)
 	} else {
-		client.Close() // the machine's connection was closed or replaced in the meantime
+		c.closedInUse--
+		conn.client.Close() // the delivery may have opened it again after it was closed
 	}
 	deliveryWaiting, c.deliveryWaiting = c.deliveryWaiting, false
 	return deliveryWaiting
@@ -95,18 +124,26 @@
 
 // retain closes the connections to machines that are no longer known.
 func (c *workerConnections) retain(known func(id string) bool) {
-	for id := range c.byMachine {
+	for id, conn := range c.byMachine {
 		if !known(id) {
-			c.close(id)
+			c.close(conn)
 		}
 	}
 }
 
-func (c *workerConnections) close(id string) {
-	conn := c.byMachine[id]
+// close closes a connection that is in byMachine.
+func (c *workerConnections) close(conn *workerConnection) {
+	c.removeFromIdle(conn)
+	delete(c.byMachine, conn.machine)
+	if conn.inUse {
+		c.closedInUse++
+	}
+	conn.client.Close()
+}
+
+func (c *workerConnections) removeFromIdle(conn *workerConnection) {
 	if conn.idle != nil {
 		c.idle.Remove(conn.idle)
+		conn.idle = nil
 	}
-	conn.client.Close()
-	delete(c.byMachine, id)
 }
--- a/internal/partition/delivery.go
+++ b/internal/partition/delivery.go
@@ -37,29 +37,32 @@
 		if term, _ := s.state.PartitionTerm(partition); !s.leads(partition, term) {
 			continue
 		}
-		if !s.connections.available(id) {
-			return // deliver wakes Run's loop when a connection is released
+		switch s.connections.check(id) {
+		case connectionInUse:
+			continue // its release wakes Run's loop
+		case connectionsExhausted:
+			return // the next release wakes Run's loop
 		}
 		addr, orders := s.state.NextDelivery(id, now)
 		if orders == nil {
 			continue
 		}
-		client := s.connections.acquire(id, addr)
-		s.background.Go(func() { s.deliver(ctx, id, partition, client, orders) })
+		connection := s.connections.acquire(id, addr)
+		s.background.Go(func() { s.deliver(ctx, partition, connection, orders) })
 	}
 }
 
 // deliver sends commands to one worker's own address and passes its response, or the lack of one, to the State.
-func (s *Server) deliver(ctx context.Context, id string, partition int, client WorkerClient, orders *wire.Orders) {
+func (s *Server) deliver(ctx context.Context, partition int, connection *workerConnection, orders *wire.Orders) {
 	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
 	defer cancel()
-	status, err := s.postCommands(ctx, partition, client, orders)
+	status, err := s.postCommands(ctx, partition, connection.client, orders)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.connections.release(id, client) {
+	if s.connections.release(connection) {
 		s.wake.Notify()
 	}
-	now := s.clock.Now()
+	now, id := s.clock.Now(), connection.machine
 	if err != nil {
 		s.log.Debug("command delivery unanswered", "machine", id, "error", err)
 		s.state.HandleDeliveryTimeout(id, orders, now)
