partition: a panic in the server's loop ends the process without waiting for deliveries

Cause: Run closed its stopped channel and waited for deliveries in deferred calls, which run on a panic too. Polls were answered at once meanwhile, as by a process that has stopped, and other goroutines went on and would have renewed the leaderships. Change: Run does both only after its context has ended. The deferred wait of scheduler.Server.Run is left: its own goroutine only waits.

Measured: TestPanicDoesNotWaitForDeliveries fails before (the panic arrives after the delivery's minute) and passes now.

--- a/internal/partition/server.go
+++ b/internal/partition/server.go
@@ -171,16 +171,23 @@
 )
 
 // Run ticks the State, writes machine records and delivers commands until ctx ends. It then waits for the deliveries
-// and writes that are under way, which end with ctx.
+// and writes that are under way, which end with ctx. It waits for nothing if it panics: the process has to end at once then, since
+// other goroutines would go on without this one, and renew the leaderships.
 func (s *Server) Run(ctx context.Context) error {
-	defer s.background.Wait()
-	defer close(s.stopped)
+	s.runLoop(ctx)
+	close(s.stopped)
+	s.background.Wait()
+	return nil
+}
+
+// runLoop does the work of Run until ctx ends.
+func (s *Server) runLoop(ctx context.Context) {
 	ticker := time.NewTicker(loopInterval)
 	defer ticker.Stop()
 	for n := 1; ; {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case due := <-ticker.C:
 			s.loopDuty.RecordDelay(time.Since(due))
 			unrecorded, removals := s.tick(n%intervalsPerTick == 0)
--- a/internal/partition/server_test.go
+++ b/internal/partition/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -55,3 +56,24 @@
 	_, err = l.server.postCommands(ctx, 0, httpx.NewClient(listener.Addr().String(), 1, 1<<10), orders)
 	require.ErrorIs(t, err, errNotLeader)
 }
+
+// panickingLeadership is the Elections of a process with a fault.
+type panickingLeadership struct{ allLeaderships }
+
+func (panickingLeadership) Leading(string) (leaderelection.Leadership, bool) { panic("fault") }
+
+// A panic must end the process at once. Guards against a loop that first waits for its deliveries: meanwhile the process would answer polls
+// as one that has stopped, renew its leaderships, and do nothing for its machines.
+func TestPanicDoesNotWaitForDeliveries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLoadedServer(t, 1)
+		l.server.elections = panickingLeadership{}
+		delivered := make(chan struct{})
+		l.server.background.Go(func() { <-delivered })
+		begin := time.Now()
+		time.AfterFunc(time.Minute, func() { close(delivered) })
+		require.PanicsWithValue(t, "fault", func() { _ = l.server.Run(t.Context()) })
+		require.Less(t, time.Since(begin), 10*time.Second)
+		l.server.background.Wait()
+	})
+}
