--- a/internal/scheduler/failures_scenario_test.go
+++ b/internal/scheduler/failures_scenario_test.go
@@ -222,6 +222,7 @@
 				never := func() bool { return false }
 				fleet.run(startLimit, never)
 				require.LessOrEqual(t, fleet.largest, machines+suspectFailures-1)
+				require.Equal(t, 1, fleet.scheduler.Summary().SuspectJobs)
 				fleet.run(3*maxProbeInterval, never)
 				before := fleet.rentals
 				fleet.run(4*maxProbeInterval, never)
--- a/internal/scheduler/loops.go
+++ b/internal/scheduler/loops.go
@@ -155,7 +155,7 @@
 // logSummary logs the present numbers of tasks and jobs, and by how much the counters have grown since the last summary.
 func (s *Server) logSummary(now Summary, last Counters) {
 	s.log.Info("scheduler summary",
-		"waiting", now.Waiting, "bound", now.Assigned, "cancelling", now.CancellingJobs,
+		"waiting", now.Waiting, "bound", now.Assigned, "cancelling", now.CancellingJobs, "suspect", now.SuspectJobs,
 		"placed", now.Placed-last.Placed, "rejected", now.Rejected-last.Rejected, "yielded", now.Yielded-last.Yielded,
 		"preempted", now.Preempted-last.Preempted,
 		"moves", now.MovesStarted-last.MovesStarted, "moved", now.MovesCompleted-last.MovesCompleted,
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -20,6 +20,7 @@
 	Counters              // since the start
 	Waiting, Assigned int // tasks
 	CancellingJobs    int // cancelled jobs whose final state has not been written
+	SuspectJobs       int // jobs that may be at fault for their failures, see failureHistory
 }
 
 // Summary returns the present numbers of tasks and jobs, and the counters.
@@ -31,6 +32,9 @@
 			if j.cancelling {
 				out.CancellingJobs++
 			}
+			if j.failures.isSuspect() {
+				out.SuspectJobs++
+			}
 			out.Waiting += j.waiting()
 			out.Assigned += len(j.assignments)
 		}
