scheduler: a completed task that is listed once more does not end the suspicion against a job

Callers would see: a job of which some tasks completed before it began to fail gets its full demand for machines again with each full view. Cause: the failures in a row were forgotten at each sight of a completed task, which stays listed until its end is recorded. Change: they are forgotten when a task is first seen as completed.

Measured: TestCompletionListedAgainDoesNotEndSuspicion fails with the former line and passes now.

--- a/internal/scheduler/failures_scenario_test.go
+++ b/internal/scheduler/failures_scenario_test.go
@@ -198,6 +198,30 @@
 	}
 }
 
+// A completed task stays listed until its end is recorded, and a full view lists it once more. That is no new evidence: a job that fails
+// everywhere since must stay suspect.
+func TestCompletionListedAgainDoesNotEndSuspicion(t *testing.T) {
+	sim := newSimulation(t, 4)
+	sim.runSteps(8)
+	sim.addJob("job-1", 2, nil)
+	sim.runSteps(4)
+	for _, id := range sim.machineIDs {
+		sim.workers[id].Finish("job-1/0", wire.CauseDone)
+	}
+	for range 400 {
+		sim.runSteps(1)
+		sim.exitAll(wire.CauseError)
+	}
+	failures := &sim.scheduler.teams[red].jobs["job-1"].failures
+	require.True(t, failures.isSuspect())
+	for _, session := range sim.scheduler.sessions {
+		session.processID = "" // the next poll asks for everything
+		session.cursor = 0
+	}
+	sim.runSteps(2)
+	require.True(t, failures.isSuspect())
+}
+
 // Several jobs meet the same faulty machines, and the scheduler fails over in between: all of them run.
 func TestJobsRunAfterFaultyMachinesAndFailover(t *testing.T) {
 	fleet := newRentedFleet(t, true, func(number int) bool { return number%2 == 1 })
--- a/internal/scheduler/reconciliation.go
+++ b/internal/scheduler/reconciliation.go
@@ -147,11 +147,11 @@
 		if a != nil && a.runningSince != 0 {
 			j.recordRun(m.ID, a.runTime(now))
 		}
+		j.failures.recordSuccess(now)
 	}
 	if j.markDone(id.N); j.doneCount == j.Tasks && a != nil {
 		s.distributions.recordLateness(j, now)
 	}
-	j.failures.recordSuccess(now)
 	if j.acknowledgedTerms[id] != m.Term {
 		j.unacknowledged[id] = m.ID
 	}
