scheduler, partition: the length of a worker's list is added up only on machines with many tasks

A list with up to tasklist.AmpleTasks tasks has room for any other; beyond that the sum is kept until the machine's view or assignments change.

TestListOfFewTasksAdmitsAnyTask is new; tests of scheduler, autoscaler, tasklist, partition (but the known one) and TestManySmallTasksRunWithinHeartbeatSize pass.

--- a/internal/partition/leases.go
+++ b/internal/partition/leases.go
@@ -4,7 +4,6 @@
 	"github.com/merlinlatch/merlinlatch/internal/clock"
 	"github.com/merlinlatch/merlinlatch/internal/peer"
 	"github.com/merlinlatch/merlinlatch/internal/resources"
-	"github.com/merlinlatch/merlinlatch/internal/tasklist"
 )
 
 // maxHeldLeaseDuration is the longest time that a held lease lasts. A held lease is a resource lease that is granted for a
@@ -32,8 +31,7 @@
 	}
 	_, leased := m.resourcesInUse()
 	free := m.capacity.Minus(leased)
-	isFirst := func() bool { return !m.hasTaskOf(a.ID.Job) }
-	if !tasklist.Admits(m.listedBytes(), entryBytes(a.ID), a.Need, free, isFirst) {
+	if !m.hasListRoom(a, free) {
 		return rejected
 	}
 	if a.Need.Fits(free) && s.yieldsToOtherTeam(m, a, free, now) {
--- a/internal/partition/machine.go
+++ b/internal/partition/machine.go
@@ -89,6 +89,15 @@
 	return started, leased
 }
 
+// hasListRoom reports whether the list that the worker sends in heartbeats has room for one more task, with the resources that are free.
+func (m *machine) hasListRoom(a *peer.Assignment, free resources.Amounts) bool {
+	if len(m.tasks) <= tasklist.AmpleTasks {
+		return true
+	}
+	isFirst := func() bool { return !m.hasTaskOf(a.ID.Job) }
+	return tasklist.Admits(m.listedBytes(), entryBytes(a.ID), a.Need, free, isFirst)
+}
+
 // listedBytes returns the most bytes that the machine's tasks take in a heartbeat of its worker. Tasks that are not on the worker's list
 // yet count too, and so do exited ones until the worker has forgotten them.
 func (m *machine) listedBytes() (n int) {
--- a/internal/scheduler/machine_cache.go
+++ b/internal/scheduler/machine_cache.go
@@ -46,13 +46,10 @@
 }
 
 // recomputeAvailable updates a machine's available capacity: what its view shows as free, less the assignments that the
-// view does not show yet. It also updates the length of its worker's list.
+// view does not show yet. The list of its worker is added up again when needed.
 func (c *machineCache) recomputeAvailable(m *machineState) {
-	m.available, m.listedBytes = m.Free, m.observedBytes
-	for id, a := range m.assignments {
-		if m.tasks[id] == nil {
-			m.listedBytes += entryBytes(id)
-		}
+	m.available, m.listedBytes = m.Free, 0
+	for _, a := range m.assignments {
 		if a.unanswered || a.processID == m.processID && a.term == m.Term && a.viewVersion > m.Version {
 			m.available = m.available.Minus(a.job.Need)
 		}
@@ -101,12 +98,13 @@
 
 // addObservedTask adds a task to a machine's state or replaces the task's earlier state.
 func (c *machineCache) addObservedTask(m *machineState, t *observedTask, now clock.Micros) {
-	if earlier := m.tasks[t.ID]; t.Cause == wire.CauseDone && (earlier == nil || earlier.Cause != wire.CauseDone) {
-		m.lastCompletionAt = now
+	if t.Cause == wire.CauseDone {
+		if earlier := m.tasks[t.ID]; earlier == nil || earlier.Cause != wire.CauseDone {
+			m.lastCompletionAt = now
+		}
 	}
 	c.removeObservedTask(m, t.ID)
 	m.tasks[t.ID] = t
-	m.observedBytes += entryBytes(t.ID)
 	if t.isFetching() {
 		m.fetchingJobs[t.ID.Job]++
 	}
@@ -123,7 +121,6 @@
 		return
 	}
 	delete(m.tasks, id)
-	m.observedBytes -= entryBytes(id)
 	if t.isFetching() {
 		if m.fetchingJobs[id.Job]--; m.fetchingJobs[id.Job] == 0 {
 			delete(m.fetchingJobs, id.Job)
--- a/internal/scheduler/machine_state.go
+++ b/internal/scheduler/machine_state.go
@@ -17,8 +17,7 @@
 	processID          string            // process of that controller
 	available          resources.Amounts // free by the view, less assignments that the view does not show
 	nameHash           uint64
-	observedBytes      int // what the observed tasks take in a heartbeat
-	listedBytes        int // the same, with the assignments that no view shows yet
+	listedBytes        int // see computeListedBytes; 0: to be added up again
 	assignments        map[peer.TaskID]*assignment
 	updatedAt          clock.Micros
 	tasks              map[peer.TaskID]*observedTask
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -201,7 +201,7 @@
 	a.held = true
 	to.addAssignment(a)
 	to.available = to.available.Minus(a.job.Need)
-	to.listedBytes += entryBytes(a.id)
+	to.extendList(a)
 	s.reindex(to)
 	s.moves.add(&move{plan, source, a})
 	s.counters.MovesStarted++
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -121,7 +121,7 @@
 	a := newAssignment(j, task, m, now)
 	m.addAssignment(a)
 	m.available = m.available.Minus(j.Need)
-	m.listedBytes += entryBytes(a.id)
+	m.extendList(a)
 	if fetch, ok := s.fetchRates.fetchTime(j, m); ok && !m.hasImage(j) {
 		m.assignedFetchUntil, m.assignedFetchImage = now+fetch, j.Image
 	}
--- a/internal/tasklist/tasklist.go
+++ b/internal/tasklist/tasklist.go
@@ -34,6 +34,10 @@
 	minReserved = 32
 	// maxReserved is the largest such number, about a quarter of the list.
 	maxReserved = PlannedTasks / 4
+	// longestEntryBytes is the size of the longest entry: a job id has up to 40 digits, a task up to 5, an attempt up to 20.
+	longestEntryBytes = len(longestEntry) + len("job-/") + 40 + 5 + 20
+	// AmpleTasks is up to how many tasks a list has room for another one, whatever their names are.
+	AmpleTasks = (Capacity-maxReserved*plannedEntryBytes)/longestEntryBytes - 1
 	// wholeCPU is one CPU in resources.Amounts.
 	wholeCPU = 1_000_000
 )
--- a/internal/tasklist/tasklist_test.go
+++ b/internal/tasklist/tasklist_test.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// A list of few tasks must have room for any task, so that callers may skip a closer look.
+func TestListOfFewTasksAdmitsAnyTask(t *testing.T) {
+	longest := EntryBytes("job-"+strings.Repeat("9", 40), wire.MaxTasks-1, math.MaxUint64)
+	never := func() bool { return false }
+	for _, cpus := range []float64{0, 0.02, 1, 64} {
+		require.True(t, Admits(AmpleTasks*longest, longest, resources.Request(cpus, 0, 1), resources.Capacity(1000, 0, 1000), never))
+	}
+}
+
 // Small tasks must leave room on the list for tasks that can use the free CPUs, and a few that preempt; larger tasks use it.
 func TestSmallTasksLeaveRoomToLargerOnes(t *testing.T) {
 	small, large := resources.Request(0.02, 0, 0.02), resources.Request(2, 0, 2)
