Tests: failures before and after a failover; the longest commands that go together fit into a delivery

TestJobsRunAfterFaultyMachinesAndFailover passed on as well: every other machine was sound, and one completed task was enough. Its assertion is as it was.

--- a/internal/partition/tasklist_test.go
+++ b/internal/partition/tasklist_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"math"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -69,6 +71,20 @@
 	require.Greater(t, s.assignSmall(2*tasks), 2*tasks)
 }
 
+// Commands go to a worker in a request too: the longest ones that go together must fit.
+func TestLongestCommandsFitIntoDelivery(t *testing.T) {
+	grace := math.MaxFloat64
+	longest := wire.Order{Verb: wire.VerbForget, Task: wire.TaskName("job-"+strings.Repeat("9", 40), wire.MaxTasks-1),
+		Attempt: math.MaxUint64, GraceS: &grace}
+	delivery := wire.Orders{FencingToken: math.MaxUint64, Incarnation: math.MaxUint64}
+	for range maxCommands {
+		delivery.Orders = append(delivery.Orders, longest)
+	}
+	body, err := json.Marshal(delivery)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(body), wire.MaxBody)
+}
+
 // Small tasks must not shut out tasks that can use the CPUs which they leave free.
 func TestSmallTasksLeaveRoomOnListToLargerOnes(t *testing.T) {
 	s := newWideFixture(t)
--- a/internal/scheduler/failures_scenario_test.go
+++ b/internal/scheduler/failures_scenario_test.go
@@ -222,9 +222,9 @@
 	require.True(t, failures.isSuspect())
 }
 
-// Several jobs meet the same faulty machines, and the scheduler fails over in between: all of them run.
+// Several jobs meet the same faulty machines before and after a failover of their scheduler: all of them run.
 func TestJobsRunAfterFaultyMachinesAndFailover(t *testing.T) {
-	fleet := newRentedFleet(t, true, func(number int) bool { return number%2 == 1 })
+	fleet := newRentedFleet(t, true, func(number int) bool { return number%2 == 1 || number <= 6 })
 	for i := range 4 {
 		fleet.addJob(fmt.Sprintf("job-%d", i), 8+i*10, smallTasks)
 	}
