autoscaler: with economy, work that only some machines can run is compared with these alone as well

Callers would see: a job bound to a zone, a type or to ordinary machines stays pending for as long as other work keeps machines of other kinds busy, though the cloud has room. Cause: the plan requested only what all waiting work needs beyond the CPUs of all machines that are up, whether or not these can run it. Change: waiting work is grouped by the present kinds that can run it, and a group that some can't run is also compared with those that can; the larger need counts. Nothing changes for work that any present machine can run. What is requested of cheaper kinds counts as present for the kinds after it, as before.

Measured: TestPlanWithEconomyRequestsInstancesThatNoOtherCanReplace fails before (0 instances for 2) and passes now.

--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -84,10 +84,14 @@
 	requested map[InstanceKind]int     // number of instances to request
 	bins      []*bin                   // capacity there is or will be
 	viewBins  []bin                    // the bins of the viewed machines, at the same positions as in Views
-	totalCPU  int64                    // CPUs of all usable machines and booting instances, in millionths
-	usedCPU   int64                    // CPUs in use on usable machines, in millionths
+	present   map[InstanceKind]*cpuUse // CPUs of the usable machines and booting instances
 }
 
+// cpuUse is the CPUs of some machines, and those in use on them, in millionths.
+type cpuUse struct{ total, used int64 }
+
+func (u *cpuUse) add(total, used int64) { u.total, u.used = u.total+total, u.used+used }
+
 // Plan decides which instances to request and which machines to return.
 func Plan(in Input) (scaleOut []ScaleOut, scaleIn []ScaleIn) {
 	p := newPlanner(in)
@@ -107,7 +111,7 @@
 	if in.viewIndex == nil {
 		in.viewIndex = indexViews(nil, in.Views)
 	}
-	p := planner{Input: in, types: map[string]wire.MachineType{}, requested: map[InstanceKind]int{}}
+	p := planner{Input: in, types: map[string]wire.MachineType{}, requested: map[InstanceKind]int{}, present: map[InstanceKind]*cpuUse{}}
 	for _, t := range in.Types {
 		p.types[t.Name] = t
 	}
--- a/internal/autoscaler/plan_packing.go
+++ b/internal/autoscaler/plan_packing.go
@@ -45,6 +45,11 @@
 	return (!k.Spot || d.Spot) && (d.Zone == "" || d.Zone == k.Zone) && (len(d.Types) == 0 || slices.Contains(d.Types, k.Type))
 }
 
+// canServe reports whether a new instance of a kind can run tasks of a demand.
+func (p *planner) canServe(k InstanceKind, d *peer.Demand) bool {
+	return permits(d, k) && d.Need.Fits(p.capacityOf(k.Type))
+}
+
 // addViewedMachines adds a bin with the free capacity of each machine that may get tasks.
 func (p *planner) addViewedMachines() {
 	p.bins = make([]*bin, 0, len(p.Views))
@@ -54,11 +59,21 @@
 		if !v.Usable {
 			continue
 		}
-		p.viewBins[i] = bin{kind: InstanceKind{v.Type, v.Zone, v.Spot}, free: v.Free, tasks: v.Count}
+		kind := InstanceKind{v.Type, v.Zone, v.Spot}
+		p.viewBins[i] = bin{kind: kind, free: v.Free, tasks: v.Count}
 		p.bins = append(p.bins, &p.viewBins[i])
-		p.usedCPU += v.Cap.CPU - v.Free.CPU
-		p.totalCPU += v.Cap.CPU
+		p.presentOf(kind).add(v.Cap.CPU, v.Cap.CPU-v.Free.CPU)
+	}
+}
+
+// presentOf returns the CPUs of the present machines of a kind, to be added to.
+func (p *planner) presentOf(k InstanceKind) *cpuUse {
+	use := p.present[k]
+	if use == nil {
+		use = &cpuUse{}
+		p.present[k] = use
 	}
+	return use
 }
 
 // addBootingInstances adds a bin for each instance that is not in the views, whose worker has sent no heartbeat yet, and
@@ -72,7 +87,7 @@
 		}
 		b := &bin{kind: instance.InstanceKind, free: p.capacityOf(instance.Type)}
 		p.bins = append(p.bins, b)
-		p.totalCPU += b.free.CPU
+		p.presentOf(b.kind).add(b.free.CPU, 0)
 	}
 }
 
@@ -123,7 +138,7 @@
 	var best *InstanceKind
 	for i := range p.available {
 		k := &p.available[i]
-		if !permits(d, *k) || !d.Need.Fits(p.capacityOf(k.Type)) || p.requested[*k] >= p.MaxPerKind {
+		if !p.canServe(*k, d) || p.requested[*k] >= p.MaxPerKind {
 			continue
 		}
 		if best == nil || p.cost(*k) < p.cost(*best) {
--- a/internal/autoscaler/plan_scale_out.go
+++ b/internal/autoscaler/plan_scale_out.go
@@ -59,7 +59,11 @@
 // CPUs in use, so that new tasks need not wait for an instance to boot. The instances that packDemands requested are not
 // counted.
 func (p *planner) addSpareCapacity() {
-	spare := int64(p.Parameters.SpareShare*float64(p.usedCPU)) - (p.totalCPU - p.usedCPU)
+	var present cpuUse
+	for _, use := range p.present {
+		present.add(use.total, use.used)
+	}
+	spare := int64(p.Parameters.SpareShare*float64(present.used)) - (present.total - present.used)
 	for _, k := range p.available {
 		cpu := p.types[k.Type].CPUs
 		for spare > 0 && p.requested[k] < p.MaxPerKind && cpu > 0 {
@@ -71,19 +75,77 @@
 
 // limitToCatchup reduces the requested instances to those without which the waiting work would not be completed within
 // the time to catch up, or by its deadline if that is earlier. So with economy no instances are requested for work that
-// the present machines complete in time.
+// the present machines complete in time. Work that only some of the present machines can run is also compared with these alone:
+// otherwise it would get no machine while other work keeps the others up.
 func (p *planner) limitToCatchup() {
-	meanRunS := meanRunTimeS(p.Demands)
-	added := 0.0 // CPUs requested of the kinds before
+	all := work{p.Demands, func(InstanceKind) bool { return true }}
+	restricted := p.restrictedWork()
 	for _, k := range p.available {
 		if p.requested[k] == 0 {
 			continue
 		}
 		t := p.types[k.Type]
-		missing := p.requiredCPUs(t, p.catchupS(k), meanRunS) - float64(p.totalCPU)/cpuUnit - added
+		missing := p.missingCPUs(k, &all)
+		for i := range restricted {
+			if w := &restricted[i]; w.canRunOn(k) {
+				missing = max(missing, p.missingCPUs(k, w))
+			}
+		}
 		p.requested[k] = min(p.requested[k], max(0, int(math.Ceil(missing/t.CPUs))))
-		added += float64(p.requested[k]) * t.CPUs
+		// What is requested of a kind counts as present for the kinds after it.
+		p.presentOf(k).add(int64(float64(p.requested[k])*t.CPUs*cpuUnit), 0)
+	}
+}
+
+// work is waiting tasks that can run on the same kinds of instances.
+type work struct {
+	demands  []peer.Demand
+	canRunOn func(InstanceKind) bool
+}
+
+// restrictedWork returns the waiting work that can't run on all present machines, grouped by the kinds on which it can.
+func (p *planner) restrictedWork() []work {
+	kinds := make([]InstanceKind, 0, len(p.present))
+	for k := range p.present {
+		kinds = append(kinds, k)
+	}
+	groups := map[string]int{}
+	var list []work
+	for i := range p.Demands {
+		d := &p.Demands[i]
+		key := make([]byte, len(kinds))
+		unrestricted := true
+		for n, k := range kinds {
+			if p.canServe(k, d) {
+				key[n] = 1
+			} else {
+				unrestricted = false
+			}
+		}
+		if unrestricted {
+			continue
+		}
+		group, known := groups[string(key)]
+		if !known {
+			group = len(list)
+			groups[string(key)] = group
+			list = append(list, work{canRunOn: func(k InstanceKind) bool { return p.canServe(k, d) }})
+		}
+		list[group].demands = append(list[group].demands, *d)
+	}
+	return list
+}
+
+// missingCPUs returns how many CPUs of instances of a kind the work needs beside those of the present machines that it can run on, to be
+// completed in time.
+func (p *planner) missingCPUs(k InstanceKind, w *work) float64 {
+	var present cpuUse
+	for kind, use := range p.present {
+		if w.canRunOn(kind) {
+			present.add(use.total, use.used)
+		}
 	}
+	return p.requiredCPUs(p.types[k.Type], p.catchupS(k), w.demands, present.used) - float64(present.total)/cpuUnit
 }
 
 // catchupS returns the time, in seconds, within which waiting work is to be done. Instances of a kind are requested
@@ -95,14 +157,15 @@
 	return p.Parameters.CatchupOnDemand.Seconds()
 }
 
-// requiredCPUs returns the number of CPUs that complete all running and waiting tasks within catchupS seconds. Tasks
+// requiredCPUs returns the number of CPUs that complete the running tasks on some machines, which use usedCPU millionths of
+// their CPUs, and the waiting ones of some demands within catchupS seconds. Tasks
 // with a deadline that is still ahead count with a shorter time where that is needed. It is not made shorter than an instance of
 // type t takes to boot plus minCatchupAfterBootS, since requesting it would not help earlier. However little a task needs, it takes its
 // share of the list that a machine's worker reports.
-func (p *planner) requiredCPUs(t wire.MachineType, catchupS, meanRunS float64) float64 {
-	cpus := float64(p.usedCPU) / cpuUnit * meanRunS / 2 / catchupS // running tasks are half done on average
-	for i := range p.Demands {
-		d := &p.Demands[i]
+func (*planner) requiredCPUs(t wire.MachineType, catchupS float64, demands []peer.Demand, usedCPU int64) float64 {
+	cpus := float64(usedCPU) / cpuUnit * meanRunTimeS(demands) / 2 / catchupS // running tasks are half done on average
+	for i := range demands {
+		d := &demands[i]
 		withinS := catchupS
 		if d.Slack > 0 {
 			withinS = min(catchupS, max(d.Slack.Seconds()-t.BootS*bootSlackFactor, t.BootS+minCatchupAfterBootS))
--- a/internal/autoscaler/plan_test.go
+++ b/internal/autoscaler/plan_test.go
@@ -192,3 +192,27 @@
 		Count: tasklist.PlannedTasks}}
 	require.Len(t, scaleOutOf(Plan(in)), 1, "the list of the machine is full")
 }
+
+// With economy, work in one zone must not keep a job from its only zone, nor work on spot instances one that needs others: the machines
+// that are up can't serve it, however many CPUs they have. It gets what its own work needs in its time to catch up.
+func TestPlanWithEconomyRequestsInstancesThatNoOtherCanReplace(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		change    func(*peer.Demand)
+		instances int
+	}{
+		{"other zone", func(d *peer.Demand) { d.Zone = "b" }, 2},
+		{"ordinary instances", func(d *peer.Demand) { d.Spot = false }, 1},
+		{"any machine", nil, 0},
+	} {
+		in := testInput()
+		in.Parameters.Economy = true
+		for i := range 10 {
+			in.Views = append(in.Views, peer.MachineView{ID: fmt.Sprintf("m-%d", i), Type: "big", Zone: "a", Spot: true, Usable: true,
+				Cap: bigCapacity(), Count: 2})
+		}
+		in.Demands = waitingDemand(4, c.change)
+		spot, ordinary := countBySpot(scaleOutOf(Plan(in)))
+		require.Equal(t, c.instances, spot+ordinary, c.name)
+	}
+}
